--- /dev/null
+++ b/core/src/consensus.rs
@@ -0,0 +1,535 @@
+//! The replicated control log: elections, replication and change of voters.
+//!
+//! The rules are those of Raft, with pre-vote, check of quorum and learners.
+
+mod leader;
+pub mod log;
+pub mod message;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use self::leader::Leader;
+use self::log::Log;
+use self::message::{
+    Body, Entry, HardState, Index, Message, Payload, Record, ReplicaId, Snapshot, Term, VoteKind,
+};
+use crate::time::{Moment, duration_millis};
+
+/// Time between two heartbeats of a leader.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(150);
+/// Shortest time without a leader after which a replica campaigns.
+pub const ELECTION_MIN: Duration = Duration::from_millis(600);
+/// Longest time without a leader after which a replica campaigns.
+pub const ELECTION_MAX: Duration = Duration::from_millis(1200);
+
+/// What the caller has to carry out, in the order given.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// Write to the data folder; `Consensus::synced` tells when it is synced.
+    Persist(Record),
+    /// Send at once.
+    Send(ReplicaId, Message),
+    /// Send once everything persisted before it is synced.
+    SendSynced(ReplicaId, Message),
+    /// Apply a committed entry to the control state.
+    Apply(Entry),
+    /// Replace the control state by that of a snapshot.
+    Restore(Snapshot),
+}
+
+/// Why a proposal was not taken in.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NotLeader {
+    /// The replica that leads, as far as known.
+    pub leader: Option<ReplicaId>,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    /// Asks whether it would be elected (`pre`), or asks to be.
+    Candidate {
+        pre: bool,
+        votes: BTreeSet<ReplicaId>,
+    },
+    Leader(Leader),
+}
+
+/// One replica of the control log.
+#[derive(Debug)]
+pub struct Consensus {
+    own: ReplicaId,
+    hard: HardState,
+    log: Log,
+    role: Role,
+    leader: Option<ReplicaId>,
+    /// Last time that a leader of the current term was heard.
+    leader_heard: Option<Moment>,
+    election_due: Moment,
+    /// Never falls; at most the last position of the log.
+    commit: Index,
+    /// Last position that was handed out to be applied; at most `commit`.
+    applied: Index,
+    /// Last position known to be synced here.
+    synced: Index,
+    rng: Rng,
+    outputs: Vec<Output>,
+}
+
+impl Consensus {
+    /// Opens a replica on what its data folder kept; `seed` spreads its election times.
+    #[must_use]
+    pub fn open(now: Moment, own: ReplicaId, hard: HardState, log: Log, seed: u64) -> Self {
+        let start = log.snapshot().index;
+        let synced = log.last_index();
+        let mut consensus = Self {
+            own,
+            hard,
+            log,
+            role: Role::Follower,
+            leader: None,
+            leader_heard: None,
+            election_due: now,
+            commit: start,
+            applied: start,
+            synced,
+            rng: Rng::with_seed(seed),
+            outputs: Vec::new(),
+        };
+        consensus.reset_election(now);
+        consensus
+    }
+
+    /// Returns what has to be carried out since the last call.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Returns this replica's identity.
+    #[must_use]
+    pub fn own(&self) -> &ReplicaId {
+        &self.own
+    }
+
+    /// Returns the newest term seen.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Returns the replica that leads, as far as known.
+    #[must_use]
+    pub fn leader(&self) -> Option<&ReplicaId> {
+        self.leader.as_ref()
+    }
+
+    /// Whether this replica leads.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Returns the current voters, committed or not.
+    #[must_use]
+    pub fn voters(&self) -> &[ReplicaId] {
+        self.log.voters()
+    }
+
+    /// Returns the last committed position.
+    #[must_use]
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// Returns the log.
+    #[must_use]
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Returns when a leader was last heard; a leader hears itself while it has a quorum.
+    #[must_use]
+    pub fn leader_heard(&self) -> Option<Moment> {
+        self.leader_heard
+    }
+
+    /// Forms a new cluster of `voters`, on a replica whose folder is empty.
+    ///
+    /// Every voter must have said that its folder is empty too.
+    pub fn form(&mut self, voters: Vec<ReplicaId>) {
+        if !self.log.voters().is_empty() || self.log.last_index() > Index(0) {
+            return;
+        }
+        let snapshot = Snapshot {
+            voters,
+            ..Snapshot::default()
+        };
+        self.log.install(snapshot.clone());
+        self.outputs
+            .push(Output::Persist(Record::Snapshot(snapshot)));
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment) {
+        if self.is_leader() {
+            self.leader_tick(now);
+        } else if now >= self.election_due {
+            self.campaign(now, VoteKind::Pre);
+        }
+    }
+
+    /// Proposes a command; returns its position, which may still be lost with this leader.
+    ///
+    /// # Errors
+    /// Returns who leads where this replica does not.
+    pub fn propose(&mut self, now: Moment, payload: Payload) -> Result<(Term, Index), NotLeader> {
+        if !self.is_leader() {
+            return Err(NotLeader {
+                leader: self.leader.clone(),
+            });
+        }
+        let index = self.append_own(payload);
+        self.replicate_all(now);
+        self.advance_commit();
+        Ok((self.hard.term, index))
+    }
+
+    /// Takes in that the data folder has synced the log up to `index` of `term`.
+    pub fn synced(&mut self, index: Index, term: Term) {
+        // An entry replaced since then is not the one that was synced.
+        if self.log.term_at(index) == Some(term) {
+            self.synced = self.synced.max(index);
+        }
+        self.advance_commit();
+    }
+
+    /// Takes in a message of another replica.
+    pub fn receive(&mut self, now: Moment, from: &ReplicaId, message: Message) {
+        if self.ignores(now, &message) {
+            return;
+        }
+        if message.term > self.hard.term && !is_pre_vote(&message.body) {
+            self.follow_term(now, message.term);
+        }
+        match message.body {
+            Body::Vote {
+                kind,
+                last_index,
+                last_term,
+            } => {
+                let pre = kind == VoteKind::Pre;
+                self.answer_vote(now, from, message.term, pre, last_index, last_term);
+            }
+            Body::VoteReply { pre, granted } => {
+                self.count_vote(now, from, message.term, pre, granted);
+            }
+            Body::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+            } => {
+                if self.hear_leader(now, from, message.term) {
+                    self.append(from, prev_index, prev_term, entries, commit);
+                }
+            }
+            Body::Install(snapshot) => {
+                if self.hear_leader(now, from, message.term) {
+                    self.install(from, snapshot);
+                }
+            }
+            Body::AppendReply { success, index } => {
+                self.append_reply(now, from, message.term, success, index);
+            }
+            Body::CampaignNow => {
+                if message.term == self.hard.term {
+                    self.campaign(now, VoteKind::Handover);
+                }
+            }
+        }
+    }
+
+    /// Replaces the log up to `index` by a snapshot of the control state there.
+    pub fn compact(&mut self, index: Index, data: std::sync::Arc<[u8]>) {
+        let known = self.log.term_at(index);
+        let Some(term) = known.filter(|_| index <= self.applied) else {
+            return;
+        };
+        let voters = self.log.voters_at(index);
+        let snapshot = Snapshot {
+            index,
+            term,
+            voters,
+            data,
+        };
+        self.log.compact(snapshot.clone());
+        self.outputs
+            .push(Output::Persist(Record::Snapshot(snapshot)));
+    }
+
+    /// Whether a message must not disturb this replica.
+    ///
+    /// While a leader is heard, a vote request of a replica that came back from a cut is ignored.
+    fn ignores(&self, now: Moment, message: &Message) -> bool {
+        let Body::Vote { kind, .. } = message.body else {
+            return false;
+        };
+        let heard = self
+            .leader_heard
+            .is_some_and(|heard| now.since(heard) < ELECTION_MIN);
+        heard && message.term > self.hard.term && kind != VoteKind::Handover
+    }
+
+    fn is_voter(&self) -> bool {
+        self.log.voters().contains(&self.own)
+    }
+
+    fn reset_election(&mut self, now: Moment) {
+        let spread = duration_millis(ELECTION_MAX.saturating_sub(ELECTION_MIN));
+        let extra = Duration::from_millis(self.rng.u64(..=spread));
+        self.election_due = now + ELECTION_MIN + extra;
+    }
+
+    fn persist_hard(&mut self) {
+        self.outputs
+            .push(Output::Persist(Record::HardState(self.hard.clone())));
+    }
+
+    fn follow_term(&mut self, now: Moment, term: Term) {
+        self.hard = HardState { term, vote: None };
+        self.persist_hard();
+        self.become_follower(now, None);
+    }
+
+    fn become_follower(&mut self, now: Moment, leader: Option<ReplicaId>) {
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election(now);
+    }
+
+    /// Starts an election, or first asks whether one could be won.
+    fn campaign(&mut self, now: Moment, kind: VoteKind) {
+        let pre = kind == VoteKind::Pre;
+        self.reset_election(now);
+        if !self.is_voter() {
+            return;
+        }
+        self.leader = None;
+        let term = Term(self.hard.term.0 + 1);
+        if !pre {
+            self.hard = HardState {
+                term,
+                vote: Some(self.own.clone()),
+            };
+            self.persist_hard();
+        }
+        self.role = Role::Candidate {
+            pre,
+            votes: BTreeSet::new(),
+        };
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        let body = Body::Vote {
+            kind,
+            last_index,
+            last_term,
+        };
+        for peer in self.peers() {
+            let message = Message {
+                term,
+                body: body.clone(),
+            };
+            self.outputs.push(Output::SendSynced(peer, message));
+        }
+        let own = self.own.clone();
+        // The own vote counts once it is synced: the reply to oneself takes the synced path too.
+        let reply = Message {
+            term,
+            body: Body::VoteReply { pre, granted: true },
+        };
+        self.outputs.push(Output::SendSynced(own, reply));
+    }
+
+    fn peers(&self) -> Vec<ReplicaId> {
+        self.log
+            .voters()
+            .iter()
+            .filter(|voter| **voter != self.own)
+            .cloned()
+            .collect()
+    }
+
+    fn answer_vote(
+        &mut self,
+        now: Moment,
+        from: &ReplicaId,
+        term: Term,
+        pre: bool,
+        last_index: Index,
+        last_term: Term,
+    ) {
+        let up_to_date = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
+        let granted = if pre {
+            term > self.hard.term && up_to_date
+        } else {
+            term == self.hard.term && up_to_date && self.may_vote_for(from)
+        };
+        if granted && !pre {
+            self.hard.vote = Some(from.clone());
+            self.persist_hard();
+            self.reset_election(now);
+        }
+        // A refusal carries the own term, so that a candidate that is behind learns it.
+        let term = if granted { term } else { self.hard.term };
+        let message = Message {
+            term,
+            body: Body::VoteReply { pre, granted },
+        };
+        self.outputs.push(Output::SendSynced(from.clone(), message));
+    }
+
+    fn may_vote_for(&self, candidate: &ReplicaId) -> bool {
+        self.hard.vote.as_ref().is_none_or(|vote| vote == candidate)
+    }
+
+    fn count_vote(&mut self, now: Moment, from: &ReplicaId, term: Term, pre: bool, granted: bool) {
+        let asked = if pre {
+            Term(self.hard.term.0 + 1)
+        } else {
+            self.hard.term
+        };
+        let voters = self.log.voters();
+        let Role::Candidate { pre: asking, votes } = &mut self.role else {
+            return;
+        };
+        if !granted || *asking != pre || term != asked || !voters.contains(from) {
+            return;
+        }
+        votes.insert(from.clone());
+        let counted = voters.iter().filter(|voter| votes.contains(voter)).count();
+        if counted < quorum(voters.len()) {
+            return;
+        }
+        if pre {
+            self.campaign(now, VoteKind::Election);
+        } else {
+            self.become_leader(now);
+        }
+    }
+
+    /// Takes note of a leader; returns false for one of an older term.
+    fn hear_leader(&mut self, now: Moment, from: &ReplicaId, term: Term) -> bool {
+        if term < self.hard.term {
+            let index = self.log.last_index();
+            self.reply_append(from, false, index);
+            return false;
+        }
+        self.become_follower(now, Some(from.clone()));
+        self.leader_heard = Some(now);
+        true
+    }
+
+    fn reply_append(&mut self, to: &ReplicaId, success: bool, index: Index) {
+        let body = Body::AppendReply { success, index };
+        let message = Message {
+            term: self.hard.term,
+            body,
+        };
+        self.outputs.push(Output::SendSynced(to.clone(), message));
+    }
+
+    fn append(
+        &mut self,
+        from: &ReplicaId,
+        prev_index: Index,
+        prev_term: Term,
+        entries: Vec<Entry>,
+        commit: Index,
+    ) {
+        let covered = prev_index < self.log.snapshot().index;
+        if !covered && self.log.term_at(prev_index) != Some(prev_term) {
+            let hint = prev_index
+                .previous()
+                .min(self.log.last_index())
+                .max(self.commit);
+            self.reply_append(from, false, hint);
+            return;
+        }
+        let matched = entries.last().map_or(prev_index, |entry| entry.index);
+        for entry in entries {
+            self.append_entry(entry);
+        }
+        self.reply_append(from, true, matched.max(self.log.snapshot().index));
+        self.commit_to(commit.min(matched));
+    }
+
+    fn append_entry(&mut self, entry: Entry) {
+        if entry.index <= self.log.snapshot().index {
+            return;
+        }
+        if self.log.term_at(entry.index) == Some(entry.term) {
+            return;
+        }
+        assert!(
+            entry.index > self.commit,
+            "a committed entry must never be replaced"
+        );
+        self.synced = self.synced.min(entry.index.previous());
+        self.log.put(entry.clone());
+        self.outputs.push(Output::Persist(Record::Entry(entry)));
+    }
+
+    fn install(&mut self, from: &ReplicaId, snapshot: Snapshot) {
+        let index = snapshot.index;
+        if index <= self.commit && !self.log.voters().is_empty() {
+            self.reply_append(from, true, self.commit);
+            return;
+        }
+        self.log.install(snapshot.clone());
+        self.commit = index;
+        self.applied = index;
+        self.synced = index;
+        self.outputs
+            .push(Output::Persist(Record::Snapshot(snapshot.clone())));
+        self.outputs.push(Output::Restore(snapshot));
+        self.reply_append(from, true, index);
+    }
+
+    fn commit_to(&mut self, commit: Index) {
+        let commit = commit.min(self.log.last_index());
+        if commit <= self.commit {
+            return;
+        }
+        self.commit = commit;
+        while self.applied < self.commit {
+            self.applied = self.applied.next();
+            if let Some(entry) = self.log.get(self.applied) {
+                self.outputs.push(Output::Apply(entry.clone()));
+            }
+        }
+    }
+}
+
+/// Returns how many of `voters` make a quorum.
+#[must_use]
+pub const fn quorum(voters: usize) -> usize {
+    voters / 2 + 1
+}
+
+const fn is_pre_vote(body: &Body) -> bool {
+    matches!(
+        body,
+        Body::Vote {
+            kind: VoteKind::Pre,
+            ..
+        } | Body::VoteReply {
+            pre: true,
+            granted: true
+        }
+    )
+}
+
+/// State that only a leader has, by replica.
+type ProgressTable = BTreeMap<ReplicaId, leader::Progress>;
--- /dev/null
+++ b/core/src/dispatch.rs
@@ -0,0 +1,445 @@
+//! The dispatcher: queues, orders and places the requests of one zone.
+//!
+//! Its state is soft. Entry VMs hold every request and ask again when the dispatcher changes.
+
+pub mod ledger;
+pub mod message;
+mod placing;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::dispatch::ledger::{Ledger, Running};
+use crate::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant, GrantedServer};
+use crate::estimate::{EngineSpeed, WorkEstimate};
+use crate::manifest::{Manifest, Policy, ServiceKind, ServiceRule};
+use crate::names::{CustomerName, ServerId, ServiceName, VmId};
+use crate::outcome::{Refusal, RefusalReason};
+use crate::queue::{FairQueue, Waiting};
+use crate::registry::{Announcement, Registry, RegistryChange, ServerKey};
+use crate::suspects::{SuspectTable, Suspicion};
+use crate::time::Moment;
+use crate::units::{AttemptId, ContentDigest, RequestId, Tokens};
+
+/// Shortest wait that a refused caller is told.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest wait that a refused caller is told.
+const MAX_RETRY_AFTER: Duration = Duration::from_mins(1);
+/// How long a request waits for a first backend server to announce itself.
+const NO_SERVER_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// A request that waits at the dispatcher.
+#[derive(Clone, Debug)]
+struct Pending {
+    ask: Ask,
+    since: Moment,
+    deadline: Moment,
+    long: bool,
+}
+
+/// Queues and waiting requests of one service.
+#[derive(Debug, Default)]
+struct ServiceQueue {
+    /// Requests whose predicted prefill is short.
+    shorts: FairQueue,
+    /// The others; each waiting request is in exactly one of the two.
+    longs: FairQueue,
+    pending: BTreeMap<RequestId, Pending>,
+}
+
+/// The dispatcher of one VM for every service that it holds.
+#[derive(Debug, Default)]
+pub struct Dispatcher {
+    manifest: Option<Arc<Manifest>>,
+    registry: Registry,
+    queues: BTreeMap<ServiceName, ServiceQueue>,
+    ledger: Ledger,
+    suspects: SuspectTable,
+    outputs: Vec<DispatchOutput>,
+}
+
+impl Dispatcher {
+    /// Puts a manifest in force.
+    pub fn set_manifest(&mut self, manifest: Arc<Manifest>) {
+        self.manifest = Some(manifest);
+    }
+
+    /// Returns the known backend servers.
+    #[must_use]
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Returns how many requests wait, over all services.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(|queue| queue.pending.len()).sum()
+    }
+
+    /// Returns how many requests run, as far as this dispatcher placed them or was told.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Returns what was decided since the last call.
+    pub fn take_outputs(&mut self) -> Vec<DispatchOutput> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Takes in a request to place; the same ask again changes nothing or repeats the grant.
+    pub fn ask(&mut self, now: Moment, ask: Ask) {
+        if self.repeat_grant(&ask) {
+            return;
+        }
+        self.ledger.remove(ask.request);
+        match self.check(&ask) {
+            Err(refusal) => self.refuse(&ask, refusal),
+            Ok(long) => {
+                let service = ask.service.clone();
+                self.enqueue(now, ask, long);
+                self.place_service(now, &service);
+            }
+        }
+    }
+
+    /// Takes in that an attempt made its first token.
+    pub fn started(&mut self, request: RequestId, attempt: AttemptId) {
+        self.ledger.started(request, attempt);
+    }
+
+    /// Takes in the end of an attempt and places what waited for its room.
+    pub fn finish(&mut self, now: Moment, finish: &Finish) {
+        if let AttemptEnd::ServerDied(id) = &finish.end {
+            self.server_died(now, finish.request, id);
+        }
+        let Some(running) = self.ledger.finish(finish.request, finish.attempt) else {
+            return;
+        };
+        if finish.end == AttemptEnd::Complete {
+            self.suspects.ran_to_end(&running.digest);
+        }
+        self.place_service(now, &running.service);
+    }
+
+    /// Takes in that a caller or an entry gave a waiting or running request up.
+    pub fn abandon(&mut self, now: Moment, request: RequestId) {
+        self.forget_pending(request);
+        if let Some(running) = self.ledger.remove(request) {
+            self.place_service(now, &running.service);
+        }
+    }
+
+    /// Takes in a request that already runs, told by its entry to a new dispatcher.
+    pub fn adopt(&mut self, request: RequestId, running: Running) {
+        self.ledger.insert(request, running);
+    }
+
+    /// Takes in an announcement of a backend server.
+    pub fn announce(&mut self, now: Moment, announced: Announcement) -> RegistryChange {
+        let key = announced.key();
+        let change = self.registry.announce(now, announced);
+        if change == RegistryChange::Restarted {
+            let incarnation = self
+                .registry
+                .get(&key)
+                .map(|server| server.announced.incarnation);
+            self.blame_running(now, &key, incarnation);
+        }
+        if change != RegistryChange::Stale {
+            self.place_service(now, &key.service);
+        }
+        change
+    }
+
+    /// Takes in a verdict of the control log.
+    pub fn convict(&mut self, now: Moment, content: ContentDigest) {
+        self.suspects.convict(now, content);
+    }
+
+    /// Frees what a lost entry VM held, and has its running requests cancelled.
+    pub fn vm_lost(&mut self, now: Moment, vm: &VmId) {
+        let waiting: Vec<_> = self
+            .queues
+            .values()
+            .flat_map(|queue| queue.pending.values())
+            .filter(|pending| pending.ask.entry == *vm)
+            .map(|pending| pending.ask.request)
+            .collect();
+        for request in waiting {
+            self.forget_pending(request);
+        }
+        for (request, running) in self.ledger.remove_entry(vm) {
+            let servers = self.granted_servers(&running.service, &running.servers);
+            self.outputs
+                .push(DispatchOutput::Cancel { request, servers });
+        }
+        self.place_all(now);
+    }
+
+    /// Ends leases and waits whose time has come, and places what it can.
+    pub fn tick(&mut self, now: Moment) {
+        self.registry.expire(now);
+        self.suspects.expire(now);
+        self.refuse_late(now);
+        self.place_all(now);
+    }
+
+    fn place_all(&mut self, now: Moment) {
+        let services: Vec<_> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.place_service(now, &service);
+        }
+    }
+
+    fn repeat_grant(&mut self, ask: &Ask) -> bool {
+        if self.is_waiting(&ask.service, ask.request, ask.attempt) {
+            return true;
+        }
+        let Some(running) = self.ledger.get(ask.request) else {
+            return false;
+        };
+        if running.attempt != ask.attempt {
+            return false;
+        }
+        let servers = self.granted_servers(&ask.service, &running.servers.clone());
+        if servers.is_empty() {
+            return false;
+        }
+        self.outputs
+            .push(DispatchOutput::Grant(Grant::new(ask, servers)));
+        true
+    }
+
+    fn is_waiting(&self, service: &ServiceName, request: RequestId, attempt: AttemptId) -> bool {
+        let queue = self.queues.get(service);
+        let pending = queue.and_then(|queue| queue.pending.get(&request));
+        pending.is_some_and(|pending| pending.ask.attempt == attempt)
+    }
+
+    /// Checks whether a request may wait here; returns whether it is long.
+    fn check(&self, ask: &Ask) -> Result<bool, Refusal> {
+        let manifest = self.manifest.as_ref().ok_or(Refusal::not_run(
+            RefusalReason::NoManifest,
+            Some(MIN_RETRY_AFTER),
+        ))?;
+        let rule = manifest
+            .services
+            .get(&ask.service)
+            .ok_or(Refusal::not_run(RefusalReason::UnknownService, None))?;
+        if self.suspects.suspicion(&ask.digest) == Suspicion::Convicted {
+            return Err(Refusal::not_run(RefusalReason::Quarantined, None));
+        }
+        self.check_customer(manifest, ask)?;
+        self.check_queue(rule, ask)?;
+        Ok(is_long(rule, &ask.work, &manifest.policy))
+    }
+
+    fn check_customer(&self, manifest: &Manifest, ask: &Ask) -> Result<(), Refusal> {
+        let limit = manifest
+            .customers
+            .get(&ask.customer)
+            .map_or(0, |rule| rule.max_running);
+        let waiting = self.queues.get(&ask.service).map_or(0, |queue| {
+            queue
+                .pending
+                .values()
+                .filter(|pending| pending.ask.customer == ask.customer)
+                .count()
+        });
+        let running = self.ledger.of_customer(&ask.service, &ask.customer);
+        if waiting + running < limit as usize {
+            return Ok(());
+        }
+        Err(Refusal::not_run(
+            RefusalReason::CustomerLimit,
+            Some(MIN_RETRY_AFTER),
+        ))
+    }
+
+    fn check_queue(&self, rule: &ServiceRule, ask: &Ask) -> Result<(), Refusal> {
+        let wait = self.predicted_wait(&ask.service);
+        let retry_after = Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+        let waiting = self
+            .queues
+            .get(&ask.service)
+            .map_or(0, |queue| queue.pending.len());
+        if waiting >= rule.queue_limit {
+            return Err(Refusal::not_run(RefusalReason::QueueFull, retry_after));
+        }
+        let engine_time = match rule.kind {
+            ServiceKind::Model => ask.work.engine_time(Tokens(0), self.speed(&ask.service)),
+            ServiceKind::Plain => Duration::ZERO,
+        };
+        if wait + engine_time > ask.time_left {
+            return Err(Refusal::not_run(
+                RefusalReason::DeadlineUnmeetable,
+                retry_after,
+            ));
+        }
+        Ok(())
+    }
+
+    /// Predicts how long a new request waits, from the queued work and the servers' slots.
+    fn predicted_wait(&self, service: &ServiceName) -> Duration {
+        let Some(queue) = self.queues.get(service) else {
+            return Duration::ZERO;
+        };
+        let slots: u32 = self
+            .registry
+            .of_service(service)
+            .map(|server| server.announced.slots)
+            .sum();
+        if slots == 0 {
+            return Duration::ZERO;
+        }
+        (queue.shorts.work() + queue.longs.work()) / slots
+    }
+
+    fn speed(&self, service: &ServiceName) -> EngineSpeed {
+        let first = self.registry.of_service(service).next();
+        first
+            .map(|server| server.announced.speed)
+            .unwrap_or_default()
+    }
+
+    fn enqueue(&mut self, now: Moment, ask: Ask, long: bool) {
+        self.forget_pending(ask.request);
+        let speed = self.speed(&ask.service);
+        let waiting = Waiting {
+            request: ask.request,
+            customer: ask.customer.clone(),
+            weight: self.weight(&ask.customer),
+            work: ask.work.engine_time(Tokens(0), speed),
+            since: now,
+        };
+        let deadline = now + ask.time_left;
+        let queue = self.queues.entry(ask.service.clone()).or_default();
+        if long {
+            &mut queue.longs
+        } else {
+            &mut queue.shorts
+        }
+        .push(waiting);
+        queue.pending.insert(
+            ask.request,
+            Pending {
+                ask,
+                since: now,
+                deadline,
+                long,
+            },
+        );
+    }
+
+    fn weight(&self, customer: &CustomerName) -> u32 {
+        let rule = self
+            .manifest
+            .as_ref()
+            .and_then(|manifest| manifest.customers.get(customer));
+        rule.map_or(1, |rule| rule.weight)
+    }
+
+    fn forget_pending(&mut self, request: RequestId) {
+        for queue in self.queues.values_mut() {
+            if queue.pending.remove(&request).is_some() {
+                queue.shorts.remove(request);
+                queue.longs.remove(request);
+            }
+        }
+    }
+
+    fn refuse(&mut self, ask: &Ask, refusal: Refusal) {
+        self.outputs.push(DispatchOutput::Refuse {
+            entry: ask.entry.clone(),
+            request: ask.request,
+            attempt: ask.attempt,
+            refusal,
+        });
+    }
+
+    /// Refuses at once what cannot be met any more, so that no caller is kept for nothing.
+    fn refuse_late(&mut self, now: Moment) {
+        let mut late = Vec::new();
+        for (service, queue) in &self.queues {
+            let served = self.registry.of_service(service).next().is_some();
+            for pending in queue.pending.values() {
+                if pending.deadline <= now {
+                    late.push((pending.ask.clone(), RefusalReason::DeadlinePassed));
+                } else if !served && now.since(pending.since) >= NO_SERVER_PATIENCE {
+                    late.push((pending.ask.clone(), RefusalReason::NoServer));
+                }
+            }
+        }
+        for (ask, reason) in late {
+            self.forget_pending(ask.request);
+            self.refuse(&ask, Refusal::not_run(reason, Some(MIN_RETRY_AFTER)));
+        }
+    }
+
+    fn server_died(&mut self, now: Moment, request: RequestId, id: &ServerId) {
+        let Some(running) = self.ledger.get(request) else {
+            return;
+        };
+        let key = ServerKey {
+            service: running.service.clone(),
+            id: id.clone(),
+        };
+        let died = running.incarnation_of(id);
+        let current = self
+            .registry
+            .get(&key)
+            .map(|server| server.announced.incarnation);
+        if current == died {
+            self.registry.remove(now, &key);
+        }
+        self.blame_running(now, &key, None);
+    }
+
+    /// Makes every request that ran on a dead process of this server a suspect, once a death.
+    fn blame_running(&mut self, now: Moment, key: &ServerKey, alive: Option<u64>) {
+        for content in self.ledger.blame(key, alive) {
+            if self.suspects.server_died(now, content) == Suspicion::Convicted {
+                self.outputs.push(DispatchOutput::Convict(content));
+                self.refuse_convicted(content);
+            }
+        }
+    }
+
+    fn refuse_convicted(&mut self, content: ContentDigest) {
+        let waiting: Vec<_> = self
+            .queues
+            .values()
+            .flat_map(|queue| queue.pending.values())
+            .filter(|pending| pending.ask.digest == content)
+            .map(|pending| pending.ask.clone())
+            .collect();
+        for ask in waiting {
+            self.forget_pending(ask.request);
+            self.refuse(&ask, Refusal::not_run(RefusalReason::Quarantined, None));
+        }
+    }
+
+    fn granted_servers(&self, service: &ServiceName, ids: &[ledger::Share]) -> Vec<GrantedServer> {
+        ids.iter()
+            .filter_map(|share| {
+                let key = ServerKey {
+                    service: service.clone(),
+                    id: share.server.clone(),
+                };
+                let known = self.registry.get(&key)?;
+                Some(GrantedServer {
+                    id: share.server.clone(),
+                    address: Arc::clone(&known.announced.address),
+                    incarnation: share.incarnation,
+                    memory: share.memory,
+                })
+            })
+            .collect()
+    }
+}
+
+fn is_long(rule: &ServiceRule, work: &WorkEstimate, policy: &Policy) -> bool {
+    rule.kind == ServiceKind::Model && work.prompt >= policy.long_tokens
+}
--- /dev/null
+++ b/core/src/dispatch/ledger.rs
@@ -0,0 +1,199 @@
+//! What the dispatcher promised to whom, from its own placements rather than from late reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::estimate::EngineSpeed;
+use crate::names::{CustomerName, ServerId, ServiceName, VmId};
+use crate::registry::ServerKey;
+use crate::time::Moment;
+use crate::units::{AttemptId, ContentDigest, RequestId, Tokens};
+
+/// Part of a request that one server holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// The server.
+    pub server: ServerId,
+    /// Its incarnation when the request was placed.
+    pub incarnation: u64,
+    /// Tokens promised to the request.
+    pub memory: Tokens,
+    /// Whether the death of this incarnation was counted against the request.
+    pub blamed: bool,
+}
+
+/// A placed request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Running {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// VM that holds the request.
+    pub entry: VmId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its customer.
+    pub customer: CustomerName,
+    /// Digest of its content.
+    pub digest: ContentDigest,
+    /// Servers that run it; never empty.
+    pub servers: Vec<Share>,
+    /// Prompt tokens that were not cached when it was placed.
+    pub prefill: Tokens,
+    /// Whether it counts as long.
+    pub long: bool,
+    /// Whether it must run alone.
+    pub alone: bool,
+    /// When it was placed.
+    pub since: Moment,
+    /// Whether its first token came.
+    pub started: bool,
+}
+
+impl Running {
+    /// Returns the incarnation of `id` that runs the request.
+    #[must_use]
+    pub fn incarnation_of(&self, id: &ServerId) -> Option<u64> {
+        self.servers
+            .iter()
+            .find(|share| share.server == *id)
+            .map(|share| share.incarnation)
+    }
+
+    fn backlog(&self, now: Moment, speed: EngineSpeed) -> Duration {
+        if self.started {
+            return Duration::ZERO;
+        }
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "token counts stay far below 2^52"
+        )]
+        let whole = self.prefill.0 as f64 / speed.prefill_rate;
+        let whole = Duration::try_from_secs_f64(whole).unwrap_or_default();
+        whole.saturating_sub(now.since(self.since))
+    }
+}
+
+/// Load that the dispatcher's own placements put on one server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OwnLoad {
+    /// Requests.
+    pub running: u32,
+    /// Long prompts among them.
+    pub longs: u32,
+    /// Tokens promised.
+    pub memory: Tokens,
+    /// Prefill time still to come.
+    pub backlog: Duration,
+    /// Whether a suspect runs there.
+    pub apart: bool,
+}
+
+/// Placed requests by id.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    running: BTreeMap<RequestId, Running>,
+}
+
+impl Ledger {
+    /// Returns how many requests run.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Whether nothing runs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    /// Finds a request.
+    #[must_use]
+    pub fn get(&self, request: RequestId) -> Option<&Running> {
+        self.running.get(&request)
+    }
+
+    /// Enters a placement in place of an older one of the same request.
+    pub fn insert(&mut self, request: RequestId, running: Running) {
+        self.running.insert(request, running);
+    }
+
+    /// Notes the first token of an attempt.
+    pub fn started(&mut self, request: RequestId, attempt: AttemptId) {
+        let running = self.running.get_mut(&request);
+        if let Some(running) = running.filter(|running| running.attempt == attempt) {
+            running.started = true;
+        }
+    }
+
+    /// Ends an attempt; an older or unknown one changes nothing.
+    pub fn finish(&mut self, request: RequestId, attempt: AttemptId) -> Option<Running> {
+        if self.running.get(&request)?.attempt != attempt {
+            return None;
+        }
+        self.running.remove(&request)
+    }
+
+    /// Ends whatever attempt of the request runs.
+    pub fn remove(&mut self, request: RequestId) -> Option<Running> {
+        self.running.remove(&request)
+    }
+
+    /// Ends all requests of an entry VM.
+    pub fn remove_entry(&mut self, vm: &VmId) -> Vec<(RequestId, Running)> {
+        self.running
+            .extract_if(.., |_, running| running.entry == *vm)
+            .collect()
+    }
+
+    /// Returns how many requests of a customer run.
+    #[must_use]
+    pub fn of_customer(&self, service: &ServiceName, customer: &CustomerName) -> usize {
+        let of_both =
+            |running: &&Running| running.service == *service && running.customer == *customer;
+        self.running.values().filter(of_both).count()
+    }
+
+    /// Sums what was placed on a server.
+    #[must_use]
+    pub fn load_of(&self, key: &ServerKey, speed: EngineSpeed, now: Moment) -> OwnLoad {
+        let mut load = OwnLoad::default();
+        for running in self
+            .running
+            .values()
+            .filter(|running| running.service == key.service)
+        {
+            let Some(share) = running.servers.iter().find(|share| share.server == key.id) else {
+                continue;
+            };
+            load.running += 1;
+            load.longs += u32::from(running.long);
+            load.memory += share.memory;
+            load.backlog += running.backlog(now, speed);
+            load.apart |= running.alone;
+        }
+        load
+    }
+
+    /// Returns the contents that ran on processes of a server other than `alive`, each once.
+    pub fn blame(&mut self, key: &ServerKey, alive: Option<u64>) -> Vec<ContentDigest> {
+        let mut blamed = Vec::new();
+        for running in self
+            .running
+            .values_mut()
+            .filter(|running| running.service == key.service)
+        {
+            for share in running
+                .servers
+                .iter_mut()
+                .filter(|share| share.server == key.id)
+            {
+                if !share.blamed && Some(share.incarnation) != alive {
+                    share.blamed = true;
+                    blamed.push(running.digest);
+                }
+            }
+        }
+        blamed
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,23 @@
+//! Every decision of merlinrudder, as state machines without input or output.
+//!
+//! Nothing in this package reads a clock, opens a socket or a file, starts a thread or draws global
+//! random numbers. Callers feed the time and the inputs in, and carry the outputs out.
+
+pub mod claims;
+pub mod consensus;
+pub mod control;
+pub mod dispatch;
+pub mod estimate;
+pub mod held;
+pub mod manifest;
+pub mod membership;
+pub mod names;
+pub mod outcome;
+pub mod placement;
+pub mod queue;
+pub mod registry;
+pub mod rendezvous;
+pub mod retry;
+pub mod suspects;
+pub mod time;
+pub mod units;
--- /dev/null
+++ b/core/src/membership.rs
@@ -0,0 +1,513 @@
+//! Which VMs are alive, by probing a few at a time and passing on what was learned.
+//!
+//! The cost of a VM does not grow with their number: each period it probes one VM of its zone and
+//! one of all, and each message carries a bounded number of rumours.
+
+pub mod message;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use self::message::{Health, MembershipMessage, Note, Rumor};
+use crate::manifest::ManifestNumber;
+use crate::names::{VmId, ZoneName};
+use crate::time::Moment;
+
+/// Time between two rounds of probes.
+pub const PROBE_PERIOD: Duration = Duration::from_millis(250);
+/// Time for an answer before other VMs are asked to probe.
+const DIRECT_TIME: Duration = Duration::from_millis(200);
+/// Time for an answer, direct or through others, before a VM is suspected.
+const PROBE_TIME: Duration = Duration::from_millis(450);
+/// Time that a suspected VM has to speak up before it counts as dead.
+const SUSPECT_TIME: Duration = Duration::from_millis(800);
+/// VMs that are asked to probe for another.
+const HELPERS: usize = 2;
+/// Most rumours in one message.
+const MAX_RUMORS: usize = 8;
+/// A dead VM is probed this seldom, so that a healed cut is found.
+const DEAD_PROBE_ONE_IN: u32 = 4;
+
+/// A VM as known here.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether it has a disk for the control log.
+    pub disk: bool,
+    /// Grows with each start and each refuted suspicion.
+    pub incarnation: u64,
+    /// How it is.
+    pub health: Health,
+    /// Manifest that it had in force when last heard.
+    pub manifest: ManifestNumber,
+    /// When its health last changed.
+    pub since: Moment,
+    /// When it last answered this VM itself.
+    pub heard: Option<Moment>,
+}
+
+/// What the caller has to carry out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MembershipOutput {
+    /// Send a message.
+    Send(VmId, MembershipMessage),
+    /// The health of a VM changed.
+    Changed(VmId, Health),
+    /// A VM has a newer manifest in force than this one.
+    NewerManifest(VmId, ManifestNumber),
+}
+
+#[derive(Debug)]
+struct Probe {
+    target: VmId,
+    sent: Moment,
+    helped: bool,
+}
+
+#[derive(Debug)]
+struct Spread {
+    rumor: Rumor,
+    /// Messages that still have to carry it.
+    left: u32,
+}
+
+/// What one VM knows of all VMs.
+#[derive(Debug)]
+pub struct Membership {
+    own: VmId,
+    own_zone: ZoneName,
+    own_disk: bool,
+    own_incarnation: u64,
+    own_health: Health,
+    own_manifest: ManifestNumber,
+    /// All other VMs of the settings.
+    members: BTreeMap<VmId, Member>,
+    /// VMs still to be probed in this round; refilled in random order.
+    round: Vec<VmId>,
+    probes: BTreeMap<u64, Probe>,
+    /// Probes sent for others: own sequence to the asking VM and its sequence.
+    errands: BTreeMap<u64, Errand>,
+    spreads: BTreeMap<VmId, Spread>,
+    sequence: u64,
+    probe_due: Moment,
+    rng: Rng,
+    outputs: Vec<MembershipOutput>,
+}
+
+#[derive(Debug)]
+struct Errand {
+    asker: VmId,
+    sequence: u64,
+    sent: Moment,
+}
+
+/// A VM as the settings name it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedVm {
+    /// Its id.
+    pub vm: VmId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether it has a disk.
+    pub disk: bool,
+}
+
+impl Membership {
+    /// Starts with the VMs of the settings, none of them heard yet.
+    ///
+    /// `incarnation` must be higher than at any earlier start of this VM.
+    #[must_use]
+    pub fn open(now: Moment, own: ListedVm, peers: &[ListedVm], incarnation: u64) -> Self {
+        let member = |peer: &ListedVm| Member {
+            zone: peer.zone.clone(),
+            disk: peer.disk,
+            incarnation: 0,
+            health: Health::Dead,
+            manifest: ManifestNumber(0),
+            since: now,
+            heard: None,
+        };
+        let members = peers
+            .iter()
+            .map(|peer| (peer.vm.clone(), member(peer)))
+            .collect();
+        let mut membership = Self {
+            own: own.vm,
+            own_zone: own.zone,
+            own_disk: own.disk,
+            own_incarnation: incarnation,
+            own_health: Health::Alive,
+            own_manifest: ManifestNumber(0),
+            members,
+            round: Vec::new(),
+            probes: BTreeMap::new(),
+            errands: BTreeMap::new(),
+            spreads: BTreeMap::new(),
+            sequence: 0,
+            probe_due: now,
+            rng: Rng::with_seed(incarnation),
+            outputs: Vec::new(),
+        };
+        membership.spread_own();
+        membership
+    }
+
+    /// Returns what has to be carried out since the last call.
+    pub fn take_outputs(&mut self) -> Vec<MembershipOutput> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Returns all other VMs.
+    pub fn members(&self) -> impl Iterator<Item = (&VmId, &Member)> {
+        self.members.iter()
+    }
+
+    /// Finds another VM.
+    #[must_use]
+    pub fn get(&self, vm: &VmId) -> Option<&Member> {
+        self.members.get(vm)
+    }
+
+    /// Returns the VMs of a zone that take work, this one among them.
+    #[must_use]
+    pub fn serving_in(&self, zone: &ZoneName) -> Vec<&VmId> {
+        let others = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.zone == *zone && member.health == Health::Alive)
+            .map(|(vm, _)| vm);
+        let own = (self.own_zone == *zone && self.own_health == Health::Alive).then_some(&self.own);
+        others.chain(own).collect()
+    }
+
+    /// Notes the manifest in force here.
+    pub fn set_manifest(&mut self, number: ManifestNumber) {
+        self.own_manifest = number;
+    }
+
+    /// Tells all that this VM is leaving; it gets no dispatcher's work from then on.
+    pub fn leave(&mut self) {
+        self.own_health = Health::Leaving;
+        self.own_incarnation += 1;
+        self.spread_own();
+        let all: Vec<_> = self.members.keys().cloned().collect();
+        for vm in all {
+            self.send_ping(&vm);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment) {
+        self.check_probes(now);
+        self.check_suspects(now);
+        if now >= self.probe_due {
+            self.probe_due = now + PROBE_PERIOD;
+            self.probe_round(now);
+        }
+    }
+
+    /// Takes in a message of another VM.
+    pub fn receive(&mut self, now: Moment, from: &VmId, message: MembershipMessage) {
+        self.hear(now, from, message.manifest);
+        for rumor in message.rumors {
+            self.learn(now, rumor);
+        }
+        match message.note {
+            Note::Ping { sequence } => self.send(from, Note::Ack { sequence }),
+            Note::Ack { sequence } => self.take_ack(now, sequence),
+            Note::ProbeFor { target, sequence } => self.run_errand(now, from, &target, sequence),
+        }
+    }
+
+    fn hear(&mut self, now: Moment, from: &VmId, manifest: ManifestNumber) {
+        let Some(member) = self.members.get_mut(from) else {
+            return;
+        };
+        member.heard = Some(now);
+        member.manifest = manifest;
+        if manifest > self.own_manifest {
+            self.outputs
+                .push(MembershipOutput::NewerManifest(from.clone(), manifest));
+        }
+    }
+
+    fn take_ack(&mut self, now: Moment, sequence: u64) {
+        if let Some(errand) = self.errands.remove(&sequence) {
+            self.send(
+                &errand.asker,
+                Note::Ack {
+                    sequence: errand.sequence,
+                },
+            );
+        }
+        if let Some(probe) = self.probes.remove(&sequence) {
+            self.mark_alive(now, &probe.target);
+        }
+    }
+
+    /// A VM that answers is alive, even where a rumour said otherwise.
+    fn mark_alive(&mut self, now: Moment, vm: &VmId) {
+        let Some(member) = self.members.get(vm) else {
+            return;
+        };
+        if member.health == Health::Suspect {
+            let rumor = rumor_of(vm, member, Health::Alive);
+            self.set_health(now, vm, member.incarnation, Health::Alive);
+            self.spread(rumor);
+        }
+    }
+
+    fn run_errand(&mut self, now: Moment, asker: &VmId, target: &VmId, sequence: u64) {
+        self.sequence += 1;
+        let errand = Errand {
+            asker: asker.clone(),
+            sequence,
+            sent: now,
+        };
+        self.errands.insert(self.sequence, errand);
+        self.send(
+            target,
+            Note::Ping {
+                sequence: self.sequence,
+            },
+        );
+    }
+
+    fn probe_round(&mut self, now: Moment) {
+        let mut targets = Vec::new();
+        targets.extend(self.random_neighbor());
+        targets.extend(self.next_of_round());
+        targets.dedup();
+        for target in targets {
+            self.sequence += 1;
+            let probe = Probe {
+                target: target.clone(),
+                sent: now,
+                helped: false,
+            };
+            self.probes.insert(self.sequence, probe);
+            self.send(
+                &target,
+                Note::Ping {
+                    sequence: self.sequence,
+                },
+            );
+        }
+    }
+
+    /// Picks a VM of the own zone: its dispatcher's loss must be seen soonest.
+    fn random_neighbor(&mut self) -> Option<VmId> {
+        let neighbors: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.zone == self.own_zone && member.health != Health::Dead)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        self.rng.choice(neighbors)
+    }
+
+    fn next_of_round(&mut self) -> Option<VmId> {
+        for _ in 0..=self.members.len() {
+            if self.round.is_empty() {
+                self.round = self.members.keys().cloned().collect();
+                self.rng.shuffle(&mut self.round);
+            }
+            let vm = self.round.pop()?;
+            let member = self.members.get(&vm)?;
+            let unheard = member.heard.is_none();
+            if member.health != Health::Dead || unheard || self.rng.u32(..DEAD_PROBE_ONE_IN) == 0 {
+                return Some(vm);
+            }
+        }
+        None
+    }
+
+    fn check_probes(&mut self, now: Moment) {
+        self.errands
+            .retain(|_, errand| now.since(errand.sent) < PROBE_TIME);
+        let late: Vec<_> = self
+            .probes
+            .iter()
+            .filter(|(_, probe)| now.since(probe.sent) >= PROBE_TIME)
+            .map(|(sequence, _)| *sequence)
+            .collect();
+        for sequence in late {
+            if let Some(probe) = self.probes.remove(&sequence) {
+                self.suspect(now, &probe.target);
+            }
+        }
+        self.ask_helpers(now);
+    }
+
+    fn ask_helpers(&mut self, now: Moment) {
+        let mut asked = Vec::new();
+        for (sequence, probe) in &mut self.probes {
+            if !probe.helped && now.since(probe.sent) >= DIRECT_TIME {
+                probe.helped = true;
+                asked.push((*sequence, probe.target.clone()));
+            }
+        }
+        for (sequence, target) in asked {
+            for helper in self.helpers(&target) {
+                self.send(
+                    &helper,
+                    Note::ProbeFor {
+                        target: target.clone(),
+                        sequence,
+                    },
+                );
+            }
+        }
+    }
+
+    fn helpers(&mut self, target: &VmId) -> Vec<VmId> {
+        let mut alive: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(vm, member)| *vm != target && member.health == Health::Alive)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        self.rng.shuffle(&mut alive);
+        alive.truncate(HELPERS);
+        alive
+    }
+
+    fn suspect(&mut self, now: Moment, vm: &VmId) {
+        let Some(member) = self.members.get(vm) else {
+            return;
+        };
+        if !matches!(member.health, Health::Alive | Health::Leaving) {
+            return;
+        }
+        let rumor = rumor_of(vm, member, Health::Suspect);
+        self.set_health(now, vm, member.incarnation, Health::Suspect);
+        self.spread(rumor);
+    }
+
+    fn check_suspects(&mut self, now: Moment) {
+        let dead: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.health == Health::Suspect)
+            .filter(|(_, member)| now.since(member.since) >= SUSPECT_TIME)
+            .map(|(vm, member)| (vm.clone(), rumor_of(vm, member, Health::Dead)))
+            .collect();
+        for (vm, rumor) in dead {
+            self.set_health(now, &vm, rumor.incarnation, Health::Dead);
+            self.spread(rumor);
+        }
+    }
+
+    /// Takes in a rumour; it is passed on where it was news.
+    fn learn(&mut self, now: Moment, rumor: Rumor) {
+        if rumor.vm == self.own {
+            self.refute(&rumor);
+            return;
+        }
+        let Some(member) = self.members.get(&rumor.vm) else {
+            return;
+        };
+        let known = (member.incarnation, member.health.rank());
+        if (rumor.incarnation, rumor.health.rank()) <= known {
+            return;
+        }
+        self.set_health(now, &rumor.vm, rumor.incarnation, rumor.health);
+        self.spread(rumor);
+    }
+
+    fn refute(&mut self, rumor: &Rumor) {
+        let wrong = rumor.health.rank() > self.own_health.rank();
+        if rumor.incarnation >= self.own_incarnation && wrong {
+            self.own_incarnation = rumor.incarnation + 1;
+            self.spread_own();
+        }
+    }
+
+    fn set_health(&mut self, now: Moment, vm: &VmId, incarnation: u64, health: Health) {
+        let Some(member) = self.members.get_mut(vm) else {
+            return;
+        };
+        member.incarnation = incarnation;
+        if member.health != health {
+            member.health = health;
+            member.since = now;
+            self.outputs
+                .push(MembershipOutput::Changed(vm.clone(), health));
+        }
+    }
+
+    fn spread_own(&mut self) {
+        let rumor = Rumor {
+            vm: self.own.clone(),
+            incarnation: self.own_incarnation,
+            health: self.own_health,
+        };
+        self.spread(rumor);
+    }
+
+    fn spread(&mut self, rumor: Rumor) {
+        let vms = u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX);
+        let left = 3 * (vms.ilog2() + 1);
+        self.spreads
+            .insert(rumor.vm.clone(), Spread { rumor, left });
+    }
+
+    fn send_ping(&mut self, to: &VmId) {
+        self.sequence += 1;
+        self.send(
+            to,
+            Note::Ping {
+                sequence: self.sequence,
+            },
+        );
+    }
+
+    fn send(&mut self, to: &VmId, note: Note) {
+        let rumors = self.next_rumors(to);
+        let message = MembershipMessage {
+            note,
+            rumors,
+            manifest: self.own_manifest,
+        };
+        self.outputs
+            .push(MembershipOutput::Send(to.clone(), message));
+    }
+
+    /// Picks the rumours that were sent least, and always what concerns the receiver and the sender.
+    fn next_rumors(&mut self, to: &VmId) -> Vec<Rumor> {
+        let own = Rumor {
+            vm: self.own.clone(),
+            incarnation: self.own_incarnation,
+            health: self.own_health,
+        };
+        let mut rumors = vec![own];
+        if let Some(member) = self.members.get(to).filter(|member| member.incarnation > 0) {
+            rumors.push(rumor_of(to, member, member.health));
+        }
+        let mut waiting: Vec<_> = self.spreads.values_mut().collect();
+        waiting.sort_by_key(|spread| std::cmp::Reverse(spread.left));
+        for spread in waiting.into_iter().take(MAX_RUMORS - rumors.len()) {
+            spread.left -= 1;
+            rumors.push(spread.rumor.clone());
+        }
+        self.spreads.retain(|_, spread| spread.left > 0);
+        rumors
+    }
+
+    /// Whether this VM has a disk for the control log.
+    #[must_use]
+    pub fn has_disk(&self) -> bool {
+        self.own_disk
+    }
+}
+
+fn rumor_of(vm: &VmId, member: &Member, health: Health) -> Rumor {
+    Rumor {
+        vm: vm.clone(),
+        incarnation: member.incarnation,
+        health,
+    }
+}
--- /dev/null
+++ b/core/src/placement.rs
@@ -0,0 +1,163 @@
+//! Choice of the backend servers for one request.
+
+use std::time::Duration;
+
+use crate::estimate::{EngineSpeed, WorkEstimate};
+use crate::names::ServerId;
+use crate::units::Tokens;
+
+/// Most engines that one prompt may be spread over.
+pub const MAX_GROUP: usize = 8;
+
+/// A backend server as the dispatcher sees it when it places a request.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Its name.
+    pub id: ServerId,
+    /// Tokens that its memory holds; zero for a plain server.
+    pub memory: Tokens,
+    /// Tokens that are not promised to anyone.
+    pub free: Tokens,
+    /// Requests that it can take besides those it has.
+    pub free_slots: u32,
+    /// Predicted prefill time that it still has before it.
+    pub backlog: Duration,
+    /// Requests that it runs.
+    pub running: u32,
+    /// Long prompts that it runs.
+    pub longs: u32,
+    /// Tokens of this prompt that it caches.
+    pub cached: Tokens,
+    /// Its speed.
+    pub speed: EngineSpeed,
+    /// Whether a suspect runs there.
+    pub apart: bool,
+}
+
+/// What is asked of a placement.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementQuestion {
+    /// Predicted work.
+    pub work: WorkEstimate,
+    /// Whether the request counts as long.
+    pub long: bool,
+    /// Whether the request must run alone.
+    pub alone: bool,
+    /// Most servers that may hold long prompts.
+    pub long_servers: usize,
+}
+
+/// What a placement found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlacementResult {
+    /// These servers, the one that streams the answer first.
+    Placed(Vec<ServerId>),
+    /// There is no room now.
+    Full,
+    /// The fleet could not hold the prompt even when empty.
+    TooLarge,
+}
+
+/// Chooses servers by predicted time to the first token.
+#[must_use]
+pub fn place(question: &PlacementQuestion, candidates: &[Candidate]) -> PlacementResult {
+    let need = question.work.memory();
+    let model_fleet = candidates
+        .iter()
+        .any(|candidate| candidate.memory > Tokens(0));
+    let largest = candidates
+        .iter()
+        .map(|candidate| candidate.memory)
+        .max()
+        .unwrap_or_default();
+    if !model_fleet || need <= largest {
+        return place_single(
+            question,
+            candidates,
+            if model_fleet { need } else { Tokens(0) },
+        );
+    }
+    place_group(question, candidates, need)
+}
+
+fn place_single(
+    question: &PlacementQuestion,
+    candidates: &[Candidate],
+    need: Tokens,
+) -> PlacementResult {
+    let chosen = candidates
+        .iter()
+        .filter(|candidate| candidate.free >= need && is_open(question, candidate))
+        .filter(|candidate| !question.long || long_allowed(question, candidates, candidate))
+        .min_by_key(|candidate| {
+            (
+                single_cost(question, candidate),
+                candidate.running,
+                &candidate.id,
+            )
+        });
+    match chosen {
+        Some(candidate) => PlacementResult::Placed(vec![candidate.id.clone()]),
+        None => PlacementResult::Full,
+    }
+}
+
+fn place_group(
+    question: &PlacementQuestion,
+    candidates: &[Candidate],
+    need: Tokens,
+) -> PlacementResult {
+    let mut by_memory: Vec<_> = candidates
+        .iter()
+        .map(|candidate| candidate.memory)
+        .collect();
+    by_memory.sort_unstable_by(|a, b| b.cmp(a));
+    if total(by_memory.into_iter().take(MAX_GROUP)) < need {
+        return PlacementResult::TooLarge;
+    }
+    let mut open: Vec<_> = candidates
+        .iter()
+        .filter(|candidate| is_open(question, candidate))
+        .collect();
+    open.sort_by_key(|candidate| (std::cmp::Reverse(candidate.free), &candidate.id));
+    let mut group = Vec::new();
+    let mut held = Tokens(0);
+    for candidate in open.into_iter().take(MAX_GROUP) {
+        if held >= need {
+            break;
+        }
+        held += candidate.free;
+        group.push(candidate.id.clone());
+    }
+    if held < need {
+        return PlacementResult::Full;
+    }
+    PlacementResult::Placed(group)
+}
+
+fn total(amounts: impl Iterator<Item = Tokens>) -> Tokens {
+    amounts.fold(Tokens(0), |sum, amount| sum + amount)
+}
+
+fn is_open(question: &PlacementQuestion, candidate: &Candidate) -> bool {
+    let room = candidate.free_slots > 0 && !candidate.apart;
+    room && (!question.alone || candidate.running == 0)
+}
+
+/// Long prompts may go where one runs already, or to a further server while few hold one.
+fn long_allowed(
+    question: &PlacementQuestion,
+    candidates: &[Candidate],
+    candidate: &Candidate,
+) -> bool {
+    let holding = candidates.iter().filter(|other| other.longs > 0).count();
+    candidate.longs == 0 && holding < question.long_servers
+}
+
+/// Predicted time to the first token, and for a short the disturbance by running longs.
+fn single_cost(question: &PlacementQuestion, candidate: &Candidate) -> Duration {
+    candidate.backlog
+        + question
+            .work
+            .prefill_time(candidate.cached, candidate.speed)
+}
--- /dev/null
+++ b/core/src/retry.rs
@@ -0,0 +1,77 @@
+//! When a request may be sent again, and how often a service allows it.
+
+use std::time::Duration;
+
+use crate::outcome::RunState;
+use crate::time::Moment;
+
+/// Retries that a service allows without any traffic, so that a quiet service can retry at all.
+const FLOOR: f64 = 3.0;
+/// Most retries that a quiet time can save up.
+const CEILING: f64 = 50.0;
+/// Shortest time left in which a retry makes sense.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+/// First wait between two attempts; it doubles with each further attempt.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+/// Longest wait between two attempts.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Retries that a service has left; each request earns a part of one.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    /// Between zero and `CEILING`.
+    left: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { left: FLOOR }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a first attempt, which earns `percent` of a retry.
+    pub fn earn(&mut self, percent: u8) {
+        self.left = (self.left + f64::from(percent) / 100.0).min(CEILING);
+    }
+
+    /// Takes one retry, if any is left.
+    pub fn spend(&mut self) -> bool {
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+/// What a retry decision looks at.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryQuestion {
+    /// Whether the request may be repeated.
+    pub idempotent: bool,
+    /// How far the last attempt came.
+    pub run: RunState,
+    /// Now.
+    pub now: Moment,
+    /// Deadline of the request.
+    pub deadline: Moment,
+}
+
+impl RetryQuestion {
+    /// Whether a retry is allowed, budget aside.
+    #[must_use]
+    pub fn allowed(&self) -> bool {
+        let in_time = self.now + MIN_TIME_LEFT < self.deadline;
+        in_time && (self.idempotent || self.run == RunState::NotRun)
+    }
+}
+
+/// Returns the wait before attempt number `attempt`, spread by `jitter` in 0 to 1.
+#[must_use]
+pub fn backoff(attempt: u32, jitter: f64) -> Duration {
+    let doubled = FIRST_BACKOFF.saturating_mul(1 << attempt.saturating_sub(2).min(10));
+    doubled
+        .min(MAX_BACKOFF)
+        .mul_f64(0.5 + jitter.clamp(0.0, 1.0) / 2.0)
+}
--- /dev/null
+++ b/core/src/units.rs
@@ -0,0 +1,116 @@
+//! Numbers with a meaning: tokens, ids of requests and attempts, content digests.
+
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub};
+
+use sha2::{Digest as _, Sha256};
+
+/// A count of model tokens.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// Returns `self` times `part` over `whole`; `whole` must not be zero.
+    #[must_use]
+    pub const fn scale(self, part: u64, whole: u64) -> Self {
+        Self(self.0.saturating_mul(part) / whole)
+    }
+
+    /// Returns the difference, or zero where `other` is larger.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub for Tokens {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        self.saturating_sub(rhs)
+    }
+}
+
+/// Identifies one caller's request in the whole deployment.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// Number of an attempt at one request; the first is 1.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AttemptId(pub u32);
+
+impl AttemptId {
+    /// Returns the number of the attempt after this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// SHA-256 digest of a content.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ContentDigest(pub [u8; 32]);
+
+impl ContentDigest {
+    /// Computes the digest of `bytes`.
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+
+    /// Parses 64 hexadecimal digits; returns `None` for anything else.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let bytes = text.as_bytes();
+        if bytes.len() != 64 {
+            return None;
+        }
+        let mut digest = [0; 32];
+        for (byte, pair) in digest.iter_mut().zip(bytes.chunks_exact(2)) {
+            let pair = std::str::from_utf8(pair).ok()?;
+            *byte = u8::from_str_radix(pair, 16).ok()?;
+        }
+        Some(Self(digest))
+    }
+}
+
+impl fmt::Display for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ContentDigest({self})")
+    }
+}
--- /dev/null
+++ b/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
