feature: add wire types and the server's threads

Cause: the decisions need processes round them. Adds wire types with their conversions, settings, mesh over QUIC, control thread, fronts, adapters.

--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -37,6 +37,14 @@
         matches!(&self.role, Role::Leader(leader) if self.commit >= leader.first)
     }
 
+    /// Whether this replica leads now and knows all that was accepted before.
+    ///
+    /// While it does, no other replica can have been elected.
+    #[must_use]
+    pub fn has_lease(&self, now: Moment) -> bool {
+        self.is_settled_leader() && self.has_quorum(now)
+    }
+
     /// Takes in a replica that is not a voter yet; it is replicated to and becomes one later.
     pub fn add_learner(&mut self, now: Moment, replica: ReplicaId) {
         if replica == self.own {
--- a/core/src/consensus/log.rs
+++ b/core/src/consensus/log.rs
@@ -113,6 +113,11 @@
         self.entries.push_back(entry);
     }
 
+    /// Returns all entries after the snapshot.
+    pub fn batch_all(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
     /// Returns entries from a position on, as many as go in one message.
     #[must_use]
     pub fn batch_from(&self, first: Index) -> Vec<Entry> {
--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -6,11 +6,13 @@
 pub mod message;
 mod placing;
 
+pub use placing::BLOCK_TOKENS;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::dispatch::ledger::{Ledger, Running};
+use crate::dispatch::ledger::{Ledger, OwnLoad, Running};
 use crate::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant, GrantedServer};
 use crate::estimate::{EngineSpeed, WorkEstimate};
 use crate::manifest::{Manifest, Policy, ServiceKind, ServiceRule};
@@ -83,6 +85,23 @@
         self.ledger.len()
     }
 
+    /// Sums what this dispatcher placed on a server.
+    #[must_use]
+    pub fn load_of(&self, key: &ServerKey, now: Moment) -> OwnLoad {
+        let speed = self
+            .registry
+            .get(key)
+            .map(|server| server.announced.speed)
+            .unwrap_or_default();
+        self.ledger.load_of(key, speed, now)
+    }
+
+    /// Returns the requests that are placed on a server.
+    #[must_use]
+    pub fn placed_at(&self, key: &ServerKey) -> Vec<(RequestId, AttemptId)> {
+        self.ledger.placed_at(key)
+    }
+
     /// Returns what was decided since the last call.
     pub fn take_outputs(&mut self) -> Vec<DispatchOutput> {
         std::mem::take(&mut self.outputs)
@@ -111,8 +130,13 @@
 
     /// Takes in the end of an attempt and places what waited for its room.
     pub fn finish(&mut self, now: Moment, finish: &Finish) {
-        if let AttemptEnd::ServerDied(id) = &finish.end {
-            self.server_died(now, finish.request, id);
+        match &finish.end {
+            AttemptEnd::ServerDied(id) => self.server_died(now, finish.request, id),
+            AttemptEnd::Unreachable(id) => drop(self.remove_dead(now, finish.request, id)),
+            AttemptEnd::Complete
+            | AttemptEnd::Refused
+            | AttemptEnd::Broken
+            | AttemptEnd::Cancelled => {}
         }
         let Some(running) = self.ledger.finish(finish.request, finish.attempt) else {
             return;
@@ -379,9 +403,18 @@
     }
 
     fn server_died(&mut self, now: Moment, request: RequestId, id: &ServerId) {
-        let Some(running) = self.ledger.get(request) else {
-            return;
-        };
+        if let Some(key) = self.remove_dead(now, request, id) {
+            let alive = self
+                .registry
+                .get(&key)
+                .map(|server| server.announced.incarnation);
+            self.blame_running(now, &key, alive);
+        }
+    }
+
+    /// Forgets a server process that an attempt found dead; a newer process of it stays.
+    fn remove_dead(&mut self, now: Moment, request: RequestId, id: &ServerId) -> Option<ServerKey> {
+        let running = self.ledger.get(request)?;
         let key = ServerKey {
             service: running.service.clone(),
             id: id.clone(),
@@ -394,7 +427,7 @@
         if current == died {
             self.registry.remove(now, &key);
         }
-        self.blame_running(now, &key, None);
+        Some(key)
     }
 
     /// Makes every request that ran on a dead process of this server a suspect, once a death.
--- a/core/src/dispatch/ledger.rs
+++ b/core/src/dispatch/ledger.rs
@@ -175,6 +175,19 @@
         load
     }
 
+    /// Returns the requests on a server.
+    #[must_use]
+    pub fn placed_at(&self, key: &ServerKey) -> Vec<(RequestId, AttemptId)> {
+        let there = |running: &Running| {
+            running.service == key.service
+                && running.servers.iter().any(|share| share.server == key.id)
+        };
+        let placed = self.running.iter().filter(|(_, running)| there(running));
+        placed
+            .map(|(request, running)| (*request, running.attempt))
+            .collect()
+    }
+
     /// Returns the contents that ran on processes of a server other than `alive`, each once.
     pub fn blame(&mut self, key: &ServerKey, alive: Option<u64>) -> Vec<ContentDigest> {
         let mut blamed = Vec::new();
--- a/core/src/dispatch/message.rs
+++ b/core/src/dispatch/message.rs
@@ -93,6 +93,8 @@
     Refused,
     /// The answer broke off, and the server still lives.
     Broken,
+    /// No connection was made, so nothing ran there.
+    Unreachable(ServerId),
     /// The answer broke off, and the server cannot be reached.
     ServerDied(ServerId),
     /// The caller left or the deadline passed.
--- a/core/src/dispatch/placing.rs
+++ b/core/src/dispatch/placing.rs
@@ -15,7 +15,7 @@
 use crate::units::{RequestId, Tokens};
 
 /// Prompt tokens that one block of a prefix hash covers.
-pub const BLOCK_TOKENS: u64 = 256;
+pub const BLOCK_TOKENS: usize = 256;
 
 /// Which of a service's two queues is looked at.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -229,5 +229,5 @@
         .iter()
         .take_while(|block| cache.blocks.contains(block))
         .count();
-    Tokens(blocks as u64 * BLOCK_TOKENS).min(ask.work.prompt)
+    Tokens((blocks * BLOCK_TOKENS) as u64).min(ask.work.prompt)
 }
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -195,7 +195,7 @@
         self.spread_own();
         let all: Vec<_> = self.members.keys().cloned().collect();
         for vm in all {
-            self.send_ping(&vm);
+            self.ping(&vm);
         }
     }
 
@@ -455,7 +455,8 @@
             .insert(rumor.vm.clone(), Spread { rumor, left });
     }
 
-    fn send_ping(&mut self, to: &VmId) {
+    /// Pings a VM out of turn, so that it sees at once what this one knows.
+    pub fn ping(&mut self, to: &VmId) {
         self.sequence += 1;
         self.send(
             to,
--- /dev/null
+++ b/node/src/admin.rs
@@ -0,0 +1,215 @@
+//! The operators' front: manifests, status, health, readiness, metrics.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::bounded;
+use merlinrudder_core::control::{Answer, Command, PublishedManifest};
+use merlinrudder_core::manifest::ManifestNumber;
+use merlinrudder_core::outcome::{Refusal, RefusalReason};
+use merlinrudder_wire::manifest::{ManifestError, parse_manifest};
+use serde_json::{Value, json};
+use slog::{Logger, info};
+use tiny_http::{Method, Request};
+
+use crate::clock::Clock;
+use crate::constants::{ADMIN_BODY_BYTES, IN_FORCE_WAIT, PROPOSE_TIMEOUT};
+use crate::control::Control;
+use crate::control::input::{ControlInput, Proposal, VmStatus};
+use crate::front::answer::{refuse, refuse_with, send, send_json};
+use crate::front::{has_token, read_body};
+use crate::metrics;
+use crate::published::PublishedCell;
+
+/// Time in which a manifest must have arrived whole.
+const BODY_TIME: Duration = Duration::from_secs(30);
+/// Time between two looks at which VMs have a manifest in force.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// What the threads of the operators' front share.
+#[derive(Debug)]
+pub struct Admin {
+    /// The control thread.
+    pub control: Control,
+    /// Routing state.
+    pub published: PublishedCell,
+    /// The clock.
+    pub clock: Clock,
+    /// Token of operators.
+    pub token: Arc<str>,
+    /// Logger of this part.
+    pub log: Logger,
+}
+
+impl Admin {
+    /// Answers one request.
+    pub fn handle(&self, request: Request) {
+        let path = request
+            .url()
+            .split('?')
+            .next()
+            .unwrap_or_default()
+            .to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Get, "/health") => send(request, 200, "text/plain", "ok\n".into(), &[]),
+            (Method::Get, "/ready") => self.answer_ready(request),
+            (Method::Get, "/metrics") => {
+                send(
+                    request,
+                    200,
+                    "text/plain; version=0.0.4",
+                    metrics::render().into(),
+                    &[],
+                );
+            }
+            _ if !self.allowed(&request) => {
+                refuse(
+                    request,
+                    None,
+                    &Refusal::not_run(RefusalReason::UnknownCustomer, None),
+                );
+            }
+            (Method::Get, "/admin/status") => self.answer_status(request),
+            (Method::Post, "/admin/manifest") => self.publish(request),
+            _ => refuse(
+                request,
+                None,
+                &Refusal::not_run(RefusalReason::UnknownPath, None),
+            ),
+        }
+    }
+
+    fn allowed(&self, request: &Request) -> bool {
+        has_token(request, &self.token)
+    }
+
+    fn answer_ready(&self, request: Request) {
+        let published = self.published.load();
+        let ready = published.ready && !published.stopping;
+        let (status, text) = if ready {
+            (200, "ready\n")
+        } else {
+            (503, "not ready\n")
+        };
+        send(request, status, "text/plain", text.into(), &[]);
+    }
+
+    fn status(&self) -> Option<VmStatus> {
+        let (reply, status) = bounded(1);
+        self.control.send(ControlInput::Status(reply));
+        status.recv_timeout(PROPOSE_TIMEOUT).ok()
+    }
+
+    fn answer_status(&self, request: Request) {
+        match self.status() {
+            Some(status) => send_json(request, 200, &status),
+            None => refuse(
+                request,
+                None,
+                &Refusal::not_run(RefusalReason::Stopping, None),
+            ),
+        }
+    }
+
+    fn publish(&self, mut request: Request) {
+        let bytes = match read_body(&mut request, ADMIN_BODY_BYTES, BODY_TIME) {
+            Ok(bytes) => bytes,
+            Err(refusal) => {
+                refuse(request, None, &refusal);
+                return;
+            }
+        };
+        let manifest = match parse_manifest(&bytes) {
+            Ok(manifest) => manifest,
+            Err(error) => {
+                send_json(request, 400, &faults_body(&error));
+                return;
+            }
+        };
+        let published = PublishedManifest {
+            number: manifest.number,
+            bytes: Arc::from(bytes),
+        };
+        match self.propose(Command::Publish(published)) {
+            Some(Answer::Accepted(number)) => {
+                info!(self.log, "Accepted a manifest"; "number" => number.0);
+                self.answer_accepted(request, number);
+            }
+            Some(Answer::Conflict(number)) => answer_conflict(request, "conflict", number),
+            Some(Answer::Older(number)) => answer_conflict(request, "older", number),
+            _ => {
+                // It may still be committed; the same bytes sent again get the same answer.
+                let refusal = Refusal {
+                    reason: RefusalReason::NoQuorum,
+                    run: merlinrudder_core::outcome::RunState::MayHaveRun,
+                    retry_after: Some(PROPOSE_TIMEOUT),
+                };
+                let message = "No quorum answered. Publish the same document again.";
+                refuse_with(request, None, &refusal, message);
+            }
+        }
+    }
+
+    fn propose(&self, command: Command) -> Option<Answer> {
+        let (reply, answer) = bounded(1);
+        let deadline = self.clock.now() + PROPOSE_TIMEOUT;
+        self.control.send(ControlInput::Propose(Proposal {
+            command,
+            deadline,
+            reply,
+        }));
+        answer.recv().ok().flatten()
+    }
+
+    /// Waits until every VM that is alive reports the manifest, or until the time is over.
+    fn answer_accepted(&self, request: Request, number: ManifestNumber) {
+        let start = Instant::now();
+        let mut status = self.status();
+        while !in_force_everywhere(status.as_ref(), number) && start.elapsed() < IN_FORCE_WAIT {
+            std::thread::sleep(LOOK_PERIOD);
+            status = self.status();
+        }
+        let waited = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let body = json!({
+            "result": "accepted",
+            "number": number.0,
+            "waited_ms": waited,
+            "vms": status.as_ref().map(vm_states),
+        });
+        send_json(request, 200, &body);
+    }
+}
+
+fn answer_conflict(request: Request, result: &str, number: ManifestNumber) {
+    send_json(
+        request,
+        409,
+        &json!({ "result": result, "number": number.0 }),
+    );
+}
+
+fn faults_body(error: &ManifestError) -> Value {
+    let fault = |fault: &merlinrudder_wire::manifest::ManifestFault| json!({ "field": fault.field, "message": fault.message });
+    json!({
+        "result": "invalid",
+        "faults": error.faults.iter().map(fault).collect::<Vec<_>>(),
+    })
+}
+
+fn in_force_everywhere(status: Option<&VmStatus>, number: ManifestNumber) -> bool {
+    status.is_some_and(|status| {
+        let others = status
+            .members
+            .iter()
+            .filter(|member| member.health == "alive");
+        status.manifest >= number.0 && others.into_iter().all(|other| other.manifest >= number.0)
+    })
+}
+
+fn vm_states(status: &VmStatus) -> Value {
+    let own = json!({ "vm": status.vm, "health": "alive", "manifest": status.manifest });
+    let others = status.members.iter().map(
+        |member| json!({ "vm": member.vm, "health": member.health, "manifest": member.manifest }),
+    );
+    std::iter::once(own).chain(others).collect()
+}
--- /dev/null
+++ b/node/src/front/completions.rs
@@ -0,0 +1,318 @@
+//! Completions: one prompt to its one final outcome, over as many attempts as it may take.
+
+mod attempt;
+mod body;
+mod sink;
+
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, RecvTimeoutError};
+use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, Grant};
+use merlinrudder_core::estimate::WorkEstimate;
+use merlinrudder_core::names::ServerId;
+use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
+use merlinrudder_core::retry::{RetryQuestion, backoff};
+use merlinrudder_core::units::{AttemptId, ContentDigest};
+use slog::{info, warn};
+use tiny_http::Request;
+
+use self::attempt::AttemptResult;
+use self::body::{CompletionBody, parse_body};
+use self::sink::{CallerGone, Sink};
+use super::callers::{Admitted, Callers, new_request_id};
+use super::{answer, identity};
+use crate::constants::STREAM_HEARTBEAT;
+use crate::control::input::{ControlInput, EntryEvent};
+use crate::front::listener::read_body;
+use crate::metrics;
+
+/// When a caller whose request failed on the way may come back.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
+/// A completion in progress.
+struct Completion<'a> {
+    callers: &'a Callers,
+    admitted: Admitted,
+    body: CompletionBody,
+    prompt_bytes: usize,
+    work: WorkEstimate,
+    prefix: Arc<[u64]>,
+    digest: ContentDigest,
+    attempt: AttemptId,
+    /// Servers that failed this request.
+    avoid: Vec<ServerId>,
+    /// Tokens sent so far; the next one has this number.
+    tokens: u64,
+    /// Whether any engine may have run it.
+    touched: bool,
+    started: Instant,
+    sink: Sink,
+}
+
+/// How a completion ended.
+enum End {
+    Whole { prompt_tokens: u64 },
+    Refused(Refusal),
+    CallerGone,
+}
+
+impl From<CallerGone> for End {
+    fn from(_: CallerGone) -> Self {
+        Self::CallerGone
+    }
+}
+
+/// Answers `POST /v1/completions`.
+pub(super) fn handle(callers: &Callers, mut request: Request) {
+    let started = Instant::now();
+    let id = new_request_id();
+    let admitted = admit(callers, &mut request, id);
+    let (admitted, body) = match admitted {
+        Ok(admitted) => admitted,
+        Err((refusal, message)) => {
+            let message = message.unwrap_or_else(|| answer::describe(refusal.reason).to_owned());
+            answer::refuse_with(request, Some(id), &refusal, &message);
+            return;
+        }
+    };
+    let digest = ContentDigest::of(body.prompt.as_bytes());
+    if callers.published.load().verdicts.contains(&digest) {
+        let refusal = Refusal::not_run(RefusalReason::Quarantined, None);
+        answer::refuse(request, Some(id), &refusal);
+        return;
+    }
+    callers.earn_retries(&admitted.service);
+    let mut completion = Completion::new(callers, admitted, body, digest, request, started);
+    let end = completion.run();
+    completion.close(&end);
+}
+
+type NotAdmitted = (Refusal, Option<String>);
+
+fn admit(
+    callers: &Callers,
+    request: &mut Request,
+    id: merlinrudder_core::units::RequestId,
+) -> Result<(Admitted, CompletionBody), NotAdmitted> {
+    let manifest = callers.manifest().map_err(plain_refusal)?;
+    let customer = identity::customer(request, &manifest).map_err(plain_refusal)?;
+    let limits = &callers.limits;
+    let bytes = read_body(request, limits.body_bytes, limits.body_time).map_err(plain_refusal)?;
+    let body = parse_body(&bytes).map_err(|message| {
+        (
+            Refusal::not_run(RefusalReason::BadRequest, None),
+            Some(message),
+        )
+    })?;
+    let service = body
+        .service(&manifest)
+        .ok_or_else(|| (Refusal::not_run(RefusalReason::UnknownService, None), None))?;
+    if !customer.may_use(&service.name) {
+        return Err(plain_refusal(Refusal::not_run(
+            RefusalReason::ServiceNotAllowed,
+            None,
+        )));
+    }
+    let body = body.limited(&service);
+    let estimator = callers
+        .estimator
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let work = estimator.estimate(
+        &customer.name,
+        &service.name,
+        body.prompt.len(),
+        body.max_output(),
+    );
+    let deadline = callers.clock.now() + service.deadline_for(work.prompt);
+    drop(estimator);
+    Ok((
+        Admitted {
+            id,
+            service,
+            customer,
+            deadline,
+        },
+        body,
+    ))
+}
+
+fn plain_refusal(refusal: Refusal) -> NotAdmitted {
+    (refusal, None)
+}
+
+impl<'a> Completion<'a> {
+    fn new(
+        callers: &'a Callers,
+        admitted: Admitted,
+        body: CompletionBody,
+        digest: ContentDigest,
+        request: Request,
+        started: Instant,
+    ) -> Self {
+        let (customer, service) = (&admitted.customer.name, &admitted.service.name);
+        let estimator = callers
+            .estimator
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let prompt_bytes = body.prompt.len();
+        let work = estimator.estimate(customer, service, prompt_bytes, body.max_output());
+        drop(estimator);
+        let prefix = body.prefix_blocks();
+        let sink = Sink::new(request, admitted.id, service.as_str(), body.stream);
+        Self {
+            callers,
+            admitted,
+            body,
+            prompt_bytes,
+            work,
+            prefix,
+            digest,
+            attempt: AttemptId(1),
+            avoid: Vec::new(),
+            tokens: 0,
+            touched: false,
+            started,
+            sink,
+        }
+    }
+
+    fn run(&mut self) -> End {
+        loop {
+            let events = self.callers.submit(&self.admitted, self.ask());
+            let grant = match self.wait_for_grant(&events) {
+                Ok(grant) => grant,
+                Err(end) => return end,
+            };
+            match self.run_attempt(&grant) {
+                Ok(AttemptResult::Whole { prompt_tokens }) => return End::Whole { prompt_tokens },
+                Ok(result) => {
+                    if let Some(refusal) = self.after_failure(&grant, &result) {
+                        return End::Refused(refusal);
+                    }
+                }
+                Err(end) => return end,
+            }
+        }
+    }
+
+    fn ask(&self) -> Ask {
+        Ask {
+            request: self.admitted.id,
+            attempt: self.attempt,
+            entry: self.callers.vm.clone(),
+            service: self.admitted.service.name.clone(),
+            customer: self.admitted.customer.name.clone(),
+            work: self.work,
+            prefix: Arc::clone(&self.prefix),
+            digest: self.digest,
+            time_left: self.callers.time_left(&self.admitted),
+            avoid: self.avoid.clone(),
+        }
+    }
+
+    fn wait_for_grant(&mut self, events: &Receiver<EntryEvent>) -> Result<Grant, End> {
+        loop {
+            match events.recv_timeout(STREAM_HEARTBEAT) {
+                Ok(EntryEvent::Run(grant)) => return Ok(grant),
+                Ok(EntryEvent::Refuse(refusal)) => return Err(End::Refused(self.last(refusal))),
+                Err(RecvTimeoutError::Timeout) => {
+                    if let Err(gone) = self.sink.heartbeat() {
+                        self.callers
+                            .control
+                            .send(ControlInput::Abandon(self.admitted.id));
+                        return Err(gone.into());
+                    }
+                }
+                Err(RecvTimeoutError::Disconnected) => {
+                    let refusal = Refusal::not_run(RefusalReason::Stopping, Some(FAILED_RETRY));
+                    return Err(End::Refused(self.last(refusal)));
+                }
+            }
+        }
+    }
+
+    /// Says "may have run" in a final answer after any attempt that an engine may have run.
+    fn last(&self, refusal: Refusal) -> Refusal {
+        let run = if self.touched {
+            RunState::MayHaveRun
+        } else {
+            refusal.run
+        };
+        Refusal { run, ..refusal }
+    }
+
+    /// Decides on a further attempt; returns the final answer where there is none.
+    fn after_failure(&mut self, grant: &Grant, result: &AttemptResult) -> Option<Refusal> {
+        let server = &grant.servers[0].id;
+        warn!(self.callers.log, "An attempt failed"; "request" => %self.admitted.id,
+            "attempt" => %self.attempt, "server" => %server, "result" => ?result);
+        self.touched |= result.run_state() != RunState::NotRun;
+        let question = RetryQuestion {
+            idempotent: true,
+            run: result.run_state(),
+            now: self.callers.clock.now(),
+            deadline: self.admitted.deadline,
+        };
+        if !question.allowed() {
+            let reason = RefusalReason::DeadlinePassed;
+            return Some(self.last(Refusal::not_run(reason, Some(FAILED_RETRY))));
+        }
+        if !self.callers.spend_retry(&self.admitted.service) {
+            let reason = RefusalReason::RetryBudgetSpent;
+            return Some(self.last(Refusal::not_run(reason, Some(FAILED_RETRY))));
+        }
+        metrics::count_retry(self.retry_reason(result));
+        self.avoid.push(server.clone());
+        self.attempt = self.attempt.next();
+        let wait = backoff(self.attempt.0, fastrand::f64());
+        std::thread::sleep(wait.min(self.callers.time_left(&self.admitted)));
+        None
+    }
+
+    fn retry_reason(&self, result: &AttemptResult) -> RetryReason {
+        match result {
+            AttemptResult::Refused(_) => RetryReason::ServerRefused,
+            AttemptResult::NotConnected(_) => RetryReason::ConnectFailed,
+            _ if self.tokens > 0 => RetryReason::StreamResumed,
+            _ => RetryReason::IdempotentBroken,
+        }
+    }
+
+    fn close(self, end: &End) {
+        let Self {
+            callers,
+            admitted,
+            tokens,
+            sink,
+            started,
+            attempt,
+            ..
+        } = self;
+        let (service, id) = (admitted.service.name.as_str(), admitted.id);
+        let (outcome, reason) = match end {
+            End::Whole { prompt_tokens } => {
+                sink.finish_whole(*prompt_tokens, tokens);
+                ("complete", "")
+            }
+            End::Refused(refusal) => {
+                sink.refuse(refusal);
+                (refusal.run.as_str(), refusal.reason.code())
+            }
+            End::CallerGone => {
+                metrics::count_refusal(RefusalReason::CallerGone);
+                ("caller_gone", RefusalReason::CallerGone.code())
+            }
+        };
+        metrics::count_outcome(service, outcome);
+        info!(callers.log, "A completion ended"; "request" => %id, "attempt" => %attempt,
+            "service" => service, "customer" => %admitted.customer.name, "outcome" => outcome,
+            "reason" => reason, "tokens" => tokens,
+            "ms" => u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+    }
+
+    fn end_attempt(&self, end: AttemptEnd) {
+        self.callers.finish(self.admitted.id, self.attempt, end);
+    }
+}
--- /dev/null
+++ b/node/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters and gauges, in Prometheus text.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use merlinrudder_core::outcome::{RefusalReason, RetryReason};
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+const REFUSALS: &str = "merlinrudder_refusals_total";
+const RETRIES: &str = "merlinrudder_retries_total";
+const OUTCOMES: &str = "merlinrudder_outcomes_total";
+const FIRST_TOKEN: &str = "merlinrudder_first_token_seconds";
+const ANNOUNCEMENTS: &str = "merlinrudder_announcements_total";
+const DROPPED_EVENTS: &str = "merlinrudder_dropped_events_total";
+const MESH_SENT: &str = "merlinrudder_mesh_sent_bytes_total";
+const MESH_DROPPED: &str = "merlinrudder_mesh_dropped_total";
+
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder once a process, and makes every reason's counter visible at zero.
+pub fn install() {
+    RECORDER.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // Another recorder in the same process, such as a test's, keeps its place.
+        drop(metrics::set_global_recorder(recorder));
+        handle
+    });
+    for reason in RefusalReason::ALL {
+        counter!(REFUSALS, "reason" => reason.code()).increment(0);
+    }
+    for reason in RetryReason::ALL {
+        counter!(RETRIES, "reason" => reason.code()).increment(0);
+    }
+}
+
+/// Renders all metrics.
+#[must_use]
+pub fn render() -> String {
+    RECORDER
+        .get()
+        .map(PrometheusHandle::render)
+        .unwrap_or_default()
+}
+
+/// Counts a refusal or failure told to a caller.
+pub fn count_refusal(reason: RefusalReason) {
+    counter!(REFUSALS, "reason" => reason.code()).increment(1);
+}
+
+/// Counts a retry.
+pub fn count_retry(reason: RetryReason) {
+    counter!(RETRIES, "reason" => reason.code()).increment(1);
+}
+
+/// Counts a request's outcome by service.
+pub fn count_outcome(service: &str, outcome: &'static str) {
+    counter!(OUTCOMES, "service" => service.to_owned(), "outcome" => outcome).increment(1);
+}
+
+/// Notes a time to first token.
+pub fn note_first_token(service: &str, wait: Duration) {
+    histogram!(FIRST_TOKEN, "service" => service.to_owned()).record(wait.as_secs_f64());
+}
+
+/// Counts an announcement by what it changed.
+pub fn count_announcement(change: &'static str) {
+    counter!(ANNOUNCEMENTS, "change" => change).increment(1);
+}
+
+/// Counts a repeated or foreign event of an engine that was dropped.
+pub fn count_dropped_event() {
+    counter!(DROPPED_EVENTS).increment(1);
+}
+
+/// Counts bytes sent to other VMs.
+pub fn count_mesh_sent(bytes: usize) {
+    counter!(MESH_SENT).increment(bytes as u64);
+}
+
+/// Counts a message to another VM that could not be sent.
+pub fn count_mesh_dropped() {
+    counter!(MESH_DROPPED).increment(1);
+}
+
+/// Notes how much is in progress here.
+pub fn note_load(held: usize, waiting: usize, running: usize) {
+    set("merlinrudder_requests_held", held);
+    set("merlinrudder_dispatcher_waiting", waiting);
+    set("merlinrudder_dispatcher_running", running);
+}
+
+/// Notes the control state as this VM knows it.
+pub fn note_control(manifest: u64, term: u64, leads: bool) {
+    #[expect(clippy::cast_precision_loss, reason = "numbers stay far below 2^52")]
+    gauge!("merlinrudder_manifest_number").set(manifest as f64);
+    #[expect(clippy::cast_precision_loss, reason = "numbers stay far below 2^52")]
+    gauge!("merlinrudder_log_term").set(term as f64);
+    set("merlinrudder_log_leads", usize::from(leads));
+}
+
+fn set(name: &'static str, value: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "numbers stay far below 2^52")]
+    gauge!(name).set(value as f64);
+}
--- /dev/null
+++ b/node/src/options.rs
@@ -0,0 +1,4 @@
+//! Arguments and settings, parsed in one place.
+
+pub mod args;
+pub mod settings;
--- /dev/null
+++ b/node/src/published.rs
@@ -0,0 +1,42 @@
+//! The immutable snapshot of routing state that traffic threads read without locks.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use merlinrudder_core::manifest::Manifest;
+use merlinrudder_core::units::ContentDigest;
+
+/// What traffic threads need to know to admit a request.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    /// Manifest in force.
+    pub manifest: Option<Arc<Manifest>>,
+    /// Contents that are refused.
+    pub verdicts: Arc<HashSet<ContentDigest>>,
+    /// Whether the VM may take callers: it has a manifest that a leader confirmed since the start.
+    pub ready: bool,
+    /// Whether the VM is stopping.
+    pub stopping: bool,
+}
+
+/// Place where the control thread puts each new snapshot.
+#[derive(Clone, Debug, Default)]
+pub struct PublishedCell {
+    cell: Arc<ArcSwap<Published>>,
+}
+
+impl PublishedCell {
+    /// Returns the newest snapshot.
+    #[must_use]
+    pub fn load(&self) -> Arc<Published> {
+        self.cell.load_full()
+    }
+
+    /// Puts a changed snapshot in place; only the control thread calls this.
+    pub fn update(&self, change: impl FnOnce(&mut Published)) {
+        let mut next = Published::clone(&self.cell.load());
+        change(&mut next);
+        self.cell.store(Arc::new(next));
+    }
+}
--- a/store/src/error.rs
+++ b/store/src/error.rs
@@ -34,16 +34,31 @@
 
     pub(crate) fn io(path: &Path, detail: &str, source: io::Error) -> Self {
         let kind = StoreErrorKind::Io;
-        Self { kind, path: path.to_owned(), detail: detail.to_owned(), source: Some(source) }
+        Self {
+            kind,
+            path: path.to_owned(),
+            detail: detail.to_owned(),
+            source: Some(source),
+        }
     }
 
     pub(crate) fn locked(path: &Path) -> Self {
         let detail = "another process holds the lock".to_owned();
-        Self { kind: StoreErrorKind::Locked, path: path.to_owned(), detail, source: None }
+        Self {
+            kind: StoreErrorKind::Locked,
+            path: path.to_owned(),
+            detail,
+            source: None,
+        }
     }
 
     pub(crate) fn damaged(path: &Path, detail: String) -> Self {
-        Self { kind: StoreErrorKind::Damaged, path: path.to_owned(), detail, source: None }
+        Self {
+            kind: StoreErrorKind::Damaged,
+            path: path.to_owned(),
+            detail,
+            source: None,
+        }
     }
 }
 
--- a/store/src/folder.rs
+++ b/store/src/folder.rs
@@ -47,7 +47,14 @@
         }
         let incarnation = read_identity(&identity)?;
         let (journal, payloads) = Journal::open(path)?;
-        Ok((Self { incarnation, journal, _lock: lock }, Recovered { fresh, payloads }))
+        Ok((
+            Self {
+                incarnation,
+                journal,
+                _lock: lock,
+            },
+            Recovered { fresh, payloads },
+        ))
     }
 }
 
@@ -83,8 +90,7 @@
 fn read_identity(path: &Path) -> Result<u64, StoreError> {
     let bytes = fs::read(path).map_err(|source| StoreError::io(path, "cannot read", source))?;
     let payload = read_frame(&bytes).and_then(|frame| frame.payload.try_into().ok());
-    let payload = payload.ok_or_else(|| {
-        StoreError::damaged(path, "the identity file is damaged".to_owned())
-    })?;
+    let payload = payload
+        .ok_or_else(|| StoreError::damaged(path, "the identity file is damaged".to_owned()))?;
     Ok(u64::from_le_bytes(payload))
 }
--- a/store/src/frame.rs
+++ b/store/src/frame.rs
@@ -47,8 +47,13 @@
 
 /// Whether any sound record starts in `bytes`.
 pub(crate) fn holds_frame(bytes: &[u8]) -> bool {
-    let starts = bytes.windows(MAGIC.len()).enumerate().filter(|(_, window)| *window == MAGIC);
-    starts.map(|(offset, _)| &bytes[offset..]).any(|rest| read_frame(rest).is_some())
+    let starts = bytes
+        .windows(MAGIC.len())
+        .enumerate()
+        .filter(|(_, window)| *window == MAGIC);
+    starts
+        .map(|(offset, _)| &bytes[offset..])
+        .any(|rest| read_frame(rest).is_some())
 }
 
 fn checksum(length: u32, sequence: u64, payload: &[u8]) -> u32 {
--- a/store/src/journal.rs
+++ b/store/src/journal.rs
@@ -112,7 +112,15 @@
         let file = open_append(&path)?;
         let folder = folder.to_owned();
         let bytes = buffer.len() as u64;
-        Ok(Self { folder, path, file, generation, sequence, bytes, failed: false })
+        Ok(Self {
+            folder,
+            path,
+            file,
+            generation,
+            sequence,
+            bytes,
+            failed: false,
+        })
     }
 
     fn recover(folder: &Path, generation: u64) -> Result<(Self, Vec<Vec<u8>>), StoreError> {
@@ -127,7 +135,15 @@
         let sequence = payloads.len() as u64;
         let folder = folder.to_owned();
         let bytes = sound as u64;
-        let journal = Self { folder, path, file, generation, sequence, bytes, failed: false };
+        let journal = Self {
+            folder,
+            path,
+            file,
+            generation,
+            sequence,
+            bytes,
+            failed: false,
+        };
         Ok((journal, payloads))
     }
 }
@@ -160,7 +176,10 @@
 
 fn check_size(path: &Path, payload: &[u8]) -> Result<(), StoreError> {
     if payload.len() > MAX_PAYLOAD_BYTES {
-        let detail = format!("a record of {} bytes is too large", payload.len() + HEADER_BYTES);
+        let detail = format!(
+            "a record of {} bytes is too large",
+            payload.len() + HEADER_BYTES
+        );
         return Err(StoreError::damaged(path, detail));
     }
     Ok(())
--- /dev/null
+++ b/wire/src/engine.rs
@@ -0,0 +1,98 @@
+//! JSON over HTTP between the system and model engines.
+
+use serde::{Deserialize, Serialize};
+
+/// Body of `POST /v1/completions` at an engine; the answer is a stream of `EngineEvent`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineRequest {
+    /// Request id, which cancels name.
+    pub request_id: String,
+    /// Attempt, which events repeat.
+    pub attempt: u32,
+    /// The prompt.
+    pub prompt: String,
+    /// Most tokens of the whole answer.
+    pub max_tokens: u64,
+    /// Tokens that the caller has already; the stream starts after them.
+    #[serde(default)]
+    pub resume_from: u64,
+    /// Lower runs first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Memory reserved at other engines for this prompt.
+    #[serde(default)]
+    pub reservations: Vec<EngineReservation>,
+}
+
+/// Memory reserved for a prompt that one engine cannot hold.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineReservation {
+    /// Address of the engine, as `host:port`.
+    pub address: String,
+    /// Tokens reserved there.
+    pub tokens: u64,
+}
+
+/// One server-sent event of an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineEvent {
+    /// The request.
+    pub request_id: String,
+    /// The attempt.
+    pub attempt: u32,
+    /// Number of the token, from zero; for the last event the number of all tokens.
+    pub index: u64,
+    /// Text of the token.
+    #[serde(default)]
+    pub text: String,
+    /// Whether the answer is whole.
+    #[serde(default)]
+    pub done: bool,
+    /// Tokens of the prompt, with the last event.
+    #[serde(default)]
+    pub prompt_tokens: u64,
+}
+
+/// Body of `POST /cancel`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineCancel {
+    /// The request.
+    pub request_id: String,
+    /// Last attempt to cancel; a later one goes on.
+    pub attempt: u32,
+}
+
+/// Body of `POST /kv/reserve` and `POST /kv/release`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineReserve {
+    /// The request.
+    pub request_id: String,
+    /// The attempt.
+    pub attempt: u32,
+    /// Tokens to hold.
+    pub tokens: u64,
+    /// Time without renewal after which the engine frees them, in milliseconds.
+    pub lease_ms: u64,
+}
+
+/// What an engine refuses with; nothing of the request ran.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineRefusal {
+    /// Reason code, such as `memory` or `draining`.
+    pub reason: String,
+    /// Always false in a refusal that proves that nothing ran.
+    pub ran: bool,
+}
+
+/// One thing that an engine holds, from `GET /holdings`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineHolding {
+    /// The request.
+    pub request_id: String,
+    /// The attempt.
+    pub attempt: u32,
+    /// Tokens of memory.
+    pub tokens: u64,
+    /// How long it has been held, in milliseconds.
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/wire/src/error.rs
@@ -0,0 +1,34 @@
+//! Failures to read foreign bytes.
+
+use std::error::Error;
+use std::fmt;
+
+/// Bytes that are not what they should be.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DecodeError {
+    detail: String,
+}
+
+impl DecodeError {
+    /// Makes an error that says what was wrong.
+    #[must_use]
+    pub fn new(detail: impl Into<String>) -> Self {
+        Self {
+            detail: detail.into(),
+        }
+    }
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "cannot decode: {}", self.detail)
+    }
+}
+
+impl Error for DecodeError {}
+
+impl From<postcard::Error> for DecodeError {
+    fn from(source: postcard::Error) -> Self {
+        Self::new(source.to_string())
+    }
+}
--- /dev/null
+++ b/wire/src/log.rs
@@ -0,0 +1,298 @@
+//! The control log on the wire and on disk.
+
+use std::sync::Arc;
+
+use merlinrudder_core::consensus::message::{
+    Body, Entry, HardState, Index, Message, Payload, Record, ReplicaId, Snapshot, Term, VoteKind,
+};
+use merlinrudder_core::names::VmId;
+use serde::{Deserialize, Serialize};
+
+use crate::error::DecodeError;
+
+/// A replica.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireReplica {
+    vm: String,
+    incarnation: u64,
+}
+
+/// A message between two replicas.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WireLogMessage {
+    term: u64,
+    body: WireBody,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+enum WireBody {
+    Vote {
+        kind: WireVoteKind,
+        last_index: u64,
+        last_term: u64,
+    },
+    VoteReply {
+        pre: bool,
+        granted: bool,
+    },
+    Append {
+        prev_index: u64,
+        prev_term: u64,
+        entries: Vec<WireEntry>,
+        commit: u64,
+    },
+    AppendReply {
+        success: bool,
+        index: u64,
+    },
+    Install(WireSnapshot),
+    CampaignNow,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+enum WireVoteKind {
+    Pre,
+    Election,
+    Handover,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct WireEntry {
+    term: u64,
+    index: u64,
+    payload: WirePayload,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+enum WirePayload {
+    Noop,
+    Command(Arc<[u8]>),
+    Voters(Vec<WireReplica>),
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct WireSnapshot {
+    index: u64,
+    term: u64,
+    voters: Vec<WireReplica>,
+    data: Arc<[u8]>,
+}
+
+/// A record of the data folder.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WireRecord(RecordBody);
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+enum RecordBody {
+    HardState {
+        term: u64,
+        vote: Option<WireReplica>,
+    },
+    Entry(WireEntry),
+    Snapshot(WireSnapshot),
+}
+
+/// Encodes a record for the data folder.
+#[must_use]
+pub fn encode_record(record: Record) -> Vec<u8> {
+    crate::mesh::encode(&WireRecord::from(record))
+}
+
+/// Decodes a record of the data folder.
+///
+/// # Errors
+/// Fails where the bytes are not a record of this version.
+pub fn decode_record(bytes: &[u8]) -> Result<Record, DecodeError> {
+    let wire: WireRecord = postcard::from_bytes(bytes)?;
+    Ok(wire.into())
+}
+
+impl From<ReplicaId> for WireReplica {
+    fn from(replica: ReplicaId) -> Self {
+        Self {
+            vm: replica.vm.to_string(),
+            incarnation: replica.incarnation,
+        }
+    }
+}
+
+impl From<WireReplica> for ReplicaId {
+    fn from(wire: WireReplica) -> Self {
+        Self {
+            vm: VmId::from(wire.vm),
+            incarnation: wire.incarnation,
+        }
+    }
+}
+
+impl From<Message> for WireLogMessage {
+    fn from(message: Message) -> Self {
+        let body = match message.body {
+            Body::Vote {
+                kind,
+                last_index,
+                last_term,
+            } => WireBody::Vote {
+                kind: match kind {
+                    VoteKind::Pre => WireVoteKind::Pre,
+                    VoteKind::Election => WireVoteKind::Election,
+                    VoteKind::Handover => WireVoteKind::Handover,
+                },
+                last_index: last_index.0,
+                last_term: last_term.0,
+            },
+            Body::VoteReply { pre, granted } => WireBody::VoteReply { pre, granted },
+            Body::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+            } => WireBody::Append {
+                prev_index: prev_index.0,
+                prev_term: prev_term.0,
+                entries: entries.into_iter().map(WireEntry::from).collect(),
+                commit: commit.0,
+            },
+            Body::AppendReply { success, index } => WireBody::AppendReply {
+                success,
+                index: index.0,
+            },
+            Body::Install(snapshot) => WireBody::Install(snapshot.into()),
+            Body::CampaignNow => WireBody::CampaignNow,
+        };
+        Self {
+            term: message.term.0,
+            body,
+        }
+    }
+}
+
+impl From<WireLogMessage> for Message {
+    fn from(wire: WireLogMessage) -> Self {
+        let body = match wire.body {
+            WireBody::Vote {
+                kind,
+                last_index,
+                last_term,
+            } => Body::Vote {
+                kind: match kind {
+                    WireVoteKind::Pre => VoteKind::Pre,
+                    WireVoteKind::Election => VoteKind::Election,
+                    WireVoteKind::Handover => VoteKind::Handover,
+                },
+                last_index: Index(last_index),
+                last_term: Term(last_term),
+            },
+            WireBody::VoteReply { pre, granted } => Body::VoteReply { pre, granted },
+            WireBody::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+            } => Body::Append {
+                prev_index: Index(prev_index),
+                prev_term: Term(prev_term),
+                entries: entries.into_iter().map(Entry::from).collect(),
+                commit: Index(commit),
+            },
+            WireBody::AppendReply { success, index } => Body::AppendReply {
+                success,
+                index: Index(index),
+            },
+            WireBody::Install(snapshot) => Body::Install(snapshot.into()),
+            WireBody::CampaignNow => Body::CampaignNow,
+        };
+        Self {
+            term: Term(wire.term),
+            body,
+        }
+    }
+}
+
+impl From<Entry> for WireEntry {
+    fn from(entry: Entry) -> Self {
+        let payload = match entry.payload {
+            Payload::Noop => WirePayload::Noop,
+            Payload::Command(bytes) => WirePayload::Command(bytes),
+            Payload::Voters(voters) => WirePayload::Voters(wire_voters(voters)),
+        };
+        Self {
+            term: entry.term.0,
+            index: entry.index.0,
+            payload,
+        }
+    }
+}
+
+impl From<WireEntry> for Entry {
+    fn from(wire: WireEntry) -> Self {
+        let payload = match wire.payload {
+            WirePayload::Noop => Payload::Noop,
+            WirePayload::Command(bytes) => Payload::Command(bytes),
+            WirePayload::Voters(voters) => Payload::Voters(core_voters(voters)),
+        };
+        Self {
+            term: Term(wire.term),
+            index: Index(wire.index),
+            payload,
+        }
+    }
+}
+
+impl From<Snapshot> for WireSnapshot {
+    fn from(snapshot: Snapshot) -> Self {
+        Self {
+            index: snapshot.index.0,
+            term: snapshot.term.0,
+            voters: wire_voters(snapshot.voters),
+            data: snapshot.data,
+        }
+    }
+}
+
+impl From<WireSnapshot> for Snapshot {
+    fn from(wire: WireSnapshot) -> Self {
+        Self {
+            index: Index(wire.index),
+            term: Term(wire.term),
+            voters: core_voters(wire.voters),
+            data: wire.data,
+        }
+    }
+}
+
+impl From<Record> for WireRecord {
+    fn from(record: Record) -> Self {
+        Self(match record {
+            Record::HardState(hard) => RecordBody::HardState {
+                term: hard.term.0,
+                vote: hard.vote.map(WireReplica::from),
+            },
+            Record::Entry(entry) => RecordBody::Entry(entry.into()),
+            Record::Snapshot(snapshot) => RecordBody::Snapshot(snapshot.into()),
+        })
+    }
+}
+
+impl From<WireRecord> for Record {
+    fn from(wire: WireRecord) -> Self {
+        match wire.0 {
+            RecordBody::HardState { term, vote } => Self::HardState(HardState {
+                term: Term(term),
+                vote: vote.map(ReplicaId::from),
+            }),
+            RecordBody::Entry(entry) => Self::Entry(entry.into()),
+            RecordBody::Snapshot(snapshot) => Self::Snapshot(snapshot.into()),
+        }
+    }
+}
+
+/// Converts voters to their wire form.
+pub(crate) fn wire_voters(voters: Vec<ReplicaId>) -> Vec<WireReplica> {
+    voters.into_iter().map(WireReplica::from).collect()
+}
+
+/// Converts voters from their wire form.
+pub(crate) fn core_voters(voters: Vec<WireReplica>) -> Vec<ReplicaId> {
+    voters.into_iter().map(ReplicaId::from).collect()
+}
--- /dev/null
+++ b/wire/src/mesh.rs
@@ -0,0 +1,157 @@
+//! Messages between the VMs, and their frames.
+
+use std::sync::Arc;
+
+use merlinrudder_core::consensus::message::ReplicaId;
+use serde::{Deserialize, Serialize};
+
+use crate::announce::WireAnnouncement;
+use crate::control::{WireAnswer, WireCommand};
+use crate::dispatch::{WireFromDispatcher, WireToDispatcher};
+use crate::error::DecodeError;
+use crate::log::{WireLogMessage, WireReplica, core_voters, wire_voters};
+use crate::membership::WireMembership;
+
+/// Version of the frames; VMs of another version are not understood.
+pub const MESH_VERSION: u8 = 1;
+/// Largest frame, in bytes; a snapshot of the control state is the largest message.
+pub const MAX_FRAME_BYTES: usize = 512 * 1024 * 1024;
+
+/// A message between two VMs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum MeshMessage {
+    /// Who is alive.
+    Membership(WireMembership),
+    /// The control log.
+    Log {
+        /// Replica that sends.
+        from: WireReplica,
+        /// Replica that is meant.
+        to: WireReplica,
+        /// The message.
+        message: WireLogMessage,
+    },
+    /// A replica introduces itself to the listed replicas.
+    Hello(WireHello),
+    /// An entry VM to a dispatcher.
+    ToDispatcher(WireToDispatcher),
+    /// A dispatcher to an entry VM.
+    FromDispatcher(WireFromDispatcher),
+    /// An announcement on its way to the dispatchers of its zone.
+    Announce(WireAnnouncement),
+    /// A command for the control log.
+    Propose {
+        /// Number that the answer repeats.
+        id: u64,
+        /// The command.
+        command: WireCommand,
+    },
+    /// Answer to a proposal.
+    Proposed {
+        /// Number of the proposal.
+        id: u64,
+        /// How it went.
+        result: WireProposed,
+    },
+    /// Asks for the manifest in force.
+    PullManifest {
+        /// Number that the sender has.
+        have: u64,
+    },
+    /// A manifest in force.
+    Manifest {
+        /// Its number; zero where the sender has none.
+        number: u64,
+        /// Its bytes.
+        bytes: Arc<[u8]>,
+        /// Whether a settled leader says that none newer was accepted before.
+        current: bool,
+    },
+    /// A VM asks a control VM for verdicts after those it has.
+    PullVerdicts {
+        /// How many verdicts the sender has.
+        have: u64,
+    },
+    /// All verdicts in force.
+    Verdicts(Vec<[u8; 32]>),
+}
+
+/// A replica's introduction.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WireHello {
+    /// Who it is.
+    replica: WireReplica,
+    /// Voters that it knows; empty where its folder is.
+    voters: Vec<WireReplica>,
+    /// Whether an answer is wanted.
+    pub answer: bool,
+}
+
+/// How a proposal went.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum WireProposed {
+    /// It was committed, with this answer.
+    Committed(WireAnswer),
+    /// The receiver does not lead; `leader` does, as far as it knows.
+    NotLeader {
+        /// VM that leads.
+        leader: Option<String>,
+    },
+}
+
+impl WireHello {
+    /// Makes an introduction.
+    #[must_use]
+    pub fn new(replica: ReplicaId, voters: Vec<ReplicaId>, answer: bool) -> Self {
+        Self {
+            replica: replica.into(),
+            voters: wire_voters(voters),
+            answer,
+        }
+    }
+
+    /// Returns who introduces itself.
+    #[must_use]
+    pub fn replica(&self) -> ReplicaId {
+        self.replica.clone().into()
+    }
+
+    /// Returns the voters that it knows.
+    #[must_use]
+    pub fn voters(&self) -> Vec<ReplicaId> {
+        core_voters(self.voters.clone())
+    }
+}
+
+/// Encodes a wire type.
+///
+/// # Panics
+/// Panics where the type cannot be encoded, which no wire type of this package allows.
+#[must_use]
+pub fn encode<T: Serialize>(wire: &T) -> Vec<u8> {
+    postcard::to_stdvec(wire).expect("wire types hold nothing that cannot be encoded")
+}
+
+/// Encodes a frame: the version and the message.
+#[must_use]
+pub fn encode_frame(message: &MeshMessage) -> Vec<u8> {
+    let mut frame = vec![MESH_VERSION];
+    frame.extend(encode(message));
+    frame
+}
+
+/// Decodes a frame.
+///
+/// # Errors
+/// Fails where the version is another one or the bytes are not a message.
+pub fn decode_frame(frame: &[u8]) -> Result<MeshMessage, DecodeError> {
+    let (version, bytes) = frame
+        .split_first()
+        .ok_or_else(|| DecodeError::new("the frame is empty"))?;
+    if *version != MESH_VERSION {
+        return Err(DecodeError::new(format!(
+            "version {version} in place of {MESH_VERSION}"
+        )));
+    }
+    Ok(postcard::from_bytes(bytes)?)
+}
--- /dev/null
+++ b/wire/src/units.rs
@@ -0,0 +1,52 @@
+//! Conversions of times and reasons that several messages share.
+
+use std::time::Duration;
+
+use merlinrudder_core::outcome::{Refusal, RefusalReason, RunState};
+use merlinrudder_core::time::duration_millis;
+use serde::{Deserialize, Serialize};
+
+use crate::error::DecodeError;
+
+/// Converts to whole milliseconds.
+pub(crate) fn millis(wait: Duration) -> u64 {
+    duration_millis(wait)
+}
+
+/// A refusal on the wire.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct WireRefusal {
+    reason: String,
+    may_have_run: bool,
+    retry_after_ms: Option<u64>,
+}
+
+impl From<Refusal> for WireRefusal {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            reason: refusal.reason.code().to_owned(),
+            may_have_run: refusal.run != RunState::NotRun,
+            retry_after_ms: refusal.retry_after.map(millis),
+        }
+    }
+}
+
+impl TryFrom<WireRefusal> for Refusal {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireRefusal) -> Result<Self, DecodeError> {
+        let reason = RefusalReason::from_code(&wire.reason)
+            .ok_or_else(|| DecodeError::new(format!("unknown reason {}", wire.reason)))?;
+        let run = if wire.may_have_run {
+            RunState::MayHaveRun
+        } else {
+            RunState::NotRun
+        };
+        let retry_after = wire.retry_after_ms.map(Duration::from_millis);
+        Ok(Self {
+            reason,
+            run,
+            retry_after,
+        })
+    }
+}
