feature: add stand-ins and the command line tool

Cause: the path needs something to talk to. Adds engine, application and weight store stand-ins with faults and execution logs, keys, load, report, demo. Not run yet; clippy is clean.

--- /dev/null
+++ b/ctl/src/commands/admin.rs
@@ -0,0 +1,49 @@
+//! Commands of operators.
+
+use std::fs;
+
+use anyhow::{Context, Result};
+use clap::ArgMatches;
+use merlinrudder_wire::manifest::parse_manifest;
+
+use super::{path, text};
+use crate::client;
+
+/// Checks a manifest without publishing it.
+pub(super) fn check(matches: &ArgMatches) -> Result<bool> {
+    let path = path(matches, "manifest")?;
+    let bytes = fs::read(&path).with_context(|| format!("cannot read {}", path.display()))?;
+    match parse_manifest(&bytes) {
+        Ok(manifest) => {
+            println!(
+                "{}: manifest {} is valid, with {} service(s) and {} customer(s)",
+                path.display(),
+                manifest.number.0,
+                manifest.services.len(),
+                manifest.customers.len()
+            );
+            Ok(true)
+        }
+        Err(error) => {
+            println!("{}: {error}", path.display());
+            Ok(false)
+        }
+    }
+}
+
+/// Publishes a manifest.
+pub(super) fn publish(matches: &ArgMatches) -> Result<bool> {
+    let path = path(matches, "manifest")?;
+    let bytes = fs::read(&path).with_context(|| format!("cannot read {}", path.display()))?;
+    let (status, answer) =
+        client::publish(text(matches, "admin")?, text(matches, "token")?, &bytes)?;
+    println!("{}", serde_json::to_string_pretty(&answer)?);
+    Ok(status == 200)
+}
+
+/// Shows a VM's status.
+pub(super) fn status(matches: &ArgMatches) -> Result<bool> {
+    let status = client::status(text(matches, "admin")?, text(matches, "token")?)?;
+    println!("{}", serde_json::to_string_pretty(&status)?);
+    Ok(status.ready)
+}
--- /dev/null
+++ b/ctl/src/commands/load.rs
@@ -0,0 +1,196 @@
+//! Open-loop load: requests start when their time has come, whatever became of earlier ones.
+
+use std::fs;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, anyhow, bail};
+use clap::ArgMatches;
+use fastrand::Rng;
+use indicatif::ProgressBar;
+use merlinrudder_fakes::answer::{Answer, TOKEN_BYTES};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::{number, text, texts};
+use crate::client::{CompletionCall, complete};
+use crate::measure::{Measures, table};
+
+/// Time after which a caller gives up.
+const TIMEOUT: Duration = Duration::from_mins(10);
+/// Requests in progress at which the run stops: the load tool itself is the limit then.
+const MAX_IN_PROGRESS: usize = 4000;
+
+/// One request of a load.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct Arrival {
+    at_ms: u64,
+    prompt_tokens: u64,
+    max_tokens: u64,
+}
+
+/// Runs the load and prints the result.
+pub(super) fn run(matches: &ArgMatches) -> Result<bool> {
+    let seed: u64 = number(matches, "seed")?;
+    let arrivals = match matches.get_one::<String>("trace") {
+        Some(path) => read_trace(path)?,
+        None => draw_mix(matches, seed)?,
+    };
+    let callers = texts(matches, "callers");
+    let tokens = texts(matches, "tokens");
+    let model = text(matches, "model")?.to_owned();
+    let measures = drive(&arrivals, &callers, &tokens, &model, seed)?;
+    let measures = measures.lock().unwrap_or_else(PoisonError::into_inner);
+    let results = measures.results();
+    println!("{}", table(&results));
+    if let Some(path) = matches.get_one::<String>("output") {
+        let result = json!({ "requests": arrivals.len(), "seed": seed, "classes": results });
+        fs::write(path, serde_json::to_string_pretty(&result)?)
+            .with_context(|| format!("cannot write {path}"))?;
+    }
+    Ok(results.iter().all(|class| class.wrong == 0))
+}
+
+fn read_trace(path: &str) -> Result<Vec<Arrival>> {
+    let text = fs::read_to_string(path).with_context(|| format!("cannot read {path}"))?;
+    let lines = text
+        .lines()
+        .enumerate()
+        .filter(|(_, line)| !line.trim().is_empty());
+    lines
+        .map(|(number, line)| {
+            serde_json::from_str(line).with_context(|| format!("{path}, line {}", number + 1))
+        })
+        .collect()
+}
+
+/// Draws arrivals with exponential gaps from the mix.
+fn draw_mix(matches: &ArgMatches, seed: u64) -> Result<Vec<Arrival>> {
+    let rate: f64 = number(matches, "rate")?;
+    let seconds: f64 = number(matches, "seconds")?;
+    let max_tokens = number(matches, "max-tokens")?;
+    let mix = parse_mix(text(matches, "mix")?)?;
+    if rate <= 0.0 {
+        bail!("--rate must be positive");
+    }
+    let mut rng = Rng::with_seed(seed);
+    let mut arrivals = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
+        if at.as_secs_f64() >= seconds {
+            return Ok(arrivals);
+        }
+        let at_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        let prompt_tokens = pick(&mix, &mut rng);
+        arrivals.push(Arrival {
+            at_ms,
+            prompt_tokens,
+            max_tokens,
+        });
+    }
+}
+
+/// Prompt tokens and their weight.
+type Mix = Vec<(u64, u32)>;
+
+fn parse_mix(text: &str) -> Result<Mix> {
+    let part = |part: &str| -> Option<(u64, u32)> {
+        let (tokens, weight) = part.split_once(':')?;
+        Some((tokens.trim().parse().ok()?, weight.trim().parse().ok()?))
+    };
+    let mix: Option<Mix> = text.split(',').map(part).collect();
+    mix.filter(|mix| mix.iter().map(|(_, weight)| weight).sum::<u32>() > 0)
+        .ok_or_else(|| anyhow!("--mix is '{text}'; valid is such as 1000:90,30000:10"))
+}
+
+fn pick(mix: &Mix, rng: &mut Rng) -> u64 {
+    let total: u32 = mix.iter().map(|(_, weight)| weight).sum();
+    let mut drawn = rng.u32(..total);
+    for (tokens, weight) in mix {
+        if drawn < *weight {
+            return *tokens;
+        }
+        drawn -= weight;
+    }
+    mix[0].0
+}
+
+fn drive(
+    arrivals: &[Arrival],
+    callers: &[String],
+    tokens: &[String],
+    model: &str,
+    seed: u64,
+) -> Result<Arc<Mutex<Measures>>> {
+    let measures = Arc::new(Mutex::new(Measures::default()));
+    let progress = ProgressBar::new(arrivals.len() as u64);
+    let start = Instant::now();
+    let mut threads = Vec::new();
+    for (index, arrival) in arrivals.iter().enumerate() {
+        let due = Duration::from_millis(arrival.at_ms);
+        thread::sleep(due.saturating_sub(start.elapsed()));
+        threads.retain(|thread: &thread::JoinHandle<()>| !thread.is_finished());
+        if threads.len() >= MAX_IN_PROGRESS {
+            bail!("{MAX_IN_PROGRESS} requests are in progress; the load is too high");
+        }
+        let (arrival, model, progress) = (*arrival, model.to_owned(), progress.clone());
+        let address = callers[index % callers.len()].clone();
+        let token = tokens[index % tokens.len()].clone();
+        let measures = Arc::clone(&measures);
+        let prompt = make_prompt(seed, index, arrival.prompt_tokens);
+        threads.push(thread::Builder::new().spawn(move || {
+            one(&address, &token, &model, &prompt, arrival, &measures);
+            progress.inc(1);
+        })?);
+    }
+    for thread in threads {
+        thread
+            .join()
+            .map_err(|_panic| anyhow!("a caller's thread failed"))?;
+    }
+    progress.finish_and_clear();
+    Ok(measures)
+}
+
+fn one(
+    address: &str,
+    token: &str,
+    model: &str,
+    prompt: &str,
+    arrival: Arrival,
+    measures: &Mutex<Measures>,
+) {
+    let max_tokens = arrival.max_tokens;
+    let outcome = complete(&CompletionCall {
+        address,
+        token,
+        model,
+        prompt,
+        max_tokens,
+        timeout: TIMEOUT,
+    });
+    let expected = Answer::new(prompt, max_tokens).text();
+    let right = if outcome.whole {
+        outcome.text == expected
+    } else {
+        expected.starts_with(&outcome.text)
+    };
+    let mut measures = measures.lock().unwrap_or_else(PoisonError::into_inner);
+    measures.count(arrival.prompt_tokens, &outcome, right);
+}
+
+/// Makes a prompt that differs from all others of the run from its first block on.
+fn make_prompt(seed: u64, index: usize, tokens: u64) -> String {
+    let mut prompt = format!("{seed}/{index} ");
+    let length = usize::try_from(tokens)
+        .unwrap_or(usize::MAX)
+        .saturating_mul(TOKEN_BYTES);
+    let filler = "soil plot note sum ";
+    while prompt.len() < length {
+        prompt.push_str(filler);
+    }
+    prompt.truncate(length.max(1));
+    prompt
+}
--- /dev/null
+++ b/fakes/src/engine/api.rs
@@ -0,0 +1,330 @@
+//! The HTTP interface of the stand-in engine.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use merlinrudder_wire::engine::{
+    EngineCancel, EngineEvent, EngineHolding, EngineOrder, EngineRefusal, EngineRequest,
+    EngineReserve, prefix_blocks,
+};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tiny_http::{Method, Request};
+
+use super::model::{ModelRefusal, Sequence, SequenceKey};
+use super::{EngineLogLine, Shared, lock};
+use crate::answer::{Answer, prompt_tokens};
+use crate::faults::Faults;
+use crate::http::{read_body, send_json, write_chunk};
+
+/// Time between two looks of a hanging request at whether the engine is dead.
+const HANG_LOOK: Duration = Duration::from_millis(50);
+
+pub(super) fn handle(shared: &Arc<Shared>, request: Request) {
+    let method = request.method().clone();
+    let path = request.url().to_owned();
+    match (&method, path.as_str()) {
+        (Method::Get, "/health") => answer_health(shared, request),
+        (Method::Post, "/v1/completions") => complete(shared, request),
+        (Method::Post, "/cancel") => take(request, |cancel: EngineCancel| {
+            if !lock(&shared.faults).ignore_cancel {
+                shared.runner.cancel(&cancel.request_id, cancel.attempt);
+                mark(shared, &cancel.request_id, cancel.attempt, "cancelled");
+            }
+            (200, json!({}))
+        }),
+        (Method::Post, "/kv/reserve") => take(request, |body| reserve(shared, body)),
+        (Method::Post, "/kv/release") => take(request, |body: EngineReserve| {
+            shared
+                .runner
+                .with(|model| model.release(&body.request_id, body.attempt));
+            (200, json!({}))
+        }),
+        (Method::Post, "/orders") => take(request, |order| obey(shared, order)),
+        (Method::Post, "/faults") => take(request, |faults: Faults| {
+            *lock(&shared.faults) = faults;
+            (200, json!({}))
+        }),
+        (Method::Post, "/leave") => {
+            *lock(&shared.leaving) = true;
+            send_json(request, 200, &json!({}));
+        }
+        (Method::Get, "/holdings") => send_json(request, 200, &holdings(shared)),
+        (Method::Get, "/log") => send_json(request, 200, &*lock(&shared.log)),
+        (Method::Get, "/orders") => send_json(request, 200, &*lock(&shared.orders)),
+        _ => send_json(request, 404, &json!({ "reason": "path", "ran": false })),
+    }
+}
+
+fn take<T: DeserializeOwned>(
+    mut request: Request,
+    answer: impl FnOnce(T) -> (u16, serde_json::Value),
+) {
+    match serde_json::from_slice(&read_body(&mut request)) {
+        Ok(body) => {
+            let (status, value) = answer(body);
+            send_json(request, status, &value);
+        }
+        Err(error) => send_json(
+            request,
+            400,
+            &json!({ "reason": error.to_string(), "ran": false }),
+        ),
+    }
+}
+
+fn answer_health(shared: &Shared, request: Request) {
+    if lock(&shared.faults).hang {
+        hang(shared);
+        return;
+    }
+    send_json(request, 200, &json!({}));
+}
+
+fn hang(shared: &Shared) {
+    while lock(&shared.faults).hang && !shared.life.is_over() {
+        thread::sleep(HANG_LOOK);
+    }
+}
+
+fn reserve(shared: &Shared, body: EngineReserve) -> (u16, serde_json::Value) {
+    let key = SequenceKey {
+        request: body.request_id,
+        attempt: body.attempt,
+    };
+    let lease = Duration::from_millis(body.lease_ms);
+    match shared.runner.reserve(key, body.tokens, lease) {
+        Ok(()) => (200, json!({})),
+        Err(_) => (503, json!({ "reason": "memory", "ran": false })),
+    }
+}
+
+fn obey(shared: &Shared, order: EngineOrder) -> (u16, serde_json::Value) {
+    let mut orders = lock(&shared.orders);
+    let newest = orders
+        .iter()
+        .map(|order| order.fencing)
+        .max()
+        .unwrap_or_default();
+    if shared.options.checks_fencing && order.fencing < newest {
+        return (
+            409,
+            json!({ "reason": "fencing", "ran": false, "newest": newest }),
+        );
+    }
+    if !orders.iter().any(|known| known.order_id == order.order_id) {
+        orders.push(order);
+    }
+    (200, json!({}))
+}
+
+fn holdings(shared: &Shared) -> Vec<EngineHolding> {
+    let holding = |(key, tokens, age): (SequenceKey, u64, Duration)| EngineHolding {
+        request_id: key.request,
+        attempt: key.attempt,
+        tokens,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+    };
+    shared.runner.holdings().into_iter().map(holding).collect()
+}
+
+fn complete(shared: &Arc<Shared>, mut request: Request) {
+    let body: EngineRequest = match serde_json::from_slice(&read_body(&mut request)) {
+        Ok(body) => body,
+        Err(error) => {
+            let refusal = EngineRefusal {
+                reason: error.to_string(),
+                ran: false,
+            };
+            send_json(request, 400, &refusal);
+            return;
+        }
+    };
+    let faults = lock(&shared.faults).clone();
+    if faults
+        .crash_on
+        .as_ref()
+        .is_some_and(|text| body.prompt.contains(text))
+    {
+        log_start(shared, &body);
+        mark(shared, &body.request_id, body.attempt, "crashed");
+        shared.crash();
+        return;
+    }
+    if faults.hang {
+        hang(shared);
+        return;
+    }
+    thread::sleep(Duration::from_millis(faults.late_ms));
+    let answer = Answer::new(&body.prompt, body.max_tokens);
+    let admitted = if faults.refuse {
+        Err(ModelRefusal::Full)
+    } else {
+        shared.runner.admit(sequence(&body, answer))
+    };
+    match admitted {
+        Ok(tokens) => {
+            log_start(shared, &body);
+            stream(shared, request, &body, &tokens, answer, &faults);
+        }
+        Err(refusal) => {
+            let reason = match refusal {
+                ModelRefusal::TooLarge => "too_large",
+                ModelRefusal::Full => "full",
+            };
+            send_json(
+                request,
+                503,
+                &EngineRefusal {
+                    reason: reason.to_owned(),
+                    ran: false,
+                },
+            );
+        }
+    }
+}
+
+fn sequence(body: &EngineRequest, answer: Answer) -> Sequence {
+    let prompt = prompt_tokens(&body.prompt);
+    let elsewhere: u64 = body.reservations.iter().map(|held| held.tokens).sum();
+    Sequence {
+        key: SequenceKey {
+            request: body.request_id.clone(),
+            attempt: body.attempt,
+        },
+        context: prompt + body.resume_from,
+        blocks: prefix_blocks(&body.prompt),
+        next: body.resume_from.min(answer.len().saturating_sub(1)),
+        total: answer.len(),
+        priority: body.priority,
+        memory: (prompt + body.max_tokens).saturating_sub(elsewhere),
+    }
+}
+
+/// Streams tokens as the model makes them; a reader that is gone cancels the work.
+fn stream(
+    shared: &Shared,
+    request: Request,
+    body: &EngineRequest,
+    tokens: &Receiver<u64>,
+    answer: Answer,
+    faults: &Faults,
+) {
+    let mut writer = request.into_writer();
+    let mut sent = 0;
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let mut alive = writer
+        .write_all(head.as_bytes())
+        .and_then(|()| writer.flush())
+        .is_ok();
+    let mut next = body.resume_from;
+    for index in tokens {
+        if index < next {
+            continue;
+        }
+        next = index + 1;
+        log_token(shared, body, index, &answer.token(index));
+        let event = event(body, index, answer.token(index));
+        alive &= send_event(&mut *writer, &event, faults, &mut sent);
+        if !alive || shared.life.is_over() {
+            shared.runner.cancel(&body.request_id, body.attempt);
+            mark(shared, &body.request_id, body.attempt, "cancelled");
+            return;
+        }
+    }
+    if shared.life.is_over() || next < answer.len() {
+        // The engine died or the request was cancelled: the stream must not look whole.
+        return;
+    }
+    let mut last = event(body, answer.len(), String::new());
+    last.done = true;
+    last.prompt_tokens = prompt_tokens(&body.prompt);
+    if send_event(&mut *writer, &last, faults, &mut sent) {
+        mark(shared, &body.request_id, body.attempt, "done");
+        drop(writer.write_all(b"0\r\n\r\n").and_then(|()| writer.flush()));
+    }
+}
+
+fn event(body: &EngineRequest, index: u64, text: String) -> EngineEvent {
+    EngineEvent {
+        request_id: body.request_id.clone(),
+        attempt: body.attempt,
+        index,
+        text,
+        done: false,
+        prompt_tokens: 0,
+    }
+}
+
+fn send_event(
+    writer: &mut dyn Write,
+    event: &EngineEvent,
+    faults: &Faults,
+    sent: &mut usize,
+) -> bool {
+    let json = serde_json::to_string(event).unwrap_or_default();
+    let mut text = format!("data: {json}\n\n");
+    if faults.duplicate {
+        text = text.repeat(2);
+    }
+    if faults.foreign {
+        let other = EngineEvent {
+            request_id: "other".to_owned(),
+            ..event.clone()
+        };
+        let json = serde_json::to_string(&other).unwrap_or_default();
+        text = format!("data: {json}\n\n{text}");
+    }
+    *sent += text.len();
+    if faults.drop_at_byte.is_some_and(|limit| *sent > limit) {
+        return false;
+    }
+    write_chunk(writer, &text).is_ok()
+}
+
+fn log_start(shared: &Shared, body: &EngineRequest) {
+    lock(&shared.log).push(EngineLogLine {
+        request_id: body.request_id.clone(),
+        attempt: body.attempt,
+        prompt_tokens: prompt_tokens(&body.prompt),
+        from: body.resume_from,
+        to: body.resume_from,
+        text: String::new(),
+        state: "running".to_owned(),
+    });
+}
+
+fn log_token(shared: &Shared, body: &EngineRequest, index: u64, text: &str) {
+    with_line(shared, &body.request_id, body.attempt, |line| {
+        line.to = index + 1;
+        line.text.push_str(text);
+    });
+}
+
+fn mark(shared: &Shared, request: &str, attempt: u32, state: &str) {
+    with_line(shared, request, attempt, |line| {
+        if line.state == "running" {
+            state.clone_into(&mut line.state);
+        }
+    });
+}
+
+fn with_line(
+    shared: &Shared,
+    request: &str,
+    attempt: u32,
+    change: impl FnOnce(&mut EngineLogLine),
+) {
+    let mut log = lock(&shared.log);
+    let line = log
+        .iter_mut()
+        .rev()
+        .find(|line| line.request_id == request && line.attempt == attempt);
+    if let Some(line) = line {
+        change(line);
+    }
+}
--- /dev/null
+++ b/fakes/src/engine/runner.rs
@@ -0,0 +1,144 @@
+//! Runs the cost model in real time on a thread, and hands tokens to the waiting streams.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, Sender, unbounded};
+
+use super::model::{EngineModel, ModelRefusal, Sequence, SequenceKey};
+use crate::http::Life;
+
+/// Longest sleep of an idle engine.
+const IDLE: Duration = Duration::from_millis(20);
+
+#[derive(Debug)]
+struct State {
+    model: EngineModel,
+    streams: BTreeMap<SequenceKey, Sender<u64>>,
+    started: BTreeMap<SequenceKey, Instant>,
+}
+
+/// The running cost model.
+#[derive(Clone, Debug)]
+pub(super) struct Runner {
+    state: Arc<(Mutex<State>, Condvar)>,
+    start: Instant,
+}
+
+impl Runner {
+    pub(super) fn spawn(model: EngineModel, speed: f64, life: Life) -> io::Result<Self> {
+        let state = State {
+            model,
+            streams: BTreeMap::new(),
+            started: BTreeMap::new(),
+        };
+        let runner = Self {
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+            start: Instant::now(),
+        };
+        let steps = runner.clone();
+        thread::Builder::new()
+            .name("engine-steps".to_owned())
+            .spawn(move || {
+                while !life.is_over() {
+                    steps.step(speed);
+                }
+                // The streams' senders go with the state, as a dead process's connections do.
+                steps.with_state(|state| state.streams.clear());
+            })?;
+        Ok(runner)
+    }
+
+    pub(super) fn with<T>(&self, look: impl FnOnce(&mut EngineModel) -> T) -> T {
+        self.with_state(|state| look(&mut state.model))
+    }
+
+    /// Takes a request in; its token numbers come on the returned channel.
+    pub(super) fn admit(&self, sequence: Sequence) -> Result<Receiver<u64>, ModelRefusal> {
+        let (sender, tokens) = unbounded();
+        let key = sequence.key.clone();
+        self.with_state(|state| {
+            state.model.admit(sequence)?;
+            state.started.insert(key.clone(), Instant::now());
+            state.streams.insert(key, sender);
+            Ok(())
+        })?;
+        self.state.1.notify_all();
+        Ok(tokens)
+    }
+
+    pub(super) fn cancel(&self, request: &str, attempt: u32) {
+        self.with_state(|state| {
+            state.model.cancel(request, attempt);
+            state
+                .streams
+                .retain(|key, _| key.request != request || key.attempt > attempt);
+        });
+    }
+
+    pub(super) fn reserve(
+        &self,
+        key: SequenceKey,
+        tokens: u64,
+        lease: Duration,
+    ) -> Result<(), ModelRefusal> {
+        let expires = self.start.elapsed() + lease;
+        self.with_state(|state| {
+            state.model.reserve(key.clone(), tokens, expires)?;
+            state.started.insert(key, Instant::now());
+            Ok(())
+        })
+    }
+
+    /// Returns all that is held with its age.
+    pub(super) fn holdings(&self) -> Vec<(SequenceKey, u64, Duration)> {
+        self.with_state(|state| {
+            let holdings = state.model.holdings();
+            let keep: Vec<_> = holdings.iter().map(|(key, _)| key.clone()).collect();
+            state.started.retain(|key, _| keep.contains(key));
+            let age = |key: &SequenceKey| state.started.get(key).map(Instant::elapsed);
+            holdings
+                .into_iter()
+                .map(|(key, tokens)| {
+                    let age = age(&key).unwrap_or_default();
+                    (key, tokens, age)
+                })
+                .collect()
+        })
+    }
+
+    fn with_state<T>(&self, look: impl FnOnce(&mut State) -> T) -> T {
+        look(&mut self.state.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes the time of a step first, so that its tokens come when it ends.
+    fn step(&self, speed: f64) {
+        let mut state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.model.expire(self.start.elapsed());
+        if state.model.is_idle() {
+            let woken = self.state.1.wait_timeout(state, IDLE);
+            drop(woken.unwrap_or_else(PoisonError::into_inner));
+            return;
+        }
+        let step = state.model.step();
+        drop(state);
+        thread::sleep(step.time.div_f64(speed));
+        self.with_state(|state| {
+            for (key, token) in step.tokens {
+                let gone = state
+                    .streams
+                    .get(&key)
+                    .is_some_and(|s| s.send(token).is_err());
+                if gone {
+                    state.streams.remove(&key);
+                }
+            }
+            for key in step.finished {
+                state.streams.remove(&key);
+            }
+        });
+    }
+}
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Small stand-ins for engines, applications and weight stores, over real HTTP.
+//!
+//! They keep an execution log, against which what the system says is held.
+
+pub mod announcer;
+pub mod answer;
+pub mod app;
+pub mod engine;
+pub mod faults;
+mod http;
+pub mod weights;
--- a/node/src/front/completions.rs
+++ b/node/src/front/completions.rs
@@ -14,6 +14,7 @@
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use merlinrudder_core::retry::{RetryQuestion, backoff};
 use merlinrudder_core::units::{AttemptId, ContentDigest};
+use merlinrudder_wire::engine::prefix_blocks;
 use slog::{info, warn};
 use tiny_http::Request;
 
@@ -159,7 +160,7 @@
         let prompt_bytes = body.prompt.len();
         let work = estimator.estimate(customer, service, prompt_bytes, body.max_output());
         drop(estimator);
-        let prefix = body.prefix_blocks();
+        let prefix = Arc::from(prefix_blocks(&body.prompt));
         let sink = Sink::new(request, admitted.id, service.as_str(), body.stream);
         Self {
             callers,
--- a/node/src/front/completions/body.rs
+++ b/node/src/front/completions/body.rs
@@ -2,16 +2,10 @@
 
 use std::sync::Arc;
 
-use merlinrudder_core::dispatch::BLOCK_TOKENS;
 use merlinrudder_core::manifest::{Manifest, ServiceKind, ServiceRule};
-use merlinrudder_core::rendezvous::stable_hash;
 use merlinrudder_core::units::Tokens;
 use serde::Deserialize;
 
-/// Bytes of a prompt that stand for one block of the prefix cache.
-const BLOCK_BYTES: usize = BLOCK_TOKENS * 4;
-/// Most prefix blocks that are compared.
-const MAX_BLOCKS: usize = 64;
 /// Tokens of an answer where the caller names no limit.
 const DEFAULT_OUTPUT: u64 = 256;
 
@@ -66,20 +60,4 @@
     pub(super) fn max_output(&self) -> Tokens {
         Tokens(self.max_tokens.unwrap_or(DEFAULT_OUTPUT))
     }
-
-    /// Returns the hashes of the prompt's leading blocks, each over all before it.
-    pub(super) fn prefix_blocks(&self) -> Arc<[u64]> {
-        let mut hash = 0;
-        let blocks = self
-            .prompt
-            .as_bytes()
-            .chunks_exact(BLOCK_BYTES)
-            .take(MAX_BLOCKS);
-        blocks
-            .map(|block| {
-                hash = stable_hash(&[&u64::to_le_bytes(hash), block]);
-                hash
-            })
-            .collect()
-    }
 }
--- a/node/src/mesh.rs
+++ b/node/src/mesh.rs
@@ -107,7 +107,7 @@
 
     fn command(&self, to: &VmId, command: PeerCommand) {
         let queue = self.queues.get(to);
-        if !queue.is_some_and(|queue| queue.try_send(command).is_ok()) {
+        if queue.is_none_or(|queue| queue.try_send(command).is_err()) {
             count_mesh_dropped();
         }
     }
--- a/wire/src/engine.rs
+++ b/wire/src/engine.rs
@@ -1,7 +1,27 @@
 //! JSON over HTTP between the system and model engines.
 
+use merlinrudder_core::dispatch::BLOCK_TOKENS;
+use merlinrudder_core::rendezvous::stable_hash;
 use serde::{Deserialize, Serialize};
 
+/// Bytes of a prompt that stand for one block of the prefix cache.
+const BLOCK_BYTES: usize = BLOCK_TOKENS * 4;
+/// Most prefix blocks of one prompt that are compared.
+const MAX_BLOCKS: usize = 64;
+
+/// Returns the hashes of a prompt's leading blocks, each over all before it.
+#[must_use]
+pub fn prefix_blocks(prompt: &str) -> Vec<u64> {
+    let mut hash = 0;
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
+    blocks
+        .map(|block| {
+            hash = stable_hash(&[&u64::to_le_bytes(hash), block]);
+            hash
+        })
+        .collect()
+}
+
 /// Body of `POST /v1/completions` at an engine; the answer is a stream of `EngineEvent`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineRequest {
@@ -96,3 +116,28 @@
     /// How long it has been held, in milliseconds.
     pub age_ms: u64,
 }
+
+/// Body of `POST /orders`: what an engine is to hold or to be.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineOrder {
+    /// Number of the holder of the right to give orders; an old one is refused where it is checked.
+    pub fencing: u64,
+    /// Name of the order; the same order again changes nothing.
+    pub order_id: String,
+    /// What to do.
+    pub action: EngineAction,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineAction {
+    /// Load a model.
+    LoadModel(String),
+    /// Load an adapter.
+    LoadAdapter(String),
+    /// Change to a version.
+    SetVersion(String),
+    /// Change role.
+    SetRole(String),
+}
