feature: prove the thin path over separate processes

Cause: the path was only shown in one process. Found: a service without backend servers was refused only after 1.5 s in each zone, and then inside an opened stream; the dispatcher now waits only in its own first 1.5 s. Before: status 200 with an error event after 4.5 s; after: 503 at once.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -28,14 +28,13 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest wait that a refused caller is told.
 const MAX_RETRY_AFTER: Duration = Duration::from_mins(1);
-/// How long a request waits for a first backend server to announce itself.
+/// How long after its start a dispatcher waits for a first backend server to announce itself.
 const NO_SERVER_PATIENCE: Duration = Duration::from_millis(1500);
 
 /// A request that waits at the dispatcher.
 #[derive(Clone, Debug)]
 struct Pending {
     ask: Ask,
-    since: Moment,
     deadline: Moment,
     long: bool,
 }
@@ -51,8 +50,10 @@
 }
 
 /// The dispatcher of one VM for every service that it holds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatcher {
+    /// When it started to listen to announcements.
+    opened: Moment,
     manifest: Option<Arc<Manifest>>,
     registry: Registry,
     queues: BTreeMap<ServiceName, ServiceQueue>,
@@ -62,6 +63,20 @@
 }
 
 impl Dispatcher {
+    /// Starts without any backend server.
+    #[must_use]
+    pub fn open(now: Moment) -> Self {
+        Self {
+            opened: now,
+            manifest: None,
+            registry: Registry::default(),
+            queues: BTreeMap::new(),
+            ledger: Ledger::default(),
+            suspects: SuspectTable::default(),
+            outputs: Vec::new(),
+        }
+    }
+
     /// Puts a manifest in force.
     pub fn set_manifest(&mut self, manifest: Arc<Manifest>) {
         self.manifest = Some(manifest);
@@ -113,7 +128,7 @@
             return;
         }
         self.ledger.remove(ask.request);
-        match self.check(&ask) {
+        match self.check(now, &ask) {
             Err(refusal) => self.refuse(&ask, refusal),
             Ok(long) => {
                 let service = ask.service.clone();
@@ -243,7 +258,7 @@
     }
 
     /// Checks whether a request may wait here; returns whether it is long.
-    fn check(&self, ask: &Ask) -> Result<bool, Refusal> {
+    fn check(&self, now: Moment, ask: &Ask) -> Result<bool, Refusal> {
         let manifest = self.manifest.as_ref().ok_or(Refusal::not_run(
             RefusalReason::NoManifest,
             Some(MIN_RETRY_AFTER),
@@ -255,11 +270,23 @@
         if self.suspects.suspicion(&ask.digest) == Suspicion::Convicted {
             return Err(Refusal::not_run(RefusalReason::Quarantined, None));
         }
+        if self.is_unserved(now, &ask.service) {
+            return Err(Refusal::not_run(
+                RefusalReason::NoServer,
+                Some(MIN_RETRY_AFTER),
+            ));
+        }
         self.check_customer(manifest, ask)?;
         self.check_queue(rule, ask)?;
         Ok(is_long(rule, &ask.work, &manifest.policy))
     }
 
+    /// Whether no backend server is known of a service, though there was time to announce.
+    fn is_unserved(&self, now: Moment, service: &ServiceName) -> bool {
+        let settled = now.since(self.opened) >= NO_SERVER_PATIENCE;
+        settled && self.registry.of_service(service).next().is_none()
+    }
+
     fn check_customer(&self, manifest: &Manifest, ask: &Ask) -> Result<(), Refusal> {
         let limit = manifest
             .customers
@@ -350,7 +377,6 @@
             ask.request,
             Pending {
                 ask,
-                since: now,
                 deadline,
                 long,
             },
@@ -387,11 +413,11 @@
     fn refuse_late(&mut self, now: Moment) {
         let mut late = Vec::new();
         for (service, queue) in &self.queues {
-            let served = self.registry.of_service(service).next().is_some();
+            let unserved = self.is_unserved(now, service);
             for pending in queue.pending.values() {
                 if pending.deadline <= now {
                     late.push((pending.ask.clone(), RefusalReason::DeadlinePassed));
-                } else if !served && now.since(pending.since) >= NO_SERVER_PATIENCE {
+                } else if unserved {
                     late.push((pending.ask.clone(), RefusalReason::NoServer));
                 }
             }
--- /dev/null
+++ b/ctl/tests/integration/main.rs
@@ -0,0 +1,7 @@
+//! Tests that drive the real binaries as separate processes on loopback.
+
+mod control_log;
+mod plain_calls;
+mod planned_stop;
+mod util;
+mod whole_path;
--- /dev/null
+++ b/ctl/tests/integration/plain_calls.rs
@@ -0,0 +1,118 @@
+//! Calls that must not run twice.
+
+use serde_json::json;
+
+use crate::util::{Cluster, ZONES, wait_until};
+
+const PATH: &str = "/filing/reports";
+
+fn start() -> Cluster {
+    let mut cluster = Cluster::start(&ZONES, 3);
+    cluster.publish(1);
+    for zone in ZONES {
+        cluster.start_fake("app", &format!("app-{zone}"), "filing", zone, &[]);
+    }
+    cluster.wait_for_servers(3);
+    cluster
+}
+
+fn runs(cluster: &Cluster, key: &str) -> usize {
+    let logs = ZONES.map(|zone| cluster.app_log(&format!("app-{zone}")));
+    logs.iter()
+        .flatten()
+        .filter(|line| line.key.as_deref() == Some(key))
+        .count()
+}
+
+#[test]
+fn a_resend_through_any_vm_gets_the_recorded_answer() {
+    let cluster = start();
+    let first = cluster.call(0, "POST", PATH, Some("report-1"));
+    assert_eq!(first.status, 200);
+    for vm in 0..3 {
+        let again = cluster.call(vm, "POST", PATH, Some("report-1"));
+        assert_eq!((again.status, &again.text), (200, &first.text));
+    }
+    assert_eq!(runs(&cluster, "report-1"), 1);
+}
+
+#[test]
+fn a_key_with_another_content_is_refused() {
+    let cluster = start();
+    assert_eq!(cluster.call(0, "POST", PATH, Some("report-2")).status, 200);
+    let other = cluster.call(1, "POST", "/filing/reports/other", Some("report-2"));
+    assert_eq!(
+        (other.status, other.reason.as_deref()),
+        (422, Some("key_reused"))
+    );
+    assert_eq!(runs(&cluster, "report-2"), 1);
+}
+
+#[test]
+fn a_lost_answer_is_told_as_may_have_run_and_never_runs_again() {
+    let cluster = start();
+    for zone in ZONES {
+        cluster.set_faults(&format!("app-{zone}"), &json!({ "lose_answer": true }));
+    }
+    let lost = cluster.call(0, "POST", PATH, Some("report-3"));
+    assert_eq!(lost.run.as_deref(), Some("may_have_run"), "{lost:?}");
+    for zone in ZONES {
+        cluster.set_faults(&format!("app-{zone}"), &json!({}));
+    }
+    for vm in 0..3 {
+        let again = cluster.call(vm, "POST", PATH, Some("report-3"));
+        assert_eq!(
+            (again.status, again.reason.as_deref()),
+            (409, Some("claimed_elsewhere"))
+        );
+        assert_eq!(again.run.as_deref(), Some("may_have_run"));
+    }
+    assert_eq!(runs(&cluster, "report-3"), 1);
+}
+
+#[test]
+fn without_a_quorum_the_call_is_refused_as_not_run_and_the_rest_goes_on() {
+    let mut cluster = start();
+    cluster.start_engines("zone-a", 1, &["--speed", "20"]);
+    cluster.wait_for_servers(4);
+    cluster.kill_vm(1);
+    cluster.kill_vm(2);
+    wait_until("the loss of the quorum is seen", || {
+        cluster
+            .status(0)
+            .is_some_and(|status| status.cut_off_since_ms.is_some())
+    });
+    let refused = cluster.call(0, "POST", PATH, Some("report-4"));
+    assert_eq!(
+        (refused.status, refused.reason.as_deref()),
+        (503, Some("no_quorum"))
+    );
+    assert_eq!(refused.run.as_deref(), Some("not_run"));
+    assert_eq!(runs(&cluster, "report-4"), 0);
+    assert_eq!(
+        cluster.call(0, "GET", "/filing/balances/7", None).status,
+        200
+    );
+    let outcome = cluster.complete(0, "a question", 16);
+    assert!(outcome.whole, "{outcome:?}");
+    cluster.start_vm(1);
+    wait_until("the quorum is back", || {
+        cluster.call(0, "POST", PATH, Some("report-5")).status == 200
+    });
+}
+
+#[test]
+fn a_refusal_that_proves_that_nothing_ran_is_sent_elsewhere() {
+    let cluster = start();
+    cluster.set_faults("app-zone-a", &json!({ "refuse": true }));
+    for number in 0..3 {
+        let key = format!("report-6-{number}");
+        // Zone a has one application, which refuses: no other may be left in the zone.
+        let outcome = cluster.call(0, "POST", PATH, Some(&key));
+        assert!(runs(&cluster, &key) <= 1);
+        if outcome.status != 200 {
+            assert_eq!(outcome.run.as_deref(), Some("not_run"), "{outcome:?}");
+            assert_eq!(runs(&cluster, &key), 0);
+        }
+    }
+}
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -160,7 +160,7 @@
             canceller: start.canceller,
             membership,
             held: HeldTable::default(),
-            dispatcher: Dispatcher::default(),
+            dispatcher: Dispatcher::open(now),
             callers: HashMap::new(),
             replica,
             formation,
