bug: let a learner whose promotion was lost be taken in again

Cause: found by the stateful fuzzing of the control log (5 replicas). A replica with a new disk that had an uncommitted entry making it a voter stopped introducing itself; when that entry was lost with its leader, no later leader replicated to it, so it stayed behind for ever. Ruled out: the check at the end being too early (a longer end still failed). Change: a replica introduces itself until it is a voter by what is committed.

--- a/core/src/consensus.rs
+++ b/core/src/consensus.rs
@@ -108,6 +108,17 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Returns the records of a journal that holds all that this replica knows.
+    #[must_use]
+    pub fn journal(&self) -> Vec<Record> {
+        let mut records = vec![
+            Record::Snapshot(self.log.snapshot().clone()),
+            Record::HardState(self.hard.clone()),
+        ];
+        records.extend(self.log.entries().cloned().map(Record::Entry));
+        records
+    }
+
     /// Returns this replica's identity.
     #[must_use]
     pub fn own(&self) -> &ReplicaId {
@@ -138,6 +149,15 @@
         self.log.voters()
     }
 
+    /// Whether this replica is a voter by what it knows to be committed.
+    ///
+    /// One that is not must introduce itself: the leader may know nothing of an entry that made it
+    /// a voter and was lost with an earlier leader.
+    #[must_use]
+    pub fn is_settled_voter(&self) -> bool {
+        self.log.voters_at(self.commit).contains(&self.own)
+    }
+
     /// Returns the last committed position.
     #[must_use]
     pub fn commit(&self) -> Index {
--- a/core/src/consensus/log.rs
+++ b/core/src/consensus/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::message::{Entry, Index, Payload, ReplicaId, Snapshot, Term};
+use super::message::{Entry, HardState, Index, Payload, Record, ReplicaId, Snapshot, Term};
 
 /// Most bytes of commands in one message, as far as more than one entry goes in.
 const MAX_BATCH_BYTES: usize = 1024 * 1024;
@@ -114,7 +114,7 @@
     }
 
     /// Returns all entries after the snapshot.
-    pub fn batch_all(&self) -> impl Iterator<Item = &Entry> {
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.iter()
     }
 
@@ -171,3 +171,18 @@
         Payload::Voters(voters) => voters.len() * size_of::<ReplicaId>(),
     }
 }
+
+/// Rebuilds what a replica knew from the records of its journal.
+#[must_use]
+pub fn recover(records: Vec<Record>) -> (HardState, Log) {
+    let mut hard = HardState::default();
+    let mut log = Log::default();
+    for record in records {
+        match record {
+            Record::HardState(state) => hard = state,
+            Record::Snapshot(snapshot) => log.install(snapshot),
+            Record::Entry(entry) => log.put(entry),
+        }
+    }
+    (hard, log)
+}
--- /dev/null
+++ b/core/tests/integration/claims.rs
@@ -0,0 +1,90 @@
+//! Claims of calls that must not run twice.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use merlinrudder_core::claims::{
+    CLAIM_LIFE, ClaimAnswer, ClaimKey, ClaimState, ClaimTable, RecordedAnswer,
+};
+use merlinrudder_core::names::{CustomerName, ServiceName};
+use merlinrudder_core::time::Moment;
+use merlinrudder_core::units::{ContentDigest, RequestId};
+
+const NOW: Moment = Moment::from_millis(1_000_000);
+const CONTENT: ContentDigest = ContentDigest([1; 32]);
+
+fn key(name: &str) -> ClaimKey {
+    ClaimKey {
+        customer: CustomerName::from("customer"),
+        service: ServiceName::from("service"),
+        key: Arc::from(name),
+    }
+}
+
+fn answer() -> RecordedAnswer {
+    RecordedAnswer {
+        status: 200,
+        content_type: Arc::from("text/plain"),
+        body: None,
+    }
+}
+
+#[test]
+fn the_same_owner_wins_again_and_another_does_not() {
+    let mut claims = ClaimTable::default();
+    assert_eq!(
+        claims.claim(NOW, key("a"), RequestId(1), CONTENT),
+        ClaimAnswer::Won
+    );
+    assert_eq!(
+        claims.claim(NOW, key("a"), RequestId(1), CONTENT),
+        ClaimAnswer::Won
+    );
+    assert_eq!(
+        claims.claim(NOW, key("a"), RequestId(2), CONTENT),
+        ClaimAnswer::Held
+    );
+}
+
+#[test]
+fn a_recorded_answer_is_given_again_and_only_the_owner_records() {
+    let mut claims = ClaimTable::default();
+    claims.claim(NOW, key("a"), RequestId(1), CONTENT);
+    claims.record(&key("a"), RequestId(2), ClaimState::Unknown);
+    claims.record(&key("a"), RequestId(1), ClaimState::Answered(answer()));
+    let again = claims.claim(NOW, key("a"), RequestId(3), CONTENT);
+    assert_eq!(again, ClaimAnswer::Answered(answer()));
+    let other = claims.claim(NOW, key("a"), RequestId(3), ContentDigest([2; 32]));
+    assert_eq!(other, ClaimAnswer::OtherContent);
+}
+
+#[test]
+fn a_release_frees_an_open_claim_and_never_a_recorded_one() {
+    let mut claims = ClaimTable::default();
+    claims.claim(NOW, key("a"), RequestId(1), CONTENT);
+    claims.release(&key("a"), RequestId(1));
+    assert_eq!(
+        claims.claim(NOW, key("a"), RequestId(2), CONTENT),
+        ClaimAnswer::Won
+    );
+    claims.record(&key("a"), RequestId(2), ClaimState::Unknown);
+    claims.release(&key("a"), RequestId(2));
+    assert_eq!(
+        claims.claim(NOW, key("a"), RequestId(3), CONTENT),
+        ClaimAnswer::Held
+    );
+}
+
+#[test]
+fn a_claim_is_forgotten_after_its_life_and_not_before() {
+    let mut claims = ClaimTable::default();
+    claims.claim(NOW, key("a"), RequestId(1), CONTENT);
+    let before = claims.claim(NOW + CLAIM_LIFE, key("a"), RequestId(2), CONTENT);
+    assert_eq!(before, ClaimAnswer::Held);
+    let after = NOW + CLAIM_LIFE + Duration::from_millis(1);
+    assert_eq!(
+        claims.claim(after, key("a"), RequestId(2), CONTENT),
+        ClaimAnswer::Won
+    );
+    assert_eq!(claims.len(), 1);
+}
--- /dev/null
+++ b/core/tests/integration/consensus.rs
@@ -0,0 +1,139 @@
+//! Single rules of the control log.
+
+use std::sync::Arc;
+
+use merlinrudder_core::consensus::log::Log;
+use merlinrudder_core::consensus::message::{
+    Body, HardState, Index, Message, Payload, ReplicaId, Term, VoteKind,
+};
+use merlinrudder_core::consensus::{Consensus, ELECTION_MAX, ELECTION_MIN, Output};
+use merlinrudder_core::names::VmId;
+use merlinrudder_core::time::Moment;
+
+const START: Moment = Moment::from_millis(1_000);
+
+fn replica(number: u64) -> ReplicaId {
+    ReplicaId {
+        vm: VmId::from(format!("vm-{number}")),
+        incarnation: number,
+    }
+}
+
+fn open(number: u64, voters: u64) -> Consensus {
+    let mut consensus = Consensus::open(
+        START,
+        replica(number),
+        HardState::default(),
+        Log::default(),
+        number,
+    );
+    consensus.form((1..=voters).map(replica).collect());
+    consensus.take_outputs();
+    consensus
+}
+
+/// Campaigns until the replica leads, by the votes of replica 2.
+fn lead(consensus: &mut Consensus) -> Moment {
+    let now = START + ELECTION_MAX;
+    consensus.tick(now);
+    for pre in [true, false] {
+        let term = Term(1);
+        let own = consensus.own().clone();
+        let reply = |granted| Message {
+            term,
+            body: Body::VoteReply { pre, granted },
+        };
+        consensus.receive(now, &own, reply(true));
+        consensus.receive(now, &replica(2), reply(true));
+    }
+    assert!(consensus.is_leader());
+    consensus.take_outputs();
+    now
+}
+
+#[test]
+fn an_entry_is_committed_only_once_a_quorum_has_synced_it() {
+    let mut consensus = open(1, 3);
+    let now = lead(&mut consensus);
+    let command = Payload::Command(Arc::from([7]));
+    let (term, index) = consensus.propose(now, command).expect("it leads");
+    consensus.synced(index, term);
+    assert_eq!(consensus.commit(), Index(0), "one of three is no quorum");
+    let body = Body::AppendReply {
+        success: true,
+        index,
+    };
+    consensus.receive(now, &replica(2), Message { term, body });
+    assert_eq!(consensus.commit(), index);
+}
+
+#[test]
+fn a_leader_without_a_quorum_steps_down_and_has_no_lease() {
+    let mut consensus = open(1, 3);
+    let now = lead(&mut consensus);
+    let later = now + ELECTION_MIN;
+    assert!(!consensus.has_lease(later));
+    consensus.tick(later);
+    assert!(!consensus.is_leader());
+}
+
+#[test]
+fn a_replica_that_hears_a_leader_ignores_a_candidate_with_a_higher_term() {
+    let mut consensus = open(1, 3);
+    let append = Body::Append {
+        prev_index: Index(0),
+        prev_term: Term(0),
+        entries: Vec::new(),
+        commit: Index(0),
+    };
+    consensus.receive(
+        START,
+        &replica(2),
+        Message {
+            term: Term(1),
+            body: append,
+        },
+    );
+    consensus.take_outputs();
+    let vote = Body::Vote {
+        kind: VoteKind::Election,
+        last_index: Index(9),
+        last_term: Term(9),
+    };
+    consensus.receive(
+        START,
+        &replica(3),
+        Message {
+            term: Term(9),
+            body: vote,
+        },
+    );
+    assert_eq!(consensus.term(), Term(1));
+    assert!(consensus.take_outputs().is_empty());
+}
+
+#[test]
+fn a_vote_leaves_only_after_it_is_persisted() {
+    let mut consensus = open(1, 3);
+    let vote = Body::Vote {
+        kind: VoteKind::Election,
+        last_index: Index(0),
+        last_term: Term(0),
+    };
+    consensus.receive(
+        START,
+        &replica(2),
+        Message {
+            term: Term(3),
+            body: vote,
+        },
+    );
+    let outputs = consensus.take_outputs();
+    let persisted = outputs.iter().position(|output| {
+        matches!(output, Output::Persist(record) if format!("{record:?}").contains("vm-2"))
+    });
+    let sent = outputs
+        .iter()
+        .position(|output| matches!(output, Output::SendSynced(..)));
+    assert!(persisted < sent && persisted.is_some(), "{outputs:?}");
+}
--- /dev/null
+++ b/core/tests/integration/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the decisions, without clock, network or disk.
+
+mod claims;
+mod consensus;
+mod dispatch;
+mod log_fuzz;
+mod membership;
+mod util;
--- /dev/null
+++ b/core/tests/integration/membership.rs
@@ -0,0 +1,1 @@
+//! Tests of the membership.
--- a/node/src/control/disk.rs
+++ b/node/src/control/disk.rs
@@ -5,10 +5,8 @@
 
 use anyhow::{Context, Result};
 use crossbeam::channel::{Receiver, Sender, unbounded};
-use merlinrudder_core::consensus::log::Log;
-use merlinrudder_core::consensus::message::{
-    Entry, HardState, Index, Message, Record, ReplicaId, Snapshot, Term,
-};
+use merlinrudder_core::consensus::log::{Log, recover};
+use merlinrudder_core::consensus::message::{HardState, Index, Message, Record, ReplicaId, Term};
 use merlinrudder_store::{DataFolder, StoreError};
 use merlinrudder_wire::log::{decode_record, encode_record};
 
@@ -32,29 +30,14 @@
     /// Fails where the folder is locked, damaged, or of another version.
     pub fn open(path: &Path) -> Result<Self> {
         let (folder, recovered) = DataFolder::open(path)?;
-        let mut hard = HardState::default();
-        let mut snapshot = Snapshot::default();
-        let mut entries: Vec<Entry> = Vec::new();
-        for payload in recovered.payloads {
-            let record = decode_record(&payload)
-                .with_context(|| format!("data folder {}", path.display()))?;
-            match record {
-                Record::HardState(state) => hard = state,
-                Record::Snapshot(newer) => {
-                    entries.clear();
-                    snapshot = newer;
-                }
-                Record::Entry(entry) => {
-                    entries.retain(|older| older.index < entry.index);
-                    entries.push(entry);
-                }
-            }
-        }
-        Ok(Self {
-            folder,
-            hard,
-            log: Log::new(snapshot, entries),
-        })
+        let records: Vec<_> = recovered
+            .payloads
+            .iter()
+            .map(|payload| decode_record(payload))
+            .collect::<Result<_, _>>()
+            .with_context(|| format!("data folder {}", path.display()))?;
+        let (hard, log) = recover(records);
+        Ok(Self { folder, hard, log })
     }
 
     /// Returns the random incarnation of the folder.
--- a/node/src/control/hello.rs
+++ b/node/src/control/hello.rs
@@ -58,7 +58,7 @@
         };
         let own = replica.consensus.own().clone();
         let voters = replica.consensus.voters().to_vec();
-        if voters.contains(&own) || now < formation.due {
+        if replica.consensus.is_settled_voter() || now < formation.due {
             return;
         }
         formation.due = now + HELLO_PERIOD;
--- a/node/src/control/replica.rs
+++ b/node/src/control/replica.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result};
 use merlinrudder_core::consensus::message::{
-    Entry, HardState, Index, Message, Payload, Record, ReplicaId, Term,
+    Entry, Index, Message, Payload, Record, ReplicaId, Term,
 };
 use merlinrudder_core::consensus::{Consensus, NotLeader, Output};
 use merlinrudder_core::control::{Answer, Command, ControlState};
@@ -44,8 +44,6 @@
     disk: Disk,
     /// Proposals of this leader that are not committed yet.
     waiting: BTreeMap<Index, (Term, Requester)>,
-    /// Term and vote as handed to the disk last.
-    hard: HardState,
     applied: Index,
     compacted: Index,
     /// Time stamped on the last command; never goes back.
@@ -66,20 +64,18 @@
             vm: vm.clone(),
             incarnation: opened.incarnation(),
         };
-        let hard = opened.hard.clone();
         let snapshot = opened.log.snapshot().clone();
         let state = decode_state(&snapshot.data).context("the snapshot of the control log")?;
         info!(log, "Opened"; "incarnation" => own.incarnation, "snapshot" => snapshot.index.0,
-            "last" => opened.log.last_index().0, "term" => hard.term.0);
+            "last" => opened.log.last_index().0, "term" => opened.hard.term.0);
         let seed = own.incarnation;
-        let consensus = Consensus::open(now, own, hard.clone(), opened.log.clone(), seed);
+        let consensus = Consensus::open(now, own, opened.hard.clone(), opened.log.clone(), seed);
         let disk = Disk::spawn(opened, control)?;
         Ok(Self {
             consensus,
             state,
             disk,
             waiting: BTreeMap::new(),
-            hard,
             applied: snapshot.index,
             compacted: snapshot.index,
             stamped: now,
@@ -146,35 +142,21 @@
         flushed
     }
 
-    fn persist(&mut self, job: &mut DiskJob, record: Record) {
-        if let Record::HardState(hard) = &record {
-            self.hard = hard.clone();
-        }
-        if let Record::Snapshot(_) = &record {
-            let messages = std::mem::take(&mut job.messages);
-            let whole = self.whole_journal(messages);
-            job.records.clear();
-            self.disk.write(whole);
+    /// Adds a record to a job; a snapshot has the whole journal written anew.
+    fn persist(&self, job: &mut DiskJob, record: Record) {
+        if !matches!(record, Record::Snapshot(_)) {
+            job.records.push(record);
             return;
         }
-        job.records.push(record);
-    }
-
-    /// Returns a job that replaces the journal by all that the consensus knows now.
-    ///
-    /// Records that were decided before in the same step are part of it.
-    fn whole_journal(&self, messages: Vec<(ReplicaId, Message)>) -> DiskJob {
-        let log = self.consensus.log();
-        let mut records = vec![
-            Record::Snapshot(log.snapshot().clone()),
-            Record::HardState(self.hard.clone()),
-        ];
-        records.extend(log.batch_all().cloned().map(Record::Entry));
-        DiskJob {
+        // Records that were decided before in the same step are part of the journal.
+        let messages = std::mem::take(&mut job.messages);
+        job.records.clear();
+        let records = self.consensus.journal();
+        self.disk.write(DiskJob {
             records,
             replace: true,
             messages,
-        }
+        });
     }
 
     fn apply(&mut self, entry: Entry) -> Option<Answered> {
