bug: repeat the whole grant of a request whose server left

Cause: found by the stateful fuzzing of the dispatcher. An entry that asked again after one server of its group had left was granted the remaining servers only. Change: the ledger keeps the servers as granted and does not look them up again.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use crate::dispatch::ledger::{Ledger, OwnLoad, Running};
-use crate::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant, GrantedServer};
+use crate::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant};
 use crate::estimate::{EngineSpeed, WorkEstimate};
 use crate::manifest::{Manifest, Policy, ServiceKind, ServiceRule};
 use crate::names::{CustomerName, ServerId, ServiceName, VmId};
@@ -171,7 +171,12 @@
     }
 
     /// Takes in a request that already runs, told by its entry to a new dispatcher.
-    pub fn adopt(&mut self, request: RequestId, running: Running) {
+    pub fn adopt(&mut self, request: RequestId, mut running: Running) {
+        let long_tokens = self
+            .manifest
+            .as_ref()
+            .map(|manifest| manifest.policy.long_tokens);
+        running.long = long_tokens.is_some_and(|bound| running.prefill >= bound);
         self.ledger.insert(request, running);
     }
 
@@ -210,7 +215,7 @@
             self.forget_pending(request);
         }
         for (request, running) in self.ledger.remove_entry(vm) {
-            let servers = self.granted_servers(&running.service, &running.servers);
+            let servers = running.granted();
             self.outputs
                 .push(DispatchOutput::Cancel { request, servers });
         }
@@ -242,10 +247,7 @@
         if running.attempt != ask.attempt {
             return false;
         }
-        let servers = self.granted_servers(&ask.service, &running.servers.clone());
-        if servers.is_empty() {
-            return false;
-        }
+        let servers = running.granted();
         self.outputs
             .push(DispatchOutput::Grant(Grant::new(ask, servers)));
         true
@@ -479,24 +481,6 @@
             self.refuse(&ask, Refusal::not_run(RefusalReason::Quarantined, None));
         }
     }
-
-    fn granted_servers(&self, service: &ServiceName, ids: &[ledger::Share]) -> Vec<GrantedServer> {
-        ids.iter()
-            .filter_map(|share| {
-                let key = ServerKey {
-                    service: service.clone(),
-                    id: share.server.clone(),
-                };
-                let known = self.registry.get(&key)?;
-                Some(GrantedServer {
-                    id: share.server.clone(),
-                    address: Arc::clone(&known.announced.address),
-                    incarnation: share.incarnation,
-                    memory: share.memory,
-                })
-            })
-            .collect()
-    }
 }
 
 fn is_long(rule: &ServiceRule, work: &WorkEstimate, policy: &Policy) -> bool {
--- a/core/src/dispatch/ledger.rs
+++ b/core/src/dispatch/ledger.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::message::GrantedServer;
 use crate::estimate::EngineSpeed;
 use crate::names::{CustomerName, ServerId, ServiceName, VmId};
 use crate::registry::ServerKey;
@@ -12,12 +13,9 @@
 /// Part of a request that one server holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Share {
-    /// The server.
-    pub server: ServerId,
-    /// Its incarnation when the request was placed.
-    pub incarnation: u64,
-    /// Tokens promised to the request.
-    pub memory: Tokens,
+    /// The server and what it was granted for; it is kept here, so that the grant of a server that
+    /// left meanwhile can be repeated.
+    pub server: GrantedServer,
     /// Whether the death of this incarnation was counted against the request.
     pub blamed: bool,
 }
@@ -55,8 +53,17 @@
     pub fn incarnation_of(&self, id: &ServerId) -> Option<u64> {
         self.servers
             .iter()
-            .find(|share| share.server == *id)
-            .map(|share| share.incarnation)
+            .find(|share| share.server.id == *id)
+            .map(|share| share.server.incarnation)
+    }
+
+    /// Returns the servers as they were granted.
+    #[must_use]
+    pub fn granted(&self) -> Vec<GrantedServer> {
+        self.servers
+            .iter()
+            .map(|share| share.server.clone())
+            .collect()
     }
 
     fn backlog(&self, now: Moment, speed: EngineSpeed) -> Duration {
@@ -163,12 +170,16 @@
             .values()
             .filter(|running| running.service == key.service)
         {
-            let Some(share) = running.servers.iter().find(|share| share.server == key.id) else {
+            let Some(share) = running
+                .servers
+                .iter()
+                .find(|share| share.server.id == key.id)
+            else {
                 continue;
             };
             load.running += 1;
             load.longs += u32::from(running.long);
-            load.memory += share.memory;
+            load.memory += share.server.memory;
             load.backlog += running.backlog(now, speed);
             load.apart |= running.alone;
         }
@@ -180,7 +191,10 @@
     pub fn placed_at(&self, key: &ServerKey) -> Vec<(RequestId, AttemptId)> {
         let there = |running: &Running| {
             running.service == key.service
-                && running.servers.iter().any(|share| share.server == key.id)
+                && running
+                    .servers
+                    .iter()
+                    .any(|share| share.server.id == key.id)
         };
         let placed = self.running.iter().filter(|(_, running)| there(running));
         placed
@@ -199,9 +213,9 @@
             for share in running
                 .servers
                 .iter_mut()
-                .filter(|share| share.server == key.id)
+                .filter(|share| share.server.id == key.id)
             {
-                if !share.blamed && Some(share.incarnation) != alive {
+                if !share.blamed && Some(share.server.incarnation) != alive {
                     share.blamed = true;
                     blamed.push(running.digest);
                 }
--- a/core/src/dispatch/placing.rs
+++ b/core/src/dispatch/placing.rs
@@ -1,9 +1,10 @@
 //! How the dispatcher turns waiting requests into placements.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::ledger::{Running, Share};
-use super::message::{Ask, DispatchOutput, Grant};
+use super::message::{Ask, DispatchOutput, Grant, GrantedServer};
 use super::{Dispatcher, Pending};
 use crate::manifest::Policy;
 use crate::names::{ServerId, ServiceName};
@@ -142,7 +143,7 @@
         let ask = &pending.ask;
         let shares = self.shares(now, ask, servers);
         let running = self.running_entry(now, pending, shares);
-        let granted = self.granted_servers(&ask.service, &running.servers);
+        let granted = running.granted();
         self.ledger.insert(ask.request, running);
         self.charge(ask);
         self.outputs
@@ -153,7 +154,7 @@
         let ask = &pending.ask;
         let first = servers.first().map(|share| ServerKey {
             service: ask.service.clone(),
-            id: share.server.clone(),
+            id: share.server.id.clone(),
         });
         let first = first.and_then(|key| self.registry.get(&key));
         let cached = first.map_or(Tokens(0), |server| cached_tokens(ask, server));
@@ -187,10 +188,14 @@
             let own = self.ledger.load_of(&key, server.announced.speed, now);
             let memory = need.min(server.announced.memory.saturating_sub(own.memory));
             need = need.saturating_sub(memory);
-            shares.push(Share {
-                server: id.clone(),
+            let server = GrantedServer {
+                id: id.clone(),
+                address: Arc::clone(&server.announced.address),
                 incarnation: server.announced.incarnation,
                 memory,
+            };
+            shares.push(Share {
+                server,
                 blamed: false,
             });
         }
--- a/core/src/held.rs
+++ b/core/src/held.rs
@@ -347,9 +347,7 @@
             Stage::Waiting { asked } => (&[][..], *asked, false),
         };
         let share = |server: &GrantedServer| Share {
-            server: server.id.clone(),
-            incarnation: server.incarnation,
-            memory: server.memory,
+            server: server.clone(),
             blamed: false,
         };
         Running {
--- a/core/tests/integration/dispatch.rs
+++ b/core/tests/integration/dispatch.rs
@@ -1,1 +1,567 @@
-//! Tests of the dispatcher.
+//! The dispatcher: order, limits, groups, suspects, and that every promise is given back.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::sync::Arc;
+use std::time::Duration;
+
+use merlinrudder_core::dispatch::Dispatcher;
+use merlinrudder_core::dispatch::message::{
+    Ask, AttemptEnd, DispatchOutput, Finish, Grant, GrantedServer,
+};
+use merlinrudder_core::estimate::{EngineSpeed, WorkEstimate};
+use merlinrudder_core::manifest::{
+    CustomerRule, Manifest, ManifestNumber, Policy, ServiceKind, ServiceRule,
+};
+use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId, ZoneName};
+use merlinrudder_core::outcome::RefusalReason;
+use merlinrudder_core::registry::{Announcement, CacheView, LoadReport, RegistryChange, ServerKey};
+use merlinrudder_core::time::Moment;
+use merlinrudder_core::units::{AttemptId, ContentDigest, RequestId, Tokens};
+use proptest::collection::vec;
+use proptest::prelude::{Strategy, any};
+use proptest::prop_oneof;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+const START: Moment = Moment::from_millis(1_000_000);
+const MEMORY: Tokens = Tokens(400_000);
+const SLOTS: u32 = 4;
+const FUZZ_CASES: u32 = 600;
+
+fn service() -> ServiceName {
+    ServiceName::from("drafts")
+}
+
+fn manifest() -> Arc<Manifest> {
+    let rule = ServiceRule {
+        name: service(),
+        kind: ServiceKind::Model,
+        zones: vec![ZoneName::from("zone")],
+        models: Vec::new(),
+        deadline: Duration::from_mins(2),
+        thousand_deadline: Duration::from_millis(200),
+        max_output: Tokens(4096),
+        retry_percent: 10,
+        queue_limit: 50,
+        checks_fencing: true,
+        routes: Vec::new(),
+    };
+    let customer = |name: &str, weight| {
+        let rule = CustomerRule {
+            name: CustomerName::from(name),
+            token: ContentDigest::of(name.as_bytes()),
+            weight,
+            max_running: 40,
+            services: Vec::new(),
+        };
+        (rule.name.clone(), Arc::new(rule))
+    };
+    Arc::new(Manifest {
+        number: ManifestNumber(1),
+        digest: ContentDigest([0; 32]),
+        services: BTreeMap::from([(service(), Arc::new(rule))]),
+        customers: BTreeMap::from([customer("large", 1), customer("small", 1)]),
+        policy: Policy::FIRST_TOKEN,
+    })
+}
+
+fn announcement(number: u64, sequence: u64) -> Announcement {
+    Announcement {
+        service: service(),
+        zone: ZoneName::from("zone"),
+        id: ServerId::from(format!("engine-{number}")),
+        address: Arc::from("127.0.0.1:1"),
+        incarnation: 1,
+        sequence,
+        lease: Duration::from_secs(5),
+        memory: MEMORY,
+        slots: SLOTS,
+        speed: EngineSpeed::default(),
+        models: Vec::new(),
+        load: LoadReport::default(),
+        cache: CacheView::default(),
+        leaving: false,
+    }
+}
+
+fn key(number: u64) -> ServerKey {
+    ServerKey {
+        service: service(),
+        id: ServerId::from(format!("engine-{number}")),
+    }
+}
+
+fn ask(request: u128, customer: &str, prompt: u64) -> Ask {
+    Ask {
+        request: RequestId(request),
+        attempt: AttemptId(1),
+        entry: VmId::from("vm-1"),
+        service: service(),
+        customer: CustomerName::from(customer),
+        work: WorkEstimate {
+            prompt: Tokens(prompt),
+            max_output: Tokens(100),
+            output: Tokens(100),
+        },
+        prefix: Arc::from([]),
+        digest: ContentDigest::of(&request.to_le_bytes()),
+        time_left: Duration::from_mins(2),
+        avoid: Vec::new(),
+    }
+}
+
+fn open(servers: u64) -> Dispatcher {
+    let mut dispatcher = Dispatcher::open(START);
+    dispatcher.set_manifest(manifest());
+    for number in 0..servers {
+        dispatcher.announce(START, announcement(number, 1));
+    }
+    dispatcher
+}
+
+fn grants(dispatcher: &mut Dispatcher) -> Vec<Grant> {
+    let outputs = dispatcher.take_outputs().into_iter();
+    let grant = |output| match output {
+        DispatchOutput::Grant(grant) => Some(grant),
+        _ => None,
+    };
+    outputs.filter_map(grant).collect()
+}
+
+fn refusals(dispatcher: &mut Dispatcher) -> Vec<(RequestId, RefusalReason)> {
+    let outputs = dispatcher.take_outputs().into_iter();
+    let refusal = |output| match output {
+        DispatchOutput::Refuse {
+            request, refusal, ..
+        } => Some((request, refusal.reason)),
+        _ => None,
+    };
+    outputs.filter_map(refusal).collect()
+}
+
+fn finish(request: u128, end: AttemptEnd) -> Finish {
+    Finish {
+        request: RequestId(request),
+        attempt: AttemptId(1),
+        end,
+    }
+}
+
+fn total(servers: &[GrantedServer]) -> Tokens {
+    servers
+        .iter()
+        .fold(Tokens(0), |sum, server| sum + server.memory)
+}
+
+#[test]
+fn a_prompt_over_one_engine_gets_a_group_or_nothing() {
+    let mut dispatcher = open(3);
+    dispatcher.ask(START, ask(1, "large", 1_000_000));
+    let granted = grants(&mut dispatcher);
+    assert_eq!(granted[0].servers.len(), 3);
+    assert_eq!(total(&granted[0].servers), Tokens(1_000_100));
+    dispatcher.ask(START, ask(2, "small", 1_000_000));
+    assert!(
+        grants(&mut dispatcher).is_empty(),
+        "a second group never holds a part"
+    );
+    dispatcher.finish(START, &finish(1, AttemptEnd::Complete));
+    assert_eq!(grants(&mut dispatcher)[0].request, RequestId(2));
+}
+
+#[test]
+fn a_prompt_over_the_whole_fleet_is_refused() {
+    let mut dispatcher = open(2);
+    dispatcher.ask(START, ask(1, "large", 1_000_000));
+    assert_eq!(
+        refusals(&mut dispatcher),
+        [(RequestId(1), RefusalReason::PromptTooLong)]
+    );
+}
+
+#[test]
+fn a_flood_of_one_customer_does_not_keep_another_waiting() {
+    let mut dispatcher = open(1);
+    for request in 0..30 {
+        dispatcher.ask(START, ask(request, "large", 1_000));
+    }
+    let first: Vec<_> = grants(&mut dispatcher)
+        .iter()
+        .map(|grant| grant.request.0)
+        .collect();
+    assert_eq!(first.len(), SLOTS as usize);
+    dispatcher.ask(START, ask(100, "small", 1_000));
+    dispatcher.finish(START, &finish(first[0], AttemptEnd::Complete));
+    assert_eq!(grants(&mut dispatcher)[0].request, RequestId(100));
+}
+
+#[test]
+fn a_customer_over_its_limit_is_refused_with_a_time_to_come_back() {
+    let mut dispatcher = open(1);
+    for request in 0..41 {
+        dispatcher.ask(START, ask(request, "large", 1_000));
+    }
+    assert_eq!(
+        refusals(&mut dispatcher),
+        [(RequestId(40), RefusalReason::CustomerLimit)]
+    );
+}
+
+#[test]
+fn longs_leave_engines_to_shorts() {
+    let mut dispatcher = open(4);
+    for request in 0..4 {
+        dispatcher.ask(START, ask(request, "large", 300_000));
+    }
+    assert_eq!(
+        grants(&mut dispatcher).len(),
+        2,
+        "half of the engines may hold a long prompt"
+    );
+    dispatcher.ask(START, ask(10, "small", 1_000));
+    let granted = grants(&mut dispatcher);
+    let server = &granted[0].servers[0].id;
+    let key = ServerKey {
+        service: service(),
+        id: server.clone(),
+    };
+    assert_eq!(dispatcher.load_of(&key, START).longs, 0);
+}
+
+#[test]
+fn the_same_ask_again_repeats_the_grant_and_promises_nothing_more() {
+    let mut dispatcher = open(1);
+    dispatcher.ask(START, ask(1, "large", 1_000));
+    let first = grants(&mut dispatcher);
+    dispatcher.ask(START, ask(1, "large", 1_000));
+    assert_eq!(grants(&mut dispatcher), first);
+    assert_eq!(dispatcher.running(), 1);
+}
+
+#[test]
+fn a_server_that_left_gets_nothing_even_after_a_late_announcement() {
+    let mut dispatcher = open(1);
+    let leaving = Announcement {
+        leaving: true,
+        ..announcement(0, 5)
+    };
+    assert_eq!(dispatcher.announce(START, leaving), RegistryChange::Left);
+    assert_eq!(
+        dispatcher.announce(START, announcement(0, 4)),
+        RegistryChange::Stale
+    );
+    dispatcher.ask(START + Duration::from_secs(2), ask(1, "large", 1_000));
+    assert_eq!(
+        refusals(&mut dispatcher),
+        [(RequestId(1), RefusalReason::NoServer)]
+    );
+}
+
+#[test]
+fn a_silent_server_gets_nothing_after_its_lease() {
+    let mut dispatcher = open(1);
+    let later = START + Duration::from_secs(5);
+    dispatcher.tick(later);
+    dispatcher.ask(later, ask(1, "large", 1_000));
+    assert_eq!(
+        refusals(&mut dispatcher),
+        [(RequestId(1), RefusalReason::NoServer)]
+    );
+}
+
+/// Lets the server of a request die, as its entry tells it.
+fn die(dispatcher: &mut Dispatcher, request: u128, attempt: u32) -> Vec<DispatchOutput> {
+    let found = (0..10).map(key).find(|key| {
+        dispatcher
+            .placed_at(key)
+            .iter()
+            .any(|(placed, _)| *placed == RequestId(request))
+    });
+    let id = found.expect("the request is placed").id;
+    let end = AttemptEnd::ServerDied(id);
+    let finish = Finish {
+        request: RequestId(request),
+        attempt: AttemptId(attempt),
+        end,
+    };
+    dispatcher.finish(START, &finish);
+    dispatcher.take_outputs()
+}
+
+#[test]
+fn a_request_that_kills_two_servers_is_convicted_and_innocents_are_not() {
+    let mut dispatcher = open(6);
+    dispatcher.ask(START, ask(1, "large", 1_000));
+    dispatcher.take_outputs();
+    die(&mut dispatcher, 1, 1);
+    // Its second try runs alone: what comes later goes elsewhere.
+    dispatcher.ask(
+        START,
+        Ask {
+            attempt: AttemptId(2),
+            ..ask(1, "large", 1_000)
+        },
+    );
+    let alone = grants(&mut dispatcher)[0].servers[0].id.clone();
+    for request in 10..20 {
+        dispatcher.ask(START, ask(request, "small", 1_000));
+    }
+    let others = grants(&mut dispatcher);
+    assert!(others.iter().all(|grant| grant.servers[0].id != alone));
+    let outputs = die(&mut dispatcher, 1, 2);
+    let convicted = ask(1, "large", 1_000).digest;
+    assert!(outputs.contains(&DispatchOutput::Convict(convicted)));
+    dispatcher.ask(START, ask(2, "large", 1_000));
+    let again = Ask {
+        digest: convicted,
+        ..ask(3, "large", 1_000)
+    };
+    dispatcher.ask(START, again);
+    assert_eq!(
+        refusals(&mut dispatcher),
+        [(RequestId(3), RefusalReason::Quarantined)]
+    );
+}
+
+#[test]
+fn a_lost_entry_vm_gives_its_room_back_and_its_requests_are_cancelled() {
+    let mut dispatcher = open(1);
+    dispatcher.ask(START, ask(1, "large", 1_000));
+    dispatcher.take_outputs();
+    dispatcher.vm_lost(START, &VmId::from("vm-1"));
+    let outputs = dispatcher.take_outputs();
+    assert!(
+        matches!(outputs.as_slice(), [DispatchOutput::Cancel { request, .. }]
+        if *request == RequestId(1))
+    );
+    assert_eq!(dispatcher.load_of(&key(0), START).memory, Tokens(0));
+}
+
+/// Something that happens to a dispatcher.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Ask {
+        request: u8,
+        prompt: u64,
+        large: bool,
+    },
+    Again(u8),
+    Finish(u8, u8),
+    Abandon(u8),
+    Leave(u8),
+    Announce(u8, bool),
+    Time(u16),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let prompt = prop_oneof![
+        Just(1_000_u64),
+        Just(40_000),
+        Just(350_000),
+        Just(500_000),
+        Just(1_000_000)
+    ];
+    prop_oneof![
+        8 => (any::<u8>(), prompt, any::<bool>())
+            .prop_map(|(request, prompt, large)| Event::Ask { request, prompt, large }),
+        2 => any::<u8>().prop_map(Event::Again),
+        8 => (any::<u8>(), 0..5_u8).prop_map(|(request, end)| Event::Finish(request, end)),
+        2 => any::<u8>().prop_map(Event::Abandon),
+        1 => (0..5_u8).prop_map(Event::Leave),
+        3 => (0..5_u8, any::<bool>()).prop_map(|(server, new)| Event::Announce(server, new)),
+        3 => (1..3000_u16).prop_map(Event::Time),
+    ]
+}
+
+use proptest::strategy::Just;
+
+/// What the outside knows of a request.
+#[derive(Clone, Debug)]
+struct Known {
+    ask: Ask,
+    granted: Option<Vec<GrantedServer>>,
+}
+
+/// Plays events against a dispatcher and holds its promises against a simple sum.
+struct Play {
+    dispatcher: Dispatcher,
+    now: Moment,
+    sequence: u64,
+    incarnations: BTreeMap<u8, u64>,
+    known: BTreeMap<u128, Known>,
+}
+
+impl Play {
+    fn new() -> Self {
+        Self {
+            dispatcher: open(5),
+            now: START,
+            sequence: 10,
+            incarnations: BTreeMap::new(),
+            known: BTreeMap::new(),
+        }
+    }
+
+    fn happen(&mut self, event: &Event) -> Result<(), String> {
+        match *event {
+            Event::Ask {
+                request,
+                prompt,
+                large,
+            } => {
+                let customer = if large { "large" } else { "small" };
+                let ask = ask(u128::from(request), customer, prompt);
+                if let Entry::Vacant(place) = self.known.entry(u128::from(request)) {
+                    place.insert(Known {
+                        ask: ask.clone(),
+                        granted: None,
+                    });
+                    self.dispatcher.ask(self.now, ask);
+                }
+            }
+            Event::Again(request) => {
+                if let Some(known) = self.known.get(&u128::from(request)) {
+                    self.dispatcher.ask(self.now, known.ask.clone());
+                }
+            }
+            Event::Finish(request, end) => self.finish(u128::from(request), end),
+            Event::Abandon(request) => {
+                self.known.remove(&u128::from(request));
+                self.dispatcher
+                    .abandon(self.now, RequestId(u128::from(request)));
+            }
+            Event::Leave(server) => self.announce(server, false, true),
+            Event::Announce(server, new) => self.announce(server, new, false),
+            Event::Time(millis) => {
+                self.now = self.now + Duration::from_millis(u64::from(millis));
+                self.dispatcher.tick(self.now);
+            }
+        }
+        self.take_outputs()?;
+        self.check_memory()
+    }
+
+    fn announce(&mut self, server: u8, new: bool, leaving: bool) {
+        self.sequence += 1;
+        let incarnation = self.incarnations.entry(server).or_insert(1);
+        *incarnation += u64::from(new);
+        let announced = Announcement {
+            incarnation: *incarnation,
+            leaving,
+            ..announcement(u64::from(server), self.sequence)
+        };
+        self.dispatcher.announce(self.now, announced);
+    }
+
+    fn finish(&mut self, request: u128, end: u8) {
+        let Some(servers) = self
+            .known
+            .get(&request)
+            .and_then(|known| known.granted.clone())
+        else {
+            return;
+        };
+        self.known.remove(&request);
+        let end = match end {
+            0 => AttemptEnd::Refused,
+            1 => AttemptEnd::Broken,
+            2 => AttemptEnd::ServerDied(servers[0].id.clone()),
+            3 => AttemptEnd::Cancelled,
+            _ => AttemptEnd::Complete,
+        };
+        self.dispatcher.finish(self.now, &finish(request, end));
+    }
+
+    fn take_outputs(&mut self) -> Result<(), String> {
+        for output in self.dispatcher.take_outputs() {
+            match output {
+                DispatchOutput::Grant(grant) => {
+                    let known = self.known.get_mut(&grant.request.0);
+                    let known = known.ok_or("a request that nobody waits for was placed")?;
+                    if total(&grant.servers) < known.ask.work.memory() {
+                        return Err(format!("{:?} got only a part of its memory", grant.request));
+                    }
+                    known.granted = Some(grant.servers);
+                }
+                DispatchOutput::Refuse { request, .. } => {
+                    let known = self.known.remove(&request.0);
+                    let known = known.ok_or("a request that nobody waits for was refused")?;
+                    if known.granted.is_some() {
+                        return Err("a placed request was refused".to_owned());
+                    }
+                }
+                DispatchOutput::Cancel { .. } | DispatchOutput::Convict(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn check_memory(&self) -> Result<(), String> {
+        for number in 0..5 {
+            let load = self.dispatcher.load_of(&key(number), self.now);
+            let granted = self
+                .known
+                .values()
+                .filter_map(|known| known.granted.as_ref());
+            let servers = granted
+                .flatten()
+                .filter(|server| server.id == key(number).id);
+            let promised = servers.fold(Tokens(0), |sum, server| sum + server.memory);
+            if load.memory != promised {
+                return Err(format!(
+                    "engine {number}: {:?} in place of {promised:?}",
+                    load.memory
+                ));
+            }
+            if promised > MEMORY || load.running > SLOTS {
+                return Err(format!("engine {number} was promised more than it has"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends everything; all memory must be back, and nothing may wait for ever.
+    fn settle(&mut self) -> Result<(), String> {
+        for server in 0..5 {
+            self.announce(server, false, false);
+        }
+        self.take_outputs()?;
+        for _ in 0..2000 {
+            let running = self.known.iter().find(|(_, known)| known.granted.is_some());
+            let Some(request) = running.map(|(request, _)| *request) else {
+                break;
+            };
+            self.finish(request, 4);
+            self.take_outputs()?;
+            self.check_memory()?;
+        }
+        self.now = self.now + Duration::from_mins(10);
+        self.dispatcher.tick(self.now);
+        self.take_outputs()?;
+        if self.known.is_empty() && self.dispatcher.running() == 0 {
+            return Ok(());
+        }
+        Err(format!("{} requests have no outcome", self.known.len()))
+    }
+}
+
+#[test]
+fn every_request_has_one_outcome_and_all_memory_comes_back() {
+    let config = Config {
+        cases: FUZZ_CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&vec(event(), 20..200), |events| {
+        let mut play = Play::new();
+        for event in events {
+            play.happen(&event).map_err(TestCaseError::fail)?;
+        }
+        play.settle().map_err(TestCaseError::fail)
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- a/wire/src/dispatch.rs
+++ b/wire/src/dispatch.rs
@@ -59,20 +59,13 @@
     service: String,
     customer: String,
     digest: [u8; 32],
-    servers: Vec<WireShare>,
+    servers: Vec<WireGranted>,
     prefill: u64,
     long: bool,
     alone: bool,
     started: bool,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct WireShare {
-    server: String,
-    incarnation: u64,
-    memory: u64,
-}
-
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 enum WireEnd {
     Complete,
@@ -203,17 +196,13 @@
 
 impl From<Running> for WireRunning {
     fn from(running: Running) -> Self {
-        let share = |share: Share| WireShare {
-            server: share.server.to_string(),
-            incarnation: share.incarnation,
-            memory: share.memory.0,
-        };
+        let servers = running.granted();
         Self {
             attempt: running.attempt.0,
             service: running.service.to_string(),
             customer: running.customer.to_string(),
             digest: running.digest.0,
-            servers: running.servers.into_iter().map(share).collect(),
+            servers: servers.into_iter().map(WireGranted::from).collect(),
             prefill: running.prefill.0,
             long: running.long,
             alone: running.alone,
@@ -224,10 +213,8 @@
 
 impl WireRunning {
     fn into_core(self, entry: &VmId, now: Moment) -> Running {
-        let share = |share: WireShare| Share {
-            server: ServerId::from(share.server),
-            incarnation: share.incarnation,
-            memory: Tokens(share.memory),
+        let share = |server: WireGranted| Share {
+            server: server.into(),
             blamed: false,
         };
         Running {
