bug: drop connections to the earlier process of a VM that restarted

Ruled out: the election (it settled), the hello of the new disk (it was sent). Change: a new incarnation drops the connection; reset tokens are derived from the VM's key, so that a restarted VM resets old connections; tests take ports below the system's range.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -56,6 +56,8 @@
     Send(VmId, MembershipMessage),
     /// The health of a VM changed.
     Changed(VmId, Health),
+    /// A VM is a new process, or refuted a suspicion; connections to its old one are dead.
+    NewIncarnation(VmId),
     /// A VM has a newer manifest in force than this one.
     NewerManifest(VmId, ManifestNumber),
 }
@@ -414,6 +416,10 @@
         if (rumor.incarnation, rumor.health.rank()) <= known {
             return;
         }
+        if member.incarnation > 0 && rumor.incarnation > member.incarnation {
+            self.outputs
+                .push(MembershipOutput::NewIncarnation(rumor.vm.clone()));
+        }
         self.set_health(now, &rumor.vm, rumor.incarnation, rumor.health);
         self.spread(rumor);
     }
--- a/ctl/src/deployment.rs
+++ b/ctl/src/deployment.rs
@@ -4,8 +4,9 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
 
-use anyhow::Result;
+use anyhow::{Result, bail};
 use merlinrudder_core::units::ContentDigest;
 use serde_json::{Value, json};
 
@@ -16,6 +17,11 @@
 /// Token of backend servers in a laid-out deployment.
 pub const BACKENDS_TOKEN: &str = "backends-token-on-loopback";
 
+/// Next port to try.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(13_000);
+/// End of the ports that are tried.
+const LAST_PORT: u16 = 32_000;
+
 /// One VM of a laid-out deployment.
 #[derive(Clone, Debug)]
 pub struct LaidVm {
@@ -49,35 +55,42 @@
     let keys = folder.join("keys");
     make_authority(&keys)?;
     let mut vms = Vec::new();
-    // All ports are held until all are known, so that none is given twice.
-    let mut held = Vec::new();
     for (index, zone) in zones.iter().enumerate() {
         let id = format!("vm-{}", index + 1);
         make_vm(&keys, &id)?;
-        let sockets = [free_port()?, free_port()?, free_port()?];
-        let mesh = UdpSocket::bind("127.0.0.1:0")?;
         vms.push(LaidVm {
             settings: folder.join(format!("{id}.ini")),
             data: folder.join(format!("{id}-data")),
             zone: (*zone).to_owned(),
             disk: index < disks,
-            callers: sockets[0].local_addr()?,
-            backends: sockets[1].local_addr()?,
-            admin: sockets[2].local_addr()?,
-            mesh: mesh.local_addr()?,
+            callers: next_port()?,
+            backends: next_port()?,
+            admin: next_port()?,
+            mesh: next_port()?,
             id,
         });
-        held.push((sockets, mesh));
     }
-    drop(held);
     for vm in &vms {
         fs::write(&vm.settings, settings_text(vm, &vms))?;
     }
     Ok(vms)
 }
 
-fn free_port() -> Result<TcpListener> {
-    Ok(TcpListener::bind("127.0.0.1:0")?)
+/// Takes the next port that is free for TCP and UDP.
+///
+/// The range lies below the one from which the system takes ports of outgoing connections, so that
+/// a VM that restarts finds its port free.
+fn next_port() -> Result<SocketAddr> {
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        if port >= LAST_PORT {
+            bail!("no port below {LAST_PORT} is free");
+        }
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
 }
 
 fn settings_text(vm: &LaidVm, all: &[LaidVm]) -> String {
--- a/ctl/tests/integration/control_log.rs
+++ b/ctl/tests/integration/control_log.rs
@@ -108,3 +108,21 @@
     assert_eq!(status, 200, "{answer}");
     cluster.wait_for_manifest(3);
 }
+
+/// Found by a run on a busy machine: peers went on writing to the connection of the old process.
+#[test]
+fn a_vm_that_restarts_at_once_hears_all_and_is_heard_by_all() {
+    let mut cluster = Cluster::start(&ZONES, 3);
+    cluster.publish(1);
+    for vm in 0..3 {
+        cluster.kill_vm(vm);
+        cluster.start_vm(vm);
+        wait_until("all VMs see each other", || {
+            (0..3).all(|own| {
+                cluster.status(own).is_some_and(|status| {
+                    status.ready && status.members.iter().all(|member| member.health == "alive")
+                })
+            })
+        });
+    }
+}
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -263,6 +263,7 @@
                     self.mesh.send(&to, MeshMessage::Membership(message.into()));
                 }
                 MembershipOutput::Changed(vm, health) => self.health_changed(&vm, health),
+                MembershipOutput::NewIncarnation(vm) => self.mesh.disconnect(&vm),
                 MembershipOutput::NewerManifest(vm, number) => self.pull_newer(&vm, number),
             }
         }
--- a/node/src/mesh.rs
+++ b/node/src/mesh.rs
@@ -3,7 +3,7 @@
 pub mod tls;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use anyhow::{Context, Result, anyhow, bail};
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::{MAX_FRAME_BYTES, MeshMessage, decode_frame, encode_frame};
-use quinn::{Connection, Endpoint, RecvStream, SendStream};
+use quinn::{Connection, Endpoint, RecvStream, SendStream, TokioRuntime};
 use slog::{Logger, debug, info, o, warn};
 use tokio::runtime::Builder;
 use tokio::sync::mpsc;
@@ -62,8 +62,14 @@
         let log = log.new(o!("part" => "mesh"));
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let guard = runtime.enter();
-        let mut endpoint = Endpoint::server(keys.server_config()?, address)
+        let socket = UdpSocket::bind(address)
             .with_context(|| format!("cannot listen on {address} for other VMs"))?;
+        let mut endpoint = Endpoint::new(
+            keys.endpoint_config(),
+            Some(keys.server_config()?),
+            socket,
+            Arc::new(TokioRuntime),
+        )?;
         endpoint.set_default_client_config(keys.client_config()?);
         let local = endpoint.local_addr()?;
         let mut queues = HashMap::new();
--- a/node/src/mesh/tls.rs
+++ b/node/src/mesh/tls.rs
@@ -5,8 +5,9 @@
 
 use anyhow::{Context, Result, anyhow};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, IdleTimeout, ServerConfig, TransportConfig};
-use rustls::crypto::ring;
+use quinn::{ClientConfig, Connection, EndpointConfig, IdleTimeout, ServerConfig, TransportConfig};
+use ring::{digest, hmac};
+use rustls::crypto::ring as provider;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use rustls::server::WebPkiClientVerifier;
@@ -47,8 +48,18 @@
         })
     }
 
+    /// Returns a configuration whose reset tokens stay the same over restarts.
+    ///
+    /// So a peer that still writes to an earlier process of this VM is told at once that the
+    /// connection is gone, in place of waiting for its idle time.
+    pub(super) fn endpoint_config(&self) -> EndpointConfig {
+        let secret = digest::digest(&digest::SHA256, self.key.secret_der());
+        let key = hmac::Key::new(hmac::HMAC_SHA256, secret.as_ref());
+        EndpointConfig::new(Arc::new(key))
+    }
+
     pub(super) fn server_config(&self) -> Result<ServerConfig> {
-        let provider = Arc::new(ring::default_provider());
+        let provider = Arc::new(provider::default_provider());
         let verifier = WebPkiClientVerifier::builder_with_provider(
             Arc::new(self.roots()?),
             Arc::clone(&provider),
@@ -64,7 +75,7 @@
     }
 
     pub(super) fn client_config(&self) -> Result<ClientConfig> {
-        let provider = Arc::new(ring::default_provider());
+        let provider = Arc::new(provider::default_provider());
         let config = rustls::ClientConfig::builder_with_provider(provider)
             .with_protocol_versions(VERSIONS)?
             .with_root_certificates(self.roots()?)
