--- a/ctl/src/client.rs
+++ b/ctl/src/client.rs
@@ -7,6 +7,7 @@
 use attohttpc::header::CONTENT_TYPE;
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
 use merlinrudder_node::control::input::VmStatus;
+use merlinrudder_wire::engine::EngineRequest;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -85,6 +86,36 @@
     outcome
 }
 
+/// Asks an engine itself for a completion; returns the time to its first token.
+///
+/// # Errors
+/// Fails where the engine cannot be reached or streams nothing.
+pub fn first_token_direct(engine: &str, prompt: &str, max_tokens: u64) -> Result<Duration> {
+    let started = Instant::now();
+    let body = EngineRequest {
+        request_id: format!("direct-{:x}", fastrand::u64(..)),
+        attempt: 1,
+        prompt: prompt.to_owned(),
+        max_tokens,
+        resume_from: 0,
+        priority: 0,
+        reservations: Vec::new(),
+    };
+    let response = request(Method::POST, engine, "/v1/completions", "")
+        .timeout(ADMIN_TIMEOUT)
+        .header(CONTENT_TYPE, "application/json")
+        .bytes(serde_json::to_vec(&body)?)
+        .send()?;
+    let (_, _, reader) = response.split();
+    let mut first = None;
+    for line in BufReader::new(reader).lines() {
+        if line?.starts_with("data: ") {
+            first.get_or_insert_with(|| started.elapsed());
+        }
+    }
+    first.ok_or_else(|| anyhow!("{engine} streamed nothing"))
+}
+
 /// Makes a plain call.
 #[must_use]
 pub fn call(
--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod fake;
 mod load;
+mod overhead;
 mod report;
 
 use std::path::PathBuf;
@@ -28,6 +29,7 @@
         "keys" => keys(sub),
         "fake" => fake::run(sub),
         "load" => load::run(sub),
+        "overhead" => overhead::run(sub),
         "report" => report::run(sub),
         "demo" => demo::run(),
         other => bail!("the command {other} is unknown"),
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -18,6 +18,7 @@
         .subcommand(keys())
         .subcommand(fake())
         .subcommand(load())
+        .subcommand(overhead())
         .subcommand(report())
         .subcommand(demo())
 }
@@ -152,6 +153,17 @@
         .arg(option("output", "FILE", "Where the result goes, as JSON"))
 }
 
+fn overhead() -> Command {
+    Command::new("overhead")
+        .about("Compare the time to first token through a VM with a direct call to an engine")
+        .arg(option("callers", "ADDRESS", "VM's address for callers").required(true))
+        .arg(option("customer-token", "TOKEN", "Customer's token").required(true))
+        .arg(option("model", "NAME", "Service or model").required(true))
+        .arg(option("engine", "ADDRESS", "Address of a stand-in engine").required(true))
+        .arg(option("count", "COUNT", "Calls of each kind").default_value("500"))
+        .arg(option("prompt-tokens", "COUNT", "Tokens of a prompt").default_value("1000"))
+}
+
 fn report() -> Command {
     Command::new("report")
         .about("Draw the results of load runs as SVG")
