feature: announce changes of the prefix cache in place of the whole cache

Cause: each announcement carried every cached block, up to 37 KB, so a VM without load sent 12.7 KB/s to others; 12 KB/s is the whole budget of a VM. Change: announcements carry numbered changes; after a gap the view is not believed until the dispatcher's VM has read the cache whole (every 5 s at most).

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::names::{CustomerName, ServerId, ServiceName, VmId};
 use crate::outcome::{Refusal, RefusalReason};
 use crate::queue::{FairQueue, Waiting};
-use crate::registry::{Announcement, Registry, RegistryChange, ServerKey};
+use crate::registry::{Announcement, CacheView, Registry, RegistryChange, ServerKey};
 use crate::suspects::{SuspectTable, Suspicion};
 use crate::time::Moment;
 use crate::units::{AttemptId, ContentDigest, RequestId, Tokens};
@@ -197,6 +197,11 @@
         change
     }
 
+    /// Takes in the whole cache of a server.
+    pub fn cache_read(&mut self, key: &ServerKey, incarnation: u64, view: CacheView) {
+        self.registry.cache_read(key, incarnation, view);
+    }
+
     /// Takes in a verdict of the control log.
     pub fn convict(&mut self, now: Moment, content: ContentDigest) {
         self.suspects.convict(now, content);
--- a/core/src/dispatch/placing.rs
+++ b/core/src/dispatch/placing.rs
@@ -223,16 +223,8 @@
     (servers * usize::from(policy.long_percent) / 100).max(1)
 }
 
-/// Counts the prompt's leading tokens that a server says it caches; none after a gap.
+/// Counts the prompt's leading tokens that a server caches.
 fn cached_tokens(ask: &Ask, server: &KnownServer) -> Tokens {
-    let cache = &server.announced.cache;
-    if cache.gap {
-        return Tokens(0);
-    }
-    let blocks = ask
-        .prefix
-        .iter()
-        .take_while(|block| cache.blocks.contains(block))
-        .count();
+    let blocks = server.cache.leading(&ask.prefix);
     Tokens((blocks * BLOCK_TOKENS) as u64).min(ask.work.prompt)
 }
--- a/core/src/registry.rs
+++ b/core/src/registry.rs
@@ -1,6 +1,6 @@
 //! Backend servers that announced themselves, each under a lease.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,8 +41,8 @@
     pub models: Vec<ModelName>,
     /// Load at an earlier time.
     pub load: LoadReport,
-    /// Prompt prefixes that an engine caches, as far as it told.
-    pub cache: CacheView,
+    /// What changed in its prefix cache since its last announcement.
+    pub cache: CacheEvents,
     /// Whether the server is leaving and takes no new work.
     pub leaving: bool,
 }
@@ -60,15 +60,85 @@
     pub memory_used: Tokens,
 }
 
-/// Cached prompt prefixes of an engine.
+/// Numbered changes of an engine's prefix cache.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CacheEvents {
+    /// Number of the first event; where it is not the next one, events were lost.
+    pub first: u64,
+    /// The events in order.
+    pub events: Vec<CacheEvent>,
+}
+
+/// One change of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CacheEvent {
+    /// A block is cached now.
+    Added(u64),
+    /// A block is cached no more.
+    Removed(u64),
+}
+
+/// Cached blocks of an engine as this VM knows them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CacheView {
-    /// Number of the last cache event in this view.
-    pub sequence: u64,
-    /// Whether events are missing between the view before and this one.
-    pub gap: bool,
-    /// Hashes of cached prefix blocks.
-    pub blocks: Vec<u64>,
+    /// Number of the next event.
+    next: u64,
+    /// Whether events were lost; nothing is believed until the cache is read anew.
+    distrusted: bool,
+    blocks: HashSet<u64>,
+}
+
+impl CacheView {
+    /// Makes a view of a cache that was read whole, up to before event `next`.
+    #[must_use]
+    pub fn read(next: u64, blocks: impl IntoIterator<Item = u64>) -> Self {
+        Self {
+            next,
+            distrusted: false,
+            blocks: blocks.into_iter().collect(),
+        }
+    }
+
+    /// Whether events were lost.
+    #[must_use]
+    pub fn is_distrusted(&self) -> bool {
+        self.distrusted
+    }
+
+    /// Counts the leading blocks of a prompt that are cached; none while events are lost.
+    #[must_use]
+    pub fn leading(&self, blocks: &[u64]) -> usize {
+        if self.distrusted {
+            return 0;
+        }
+        blocks
+            .iter()
+            .take_while(|block| self.blocks.contains(block))
+            .count()
+    }
+
+    /// Takes in events; a gap makes the whole view worthless.
+    fn apply(&mut self, events: &CacheEvents) {
+        if events.events.is_empty() && events.first == self.next {
+            return;
+        }
+        let known = self.next.saturating_sub(events.first);
+        if events.first > self.next {
+            self.distrusted = true;
+            self.blocks.clear();
+        }
+        for event in events
+            .events
+            .iter()
+            .skip(usize::try_from(known).unwrap_or(usize::MAX))
+        {
+            match event {
+                CacheEvent::Added(block) => drop(self.blocks.insert(*block)),
+                CacheEvent::Removed(block) => drop(self.blocks.remove(block)),
+            }
+        }
+        self.next = self.next.max(events.first + events.events.len() as u64);
+    }
 }
 
 /// A known backend server.
@@ -80,6 +150,8 @@
     pub expires: Moment,
     /// Time at which its load was read, on this VM's clock.
     pub load_time: Moment,
+    /// Its cached blocks.
+    pub cache: CacheView,
 }
 
 /// What an announcement changed.
@@ -146,16 +218,25 @@
         let expires = now + announced.lease.min(MAX_LEASE);
         let load_time = now - announced.load.age;
         let incarnation = announced.incarnation;
-        let known = KnownServer {
-            announced,
-            expires,
-            load_time,
-        };
-        match self.servers.insert(key, known) {
+        let old = self.servers.remove(&key);
+        let change = match &old {
             None => RegistryChange::Joined,
             Some(old) if old.announced.incarnation == incarnation => RegistryChange::Renewed,
             Some(_) => RegistryChange::Restarted,
-        }
+        };
+        let same = old.filter(|_| change == RegistryChange::Renewed);
+        let mut cache = same.map(|old| old.cache).unwrap_or_default();
+        cache.apply(&announced.cache);
+        self.servers.insert(
+            key,
+            KnownServer {
+                announced,
+                expires,
+                load_time,
+                cache,
+            },
+        );
+        change
     }
 
     /// Removes servers whose lease ended, and returns their names.
@@ -185,6 +266,15 @@
         }
     }
 
+    /// Takes in the whole cache of a server, where its view was worthless and it is older.
+    pub fn cache_read(&mut self, key: &ServerKey, incarnation: u64, view: CacheView) {
+        let server = self.servers.get_mut(key);
+        let server = server.filter(|server| server.announced.incarnation == incarnation);
+        if let Some(server) = server.filter(|server| server.cache.next <= view.next) {
+            server.cache = view;
+        }
+    }
+
     /// Finds a server by name.
     #[must_use]
     pub fn get(&self, key: &ServerKey) -> Option<&KnownServer> {
--- a/core/tests/integration/dispatch.rs
+++ b/core/tests/integration/dispatch.rs
@@ -15,7 +15,9 @@
 };
 use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId, ZoneName};
 use merlinrudder_core::outcome::RefusalReason;
-use merlinrudder_core::registry::{Announcement, CacheView, LoadReport, RegistryChange, ServerKey};
+use merlinrudder_core::registry::{
+    Announcement, CacheEvent, CacheEvents, CacheView, LoadReport, RegistryChange, ServerKey,
+};
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{AttemptId, ContentDigest, RequestId, Tokens};
 use proptest::collection::vec;
@@ -79,7 +81,7 @@
         speed: EngineSpeed::default(),
         models: Vec::new(),
         load: LoadReport::default(),
-        cache: CacheView::default(),
+        cache: CacheEvents::default(),
         leaving: false,
     }
 }
@@ -337,6 +339,46 @@
     assert_eq!(dispatcher.load_of(&key(0), START).memory, Tokens(0));
 }
 
+#[test]
+fn a_cached_prefix_draws_its_request_until_events_are_lost() {
+    let mut dispatcher = open(3);
+    let events = |first, block| CacheEvents {
+        first,
+        events: vec![CacheEvent::Added(block)],
+    };
+    let prefix = |request| Ask {
+        prefix: Arc::from([7]),
+        ..ask(request, "large", 1_000)
+    };
+    let told = Announcement {
+        cache: events(0, 7),
+        ..announcement(2, 2)
+    };
+    dispatcher.announce(START, told);
+    dispatcher.ask(START, prefix(1));
+    assert_eq!(grants(&mut dispatcher)[0].servers[0].id, key(2).id);
+    dispatcher.abandon(START, RequestId(1));
+    let gap = Announcement {
+        cache: events(5, 8),
+        ..announcement(2, 3)
+    };
+    dispatcher.announce(START, gap);
+    dispatcher.ask(START, prefix(2));
+    assert_eq!(
+        grants(&mut dispatcher)[0].servers[0].id,
+        key(0).id,
+        "the view is not believed"
+    );
+    dispatcher.abandon(START, RequestId(2));
+    dispatcher.cache_read(&key(2), 1, CacheView::read(6, [7]));
+    dispatcher.ask(START, prefix(3));
+    assert_eq!(
+        grants(&mut dispatcher)[0].servers[0].id,
+        key(2).id,
+        "it was read anew"
+    );
+}
+
 /// Something that happens to a dispatcher.
 #[derive(Clone, Copy, Debug)]
 enum Event {
--- a/fakes/src/app.rs
+++ b/fakes/src/app.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use merlinrudder_wire::announce::{WireAnnouncement, WireCache, WireLoad};
+use merlinrudder_wire::announce::{WireAnnouncement, WireCacheEvents, WireLoad};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tiny_http::{Header, Method, Request, Response};
@@ -155,7 +155,7 @@
         decode_rate: 0.0,
         models: Vec::new(),
         load: WireLoad::default(),
-        cache: WireCache::default(),
+        cache: WireCacheEvents::default(),
         leaving: *lock(&shared.leaving),
     }
 }
--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use merlinrudder_wire::announce::{WireAnnouncement, WireCache, WireLoad};
+use merlinrudder_wire::announce::{WireAnnouncement, WireCacheEvents, WireLoad};
 use merlinrudder_wire::engine::EngineOrder;
 use serde::{Deserialize, Serialize};
 
@@ -87,6 +87,8 @@
     reports: Mutex<VecDeque<Report>>,
     incarnation: u64,
     leaving: Mutex<bool>,
+    /// Number of the next change of the cache to announce.
+    told_events: Mutex<u64>,
 }
 
 /// Load and cache as they were.
@@ -94,8 +96,7 @@
 struct Report {
     at: Instant,
     load: WireLoad,
-    blocks: Vec<u64>,
-    sequence: u64,
+    next_event: u64,
 }
 
 impl FakeEngine {
@@ -119,6 +120,7 @@
             reports: Mutex::default(),
             incarnation: fastrand::u64(1..),
             leaving: Mutex::new(false),
+            told_events: Mutex::new(0),
         });
         let handler = Arc::clone(&shared);
         let address = serve(listen, life.clone(), move |request| {
@@ -186,11 +188,7 @@
                 age_ms: age,
                 ..report.load
             },
-            cache: WireCache {
-                sequence: report.sequence,
-                gap: fastrand::u32(..GAP_ONE_IN) == 0,
-                blocks: report.blocks,
-            },
+            cache: self.late_events(report.next_event),
             leaving: *lock(&self.leaving),
         }
     }
@@ -206,8 +204,7 @@
                 waiting: model.waiting(),
                 memory_used: model.memory_used(),
             },
-            blocks: model.cached_blocks(),
-            sequence: model.cache_sequence(),
+            next_event: model.next_event(),
         });
         let mut reports = lock(&self.reports);
         reports.push_back(current.clone());
@@ -218,6 +215,15 @@
         reports.front().cloned().unwrap_or(current)
     }
 
+    /// Returns the changes of the cache since the last announcement; now and then some are lost.
+    fn late_events(&self, end: u64) -> WireCacheEvents {
+        let mut told = lock(&self.told_events);
+        let lost = u64::from(fastrand::u32(..GAP_ONE_IN) == 0);
+        let first = (*told + lost).min(end.max(*told));
+        *told = end.max(first);
+        self.runner.with(|model| model.cache_events(first, end))
+    }
+
     fn leave(&self, address: SocketAddr) {
         *lock(&self.leaving) = true;
         let announcement = self.describe(address);
--- a/fakes/src/engine/api.rs
+++ b/fakes/src/engine/api.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crossbeam::channel::Receiver;
+use merlinrudder_wire::announce::WireCache;
 use merlinrudder_wire::engine::{
     EngineCancel, EngineEvent, EngineHolding, EngineOrder, EngineRefusal, EngineRequest,
     EngineReserve, prefix_blocks,
@@ -53,6 +54,7 @@
             send_json(request, 200, &json!({}));
         }
         (Method::Get, "/holdings") => send_json(request, 200, &holdings(shared)),
+        (Method::Get, "/cache") => send_json(request, 200, &cache(shared)),
         (Method::Get, "/log") => send_json(request, 200, &*lock(&shared.log)),
         (Method::Get, "/orders") => send_json(request, 200, &*lock(&shared.orders)),
         _ => send_json(request, 404, &json!({ "reason": "path", "ran": false })),
@@ -131,6 +133,14 @@
     shared.runner.holdings().into_iter().map(holding).collect()
 }
 
+fn cache(shared: &Shared) -> WireCache {
+    shared.runner.with(|model| WireCache {
+        incarnation: shared.incarnation,
+        next: model.next_event(),
+        blocks: model.cached_blocks(),
+    })
+}
+
 fn complete(shared: &Arc<Shared>, mut request: Request) {
     let body: EngineRequest = match serde_json::from_slice(&read_body(&mut request)) {
         Ok(body) => body,
--- a/fakes/src/engine/model.rs
+++ b/fakes/src/engine/model.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use merlinrudder_wire::announce::{WireCacheEvent, WireCacheEvents};
 use serde::{Deserialize, Serialize};
 
 /// Tokens of one block of the prefix cache.
 const BLOCK_TOKENS: u64 = 256;
+/// Changes of the cache that are kept.
+const KEPT_EVENTS: usize = 4096;
 
 /// Parameters of the cost model, at real speed.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -122,7 +125,10 @@
     reservations: BTreeMap<SequenceKey, Reservation>,
     /// Cached blocks, the least recently used first.
     cache: VecDeque<u64>,
-    cache_sequence: u64,
+    /// Changes of the cache since the start; the newest are kept.
+    cache_events: VecDeque<WireCacheEvent>,
+    /// Number of the next change.
+    next_event: u64,
 }
 
 impl EngineModel {
@@ -135,7 +141,8 @@
             waiting: VecDeque::new(),
             reservations: BTreeMap::new(),
             cache: VecDeque::new(),
-            cache_sequence: 0,
+            cache_events: VecDeque::new(),
+            next_event: 0,
         }
     }
 
@@ -175,10 +182,35 @@
         self.cache.iter().copied().collect()
     }
 
-    /// Returns the number of the last cache event.
+    /// Returns the number of the next change of the cache.
     #[must_use]
-    pub fn cache_sequence(&self) -> u64 {
-        self.cache_sequence
+    pub fn next_event(&self) -> u64 {
+        self.next_event
+    }
+
+    /// Returns the changes of the cache from `first` to before `end`, as far as they are kept.
+    #[must_use]
+    pub fn cache_events(&self, first: u64, end: u64) -> WireCacheEvents {
+        let oldest = self.next_event - self.cache_events.len() as u64;
+        let first = first.max(oldest);
+        let skip = usize::try_from(first - oldest).unwrap_or(usize::MAX);
+        let count = usize::try_from(end.saturating_sub(first)).unwrap_or(usize::MAX);
+        let events = self
+            .cache_events
+            .iter()
+            .skip(skip)
+            .take(count)
+            .copied()
+            .collect();
+        WireCacheEvents { first, events }
+    }
+
+    fn note_event(&mut self, event: WireCacheEvent) {
+        self.next_event += 1;
+        self.cache_events.push_back(event);
+        if self.cache_events.len() > KEPT_EVENTS {
+            self.cache_events.pop_front();
+        }
     }
 
     /// Returns all that is held: names and tokens.
@@ -344,13 +376,17 @@
 
     fn remember(&mut self, blocks: &[u64]) {
         for block in blocks {
+            let before = self.cache.len();
             self.cache.retain(|cached| cached != block);
             self.cache.push_back(*block);
-            self.cache_sequence += 1;
+            if self.cache.len() > before {
+                self.note_event(WireCacheEvent::Added(*block));
+            }
         }
         while self.cache.len() > self.config.cache_blocks {
-            self.cache.pop_front();
-            self.cache_sequence += 1;
+            if let Some(block) = self.cache.pop_front() {
+                self.note_event(WireCacheEvent::Removed(block));
+            }
         }
     }
 }
--- a/node/src/backend/reconcile.rs
+++ b/node/src/backend/reconcile.rs
@@ -6,8 +6,11 @@
 use anyhow::Result;
 use attohttpc::Method;
 use crossbeam::channel::bounded;
+use merlinrudder_core::registry::{CacheView, ServerKey};
 use merlinrudder_core::time::duration_millis;
+use merlinrudder_wire::announce::WireCache;
 use merlinrudder_wire::engine::{EngineCancel, EngineHolding, EngineReserve};
+use serde::de::DeserializeOwned;
 use slog::{Logger, o, warn};
 
 use super::{post_json, request};
@@ -43,6 +46,9 @@
         if !server.engine {
             continue;
         }
+        if server.distrusted {
+            read_cache(control, &server);
+        }
         for holding in orphans_of(&server) {
             let name = format!("{}/{}/{}", server.id, holding.request_id, holding.attempt);
             if seen.contains(&name) {
@@ -57,14 +63,7 @@
 }
 
 fn orphans_of(server: &PlacedServer) -> Vec<EngineHolding> {
-    let sent = request(Method::GET, &server.address, "/holdings")
-        .read_timeout(PROBE_TIMEOUT)
-        .timeout(PROBE_TIMEOUT)
-        .send();
-    let Ok(body) = sent.and_then(attohttpc::Response::bytes) else {
-        return Vec::new();
-    };
-    let holdings: Vec<EngineHolding> = serde_json::from_slice(&body).unwrap_or_default();
+    let holdings: Vec<EngineHolding> = get_json(&server.address, "/holdings").unwrap_or_default();
     let placed: HashSet<_> = server
         .requests
         .iter()
@@ -78,6 +77,27 @@
         .collect()
 }
 
+/// Reads an engine's whole cache, where events of it were lost.
+fn read_cache(control: &Control, server: &PlacedServer) {
+    let Some(cache) = get_json::<WireCache>(&server.address, "/cache") else {
+        return;
+    };
+    let key = ServerKey {
+        service: server.service.clone(),
+        id: server.id.clone(),
+    };
+    let view = CacheView::read(cache.next, cache.blocks);
+    control.send(ControlInput::CacheRead(key, cache.incarnation, view));
+}
+
+fn get_json<T: DeserializeOwned>(address: &str, path: &str) -> Option<T> {
+    let sent = request(Method::GET, address, path)
+        .read_timeout(PROBE_TIMEOUT)
+        .timeout(PROBE_TIMEOUT)
+        .send();
+    serde_json::from_slice(&sent.and_then(attohttpc::Response::bytes).ok()?).ok()
+}
+
 fn cancel(server: &PlacedServer, holding: &EngineHolding) {
     let (request_id, attempt) = (holding.request_id.clone(), holding.attempt);
     let body = EngineCancel {
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -204,6 +204,9 @@
             ControlInput::Status(reply) => drop(reply.send(self.status())),
             ControlInput::Holdings(reply) => drop(reply.send(self.placed())),
             ControlInput::Unready => self.become_unready(),
+            ControlInput::CacheRead(key, incarnation, view) => {
+                self.dispatcher.cache_read(&key, incarnation, view);
+            }
             ControlInput::Stop => self.begin_stop(),
             ControlInput::Leave(reply) => self.leave(&reply),
             ControlInput::Quit => {}
--- a/node/src/control/input.rs
+++ b/node/src/control/input.rs
@@ -9,7 +9,7 @@
 use merlinrudder_core::dispatch::message::{Ask, Finish, Grant, GrantedServer};
 use merlinrudder_core::names::{VmId, ZoneName};
 use merlinrudder_core::outcome::Refusal;
-use merlinrudder_core::registry::Announcement;
+use merlinrudder_core::registry::{Announcement, CacheView, ServerKey};
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{AttemptId, RequestId};
 use merlinrudder_wire::mesh::MeshMessage;
@@ -40,6 +40,8 @@
     Status(Sender<VmStatus>),
     /// The reconcile loop asks what is placed where.
     Holdings(Sender<Vec<PlacedServer>>),
+    /// The reconcile loop read the whole cache of a server.
+    CacheRead(ServerKey, u64, CacheView),
     /// The VM is about to stop: it says that it is not ready.
     Unready,
     /// The VM stops: it admits nothing more.
--- a/node/src/control/serving.rs
+++ b/node/src/control/serving.rs
@@ -34,6 +34,8 @@
     pub address: Arc<str>,
     /// Whether its load is known to be an engine's.
     pub engine: bool,
+    /// Whether its cache must be read anew.
+    pub distrusted: bool,
     /// Requests placed there, with their attempts.
     pub requests: Vec<(RequestId, AttemptId)>,
 }
@@ -222,6 +224,7 @@
                 id: server.announced.id.clone(),
                 address: Arc::clone(&server.announced.address),
                 engine: server.announced.memory.0 > 0,
+                distrusted: server.cache.is_distrusted(),
                 requests: self.dispatcher.placed_at(&server.announced.key()),
             })
             .collect()
--- a/wire/src/announce.rs
+++ b/wire/src/announce.rs
@@ -5,7 +5,7 @@
 
 use merlinrudder_core::estimate::EngineSpeed;
 use merlinrudder_core::names::{ModelName, ServerId, ServiceName, ZoneName};
-use merlinrudder_core::registry::{Announcement, CacheView, LoadReport};
+use merlinrudder_core::registry::{Announcement, CacheEvent, CacheEvents, LoadReport};
 use merlinrudder_core::units::Tokens;
 use serde::{Deserialize, Serialize};
 
@@ -47,9 +47,9 @@
     /// Load at an earlier time.
     #[serde(default)]
     pub load: WireLoad,
-    /// Cached prefixes.
+    /// Changes of the prefix cache since the last announcement.
     #[serde(default)]
-    pub cache: WireCache,
+    pub cache: WireCacheEvents,
     /// Whether it is leaving.
     #[serde(default)]
     pub leaving: bool,
@@ -68,13 +68,32 @@
     pub memory_used: u64,
 }
 
-/// Cached prefixes.
+/// Numbered changes of the prefix cache.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WireCacheEvents {
+    /// Number of the first event.
+    pub first: u64,
+    /// The events in order.
+    pub events: Vec<WireCacheEvent>,
+}
+
+/// One change of the prefix cache.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WireCacheEvent {
+    /// A block with this hash is cached now.
+    Added(u64),
+    /// A block with this hash is cached no more.
+    Removed(u64),
+}
+
+/// Answer to `GET /cache`: the whole prefix cache.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct WireCache {
-    /// Number of the last cache event in this view.
-    pub sequence: u64,
-    /// Whether events are missing before this view.
-    pub gap: bool,
+    /// Incarnation of the engine.
+    pub incarnation: u64,
+    /// Number of the next event.
+    pub next: u64,
     /// Hashes of cached prefix blocks.
     pub blocks: Vec<u64>,
 }
@@ -166,22 +185,28 @@
     }
 }
 
-impl From<WireCache> for CacheView {
-    fn from(wire: WireCache) -> Self {
+impl From<WireCacheEvents> for CacheEvents {
+    fn from(wire: WireCacheEvents) -> Self {
+        let events = wire.events.into_iter().map(|event| match event {
+            WireCacheEvent::Added(block) => CacheEvent::Added(block),
+            WireCacheEvent::Removed(block) => CacheEvent::Removed(block),
+        });
         Self {
-            sequence: wire.sequence,
-            gap: wire.gap,
-            blocks: wire.blocks,
+            first: wire.first,
+            events: events.collect(),
         }
     }
 }
 
-impl From<CacheView> for WireCache {
-    fn from(view: CacheView) -> Self {
+impl From<CacheEvents> for WireCacheEvents {
+    fn from(cache: CacheEvents) -> Self {
+        let events = cache.events.into_iter().map(|event| match event {
+            CacheEvent::Added(block) => WireCacheEvent::Added(block),
+            CacheEvent::Removed(block) => WireCacheEvent::Removed(block),
+        });
         Self {
-            sequence: view.sequence,
-            gap: view.gap,
-            blocks: view.blocks,
+            first: cache.first,
+            events: events.collect(),
         }
     }
 }
