--- /dev/null
+++ b/ctl/tests/integration/faults.rs
@@ -0,0 +1,239 @@
+//! Requests that crash engines, engines that freeze, VMs that are killed in the middle of work.
+
+use std::thread;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::util::{Cluster, ZONES, assert_whole, prompt, wait_until};
+
+const MAX_TOKENS: u64 = 64;
+const SIX: [&str; 6] = ["zone-a", "zone-b", "zone-c", "zone-a", "zone-b", "zone-c"];
+
+#[test]
+fn a_poison_request_costs_two_engines_and_innocents_finish() {
+    let mut cluster = Cluster::start(&ZONES, 3);
+    cluster.publish(1);
+    cluster.start_engines("zone-a", 6, &["--speed", "4"]);
+    cluster.wait_for_servers(6);
+    let ids: Vec<_> = (1..=6)
+        .map(|number| format!("engine-zone-a-{number}"))
+        .collect();
+    for id in &ids {
+        cluster.set_faults(id, &json!({ "crash_on": "POISON" }));
+    }
+    let poison = prompt("POISON", 1_000);
+    let shared = &cluster;
+    thread::scope(|scope| {
+        let innocents: Vec<_> = (0..12)
+            .map(|number| {
+                scope.spawn(move || {
+                    let text = prompt(&format!("innocent {number}"), 1_000);
+                    assert_whole(&shared.complete(number % 3, &text, 200), &text, 200);
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(200));
+        let outcome = shared.complete(0, &poison, MAX_TOKENS);
+        assert_eq!(
+            outcome.reason.as_deref(),
+            Some("quarantined"),
+            "{outcome:?}"
+        );
+        assert_eq!(outcome.run.as_deref(), Some("may_have_run"));
+        for innocent in innocents {
+            innocent.join().expect("an innocent request is whole");
+        }
+    });
+    let lost = ids.iter().filter(|id| cluster.has_ended(id)).count();
+    assert_eq!(lost, 2, "two deaths convict");
+    wait_until("all VMs have the verdict", || {
+        (0..3).all(|vm| {
+            cluster
+                .status(vm)
+                .is_some_and(|status| status.verdicts == 1)
+        })
+    });
+    for vm in 0..3 {
+        cluster.kill_vm(vm);
+    }
+    for vm in 0..3 {
+        cluster.start_vm(vm);
+    }
+    cluster.wait_for_manifest(1);
+    for vm in 0..3 {
+        wait_until("the verdict is back", || {
+            cluster
+                .status(vm)
+                .is_some_and(|status| status.verdicts == 1)
+        });
+        let again = cluster.complete(vm, &poison, MAX_TOKENS);
+        assert_eq!(
+            (again.status, again.reason.as_deref()),
+            (422, Some("quarantined"))
+        );
+        assert_eq!(again.run.as_deref(), Some("not_run"));
+    }
+    assert_eq!(ids.iter().filter(|id| cluster.has_ended(id)).count(), 2);
+}
+
+#[test]
+fn a_frozen_engine_is_left_and_its_streams_go_on_elsewhere() {
+    let mut cluster = Cluster::start(&ZONES, 3);
+    cluster.publish(1);
+    cluster.start_engines("zone-a", 2, &[]);
+    cluster.wait_for_servers(2);
+    let text = prompt("frozen", 1_000);
+    let shared = &cluster;
+    let outcome = thread::scope(|scope| {
+        let caller = scope.spawn(|| shared.complete(0, &text, 400));
+        let mut streaming = None;
+        wait_until("an engine streams", || {
+            streaming = ["engine-zone-a-1", "engine-zone-a-2"]
+                .into_iter()
+                .find(|id| shared.engine_log(id).iter().any(|line| line.to > 5));
+            streaming.is_some()
+        });
+        let id = streaming.expect("an engine streams");
+        shared.signal_fake(id, Signal::SIGSTOP);
+        let outcome = caller.join().expect("a caller");
+        shared.signal_fake(id, Signal::SIGCONT);
+        outcome
+    });
+    assert_whole(&outcome, &text, 400);
+}
+
+/// Returns the VM that dispatches a zone's completions while some run.
+fn dispatcher(cluster: &Cluster, zone: &str) -> usize {
+    let mut found = None;
+    wait_until("a dispatcher has placed requests", || {
+        found = (0..cluster.vms.len()).find(|vm| {
+            cluster.vms[*vm].zone == zone
+                && cluster.status(*vm).is_some_and(|status| status.running > 0)
+        });
+        found.is_some()
+    });
+    found.expect("a dispatcher")
+}
+
+#[test]
+fn a_killed_dispatcher_loses_no_request_of_other_vms() {
+    let mut cluster = Cluster::start(&SIX, 3);
+    cluster.publish(1);
+    cluster.start_engines("zone-a", 2, &["--speed", "2", "--slots", "4"]);
+    cluster.wait_for_servers(2);
+    // More requests than slots: some run and some wait when the dispatcher dies.
+    let killed = thread::scope(|scope| {
+        let shared = &cluster;
+        let callers: Vec<_> = (0..24)
+            .map(|number| {
+                scope.spawn(move || {
+                    let text = prompt(&format!("dispatcher {number}"), 1_000);
+                    // Zone a's VMs are 0 and 3; callers use the other zones' VMs, which spill.
+                    let vm = [1, 2, 4, 5][number % 4];
+                    assert_whole(&shared.complete(vm, &text, 150), &text, 150);
+                })
+            })
+            .collect();
+        let killed = dispatcher(shared, "zone-a");
+        shared.signal_vm(killed, Signal::SIGKILL);
+        for caller in callers {
+            caller.join().expect("a whole answer");
+        }
+        killed
+    });
+    cluster.kill_vm(killed);
+}
+
+#[test]
+fn a_killed_entry_vm_leaves_no_work_behind() {
+    let mut cluster = Cluster::start(&SIX, 3);
+    cluster.publish(1);
+    cluster.start_engines("zone-a", 1, &["--speed", "1"]);
+    cluster.wait_for_servers(1);
+    let shared = &cluster;
+    thread::scope(|scope| {
+        scope.spawn(|| shared.complete(3, &prompt("abandoned", 1_000), 4000));
+        wait_until("the engine works", || {
+            shared
+                .engine_log("engine-zone-a-1")
+                .iter()
+                .any(|line| line.to > 3)
+        });
+        shared.signal_vm(3, Signal::SIGKILL);
+    });
+    cluster.kill_vm(3);
+    wait_until("the engine's work is cancelled", || {
+        let log = cluster.engine_log("engine-zone-a-1");
+        log.iter().all(|line| line.state == "cancelled")
+    });
+}
+
+/// Kills a VM in the middle of a call and sends the call again through another one.
+fn resend_after_kill(
+    cluster: &mut Cluster,
+    entry: usize,
+    killed: usize,
+    after: Duration,
+    key: &str,
+) {
+    let shared: &Cluster = cluster;
+    thread::scope(|scope| {
+        scope.spawn(|| shared.call(entry, "POST", "/filing/reports", Some(key)));
+        thread::sleep(after);
+        shared.signal_vm(killed, Signal::SIGKILL);
+    });
+    cluster.kill_vm(killed);
+    let other = (killed + 1) % 3;
+    let mut last = None;
+    wait_until("the resend has a final answer", || {
+        let outcome = shared_call(cluster, other, key);
+        let ended = matches!(outcome.status, 200 | 409);
+        last = Some(outcome);
+        ended
+    });
+    cluster.start_vm(killed);
+    cluster.wait_for_manifest(1);
+    let runs: usize = ZONES
+        .iter()
+        .map(|zone| cluster.app_log(&format!("app-{zone}")))
+        .map(|log| {
+            log.iter()
+                .filter(|line| line.key.as_deref() == Some(key))
+                .count()
+        })
+        .sum();
+    assert!(runs <= 1, "{key} ran {runs} times");
+    if last.is_some_and(|outcome| outcome.status == 200) {
+        assert_eq!(runs, 1, "{key} was answered and did not run");
+    }
+}
+
+fn shared_call(cluster: &Cluster, vm: usize, key: &str) -> merlinrudder_ctl::client::CallOutcome {
+    cluster.call(vm, "POST", "/filing/reports", Some(key))
+}
+
+#[test]
+fn a_call_that_must_not_run_twice_does_not_whoever_is_killed_at_any_step() {
+    let mut cluster = Cluster::start(&ZONES, 3);
+    cluster.publish(1);
+    for zone in ZONES {
+        let id = format!("app-{zone}");
+        cluster.start_fake("app", &id, "filing", zone, &["--call-ms", "60"]);
+    }
+    cluster.wait_for_servers(3);
+    for (round, millis) in [0, 4, 12, 30, 60, 90].into_iter().enumerate() {
+        let after = Duration::from_millis(millis);
+        resend_after_kill(&mut cluster, 0, 0, after, &format!("entry-{round}"));
+        let leader = cluster.leader();
+        let entry = (leader + 1) % 3;
+        resend_after_kill(
+            &mut cluster,
+            entry,
+            leader,
+            after,
+            &format!("leader-{round}"),
+        );
+    }
+}
--- a/ctl/tests/integration/util.rs
+++ b/ctl/tests/integration/util.rs
@@ -44,8 +44,14 @@
 impl Cluster {
     /// Starts one VM for each zone given; the first `disks` have a disk.
     pub fn start(zones: &[&str], disks: usize) -> Self {
+        Self::start_changed(zones, disks, |_| {})
+    }
+
+    /// Starts VMs after `change` had a look at what was laid out.
+    pub fn start_changed(zones: &[&str], disks: usize, change: impl FnOnce(&[LaidVm])) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let vms = lay_out(folder.path(), zones, disks).expect("a deployment");
+        change(&vms);
         let running = vms.iter().map(|_| None).collect();
         let mut cluster = Self {
             vms,
@@ -151,6 +157,23 @@
             .expect("the stand-in was started")
     }
 
+    pub fn signal_fake(&self, id: &str, signal: Signal) {
+        kill(pid(&self.fake(id).child), signal).expect("the signal is sent");
+    }
+
+    /// Whether a stand-in's process has ended.
+    pub fn has_ended(&mut self, id: &str) -> bool {
+        let fake = self
+            .fakes
+            .iter_mut()
+            .find(|fake| fake.id == id)
+            .expect("the stand-in");
+        fake.child
+            .try_wait()
+            .expect("the stand-in can be asked")
+            .is_some()
+    }
+
     /// Kills a stand-in at once; it is reaped with the test.
     pub fn kill_fake(&self, id: &str) {
         kill(pid(&self.fake(id).child), Signal::SIGKILL).expect("the stand-in is killed");
