feature: replay traces against the dispatcher and baselines

Cause: the decisions under load need figures before they change. Also adds KV export and import between stand-in engines, and a test of groups with cancels.

--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -5,6 +5,7 @@
 mod fake;
 mod load;
 mod overhead;
+pub mod replay;
 mod report;
 
 use std::path::PathBuf;
@@ -30,6 +31,7 @@
         "fake" => fake::run(sub),
         "load" => load::run(sub),
         "overhead" => overhead::run(sub),
+        "replay" => replay::run(sub),
         "report" => report::run(sub),
         "demo" => demo::run(),
         other => bail!("the command {other} is unknown"),
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod keys;
 pub mod measure;
 pub mod options;
+pub mod replay;
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -19,6 +19,7 @@
         .subcommand(fake())
         .subcommand(load())
         .subcommand(overhead())
+        .subcommand(replay())
         .subcommand(report())
         .subcommand(demo())
 }
@@ -164,6 +165,28 @@
         .arg(option("prompt-tokens", "COUNT", "Tokens of a prompt").default_value("1000"))
 }
 
+fn replay() -> Command {
+    Command::new("replay")
+        .about("Replay traces against the dispatcher and baselines, on one clock")
+        .arg(
+            Arg::new("trace")
+                .default_value("all")
+                .help("Name of a trace, all, or a .json file"),
+        )
+        .arg(
+            option("policy", "NAMES", "Policies, with commas")
+                .default_value("first-token,short-slowdown,round-robin,least-loaded,first-come"),
+        )
+        .arg(
+            option("load", "SHARE", "Offered load against the fleet's capacity")
+                .default_value("0.8"),
+        )
+        .arg(option("seconds", "COUNT", "Length of a trace").default_value("300"))
+        .arg(option("engines", "COUNT", "Engines").default_value("16"))
+        .arg(option("seed", "NUMBER", "Seed").default_value("1"))
+        .arg(option("output", "FILE", "Where the results go, as JSON"))
+}
+
 fn report() -> Command {
     Command::new("report")
         .about("Draw the results of load runs as SVG")
--- a/ctl/tests/integration/faults.rs
+++ b/ctl/tests/integration/faults.rs
@@ -237,3 +237,73 @@
         );
     }
 }
+
+#[test]
+fn long_prompts_over_groups_give_all_memory_back_whatever_ends_them() {
+    let mut cluster = Cluster::start(&ZONES, 3);
+    cluster.publish(1);
+    cluster.start_engines("zone-a", 4, &["--speed", "60", "--memory", "40000"]);
+    cluster.wait_for_servers(4);
+    let ids: Vec<_> = (1..=4)
+        .map(|number| format!("engine-zone-a-{number}"))
+        .collect();
+    let shared = &cluster;
+    thread::scope(|scope| {
+        for worker in 0..6 {
+            scope.spawn(move || {
+                for round in 0..8 {
+                    let tokens = [90_000, 60_000, 30_000][(worker + round) % 3];
+                    let text = prompt(&format!("group {worker} {round}"), tokens);
+                    if (worker + round) % 4 == 0 {
+                        leave_early(shared, worker % 3, &text);
+                    } else {
+                        assert_whole(&shared.complete(worker % 3, &text, 40), &text, 40);
+                    }
+                }
+            });
+        }
+        scope.spawn(|| {
+            let faults = [
+                json!({ "ignore_cancel": true }),
+                json!({ "drop_at_byte": 900 }),
+            ];
+            for fault in faults {
+                shared.set_faults(&ids[1], &fault);
+                thread::sleep(Duration::from_millis(1500));
+                shared.set_faults(&ids[1], &json!({}));
+            }
+        });
+    });
+    wait_until("all memory is back", || {
+        ids.iter().all(|id| holdings(&cluster, id) == 0)
+            && (0..3).all(|vm| {
+                cluster.status(vm).is_some_and(|status| {
+                    status
+                        .servers
+                        .iter()
+                        .all(|server| server.promised_tokens == 0)
+                })
+            })
+    });
+}
+
+/// Asks for a stream and goes away after its first bytes, or before any.
+fn leave_early(cluster: &Cluster, vm: usize, text: &str) {
+    let body = json!({ "model": "drafts", "prompt": text, "max_tokens": 4000, "stream": true });
+    let sent = attohttpc::post(format!("http://{}/v1/completions", cluster.callers(vm)))
+        .bearer_auth("token-of-norrbok")
+        .read_timeout(Duration::from_millis(700))
+        .text(body.to_string())
+        .send();
+    drop(sent);
+}
+
+fn holdings(cluster: &Cluster, id: &str) -> usize {
+    let url = format!("http://{}/holdings", cluster.fake(id).address);
+    let body = attohttpc::get(url)
+        .send()
+        .and_then(attohttpc::Response::bytes);
+    let held: Vec<serde_json::Value> =
+        serde_json::from_slice(&body.expect("holdings")).expect("a list");
+    held.len()
+}
--- a/fakes/src/engine/api.rs
+++ b/fakes/src/engine/api.rs
@@ -5,11 +5,12 @@
 use std::thread;
 use std::time::Duration;
 
+use attohttpc::ProxySettings;
 use crossbeam::channel::Receiver;
 use merlinrudder_wire::announce::WireCache;
 use merlinrudder_wire::engine::{
-    EngineCancel, EngineEvent, EngineHolding, EngineOrder, EngineRefusal, EngineRequest,
-    EngineReserve, prefix_blocks,
+    EngineCancel, EngineEvent, EngineExport, EngineHolding, EngineImport, EngineOrder,
+    EngineRefusal, EngineRequest, EngineReserve, prefix_blocks,
 };
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -23,6 +24,10 @@
 
 /// Time between two looks of a hanging request at whether the engine is dead.
 const HANG_LOOK: Duration = Duration::from_millis(50);
+/// Tokens of one piece of a KV cache.
+const PIECE_TOKENS: u64 = 100_000;
+/// Time for one piece to be taken.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(2);
 
 pub(super) fn handle(shared: &Arc<Shared>, request: Request) {
     let method = request.method().clone();
@@ -44,6 +49,15 @@
                 .with(|model| model.release(&body.request_id, body.attempt));
             (200, json!({}))
         }),
+        (Method::Post, "/kv/import") => take(request, |piece| import(shared, piece)),
+        (Method::Post, "/kv/export") => take(request, |body: EngineReserve| {
+            let key = SequenceKey {
+                request: body.request_id,
+                attempt: body.attempt,
+            };
+            let tokens = shared.runner.with(|model| model.exported(&key));
+            (200, json!(EngineExport { tokens }))
+        }),
         (Method::Post, "/orders") => take(request, |order| obey(shared, order)),
         (Method::Post, "/faults") => take(request, |faults: Faults| {
             *lock(&shared.faults) = faults;
@@ -104,6 +118,48 @@
     }
 }
 
+fn import(shared: &Shared, piece: EngineImport) -> (u16, serde_json::Value) {
+    let key = SequenceKey {
+        request: piece.request_id,
+        attempt: piece.attempt,
+    };
+    match shared.runner.with(|model| model.import(&key, piece.tokens)) {
+        Ok(()) => (200, json!({})),
+        Err(_) => (409, json!({ "reason": "not_reserved", "ran": false })),
+    }
+}
+
+/// Sends what this engine cannot hold to the engines that reserved memory, in pieces.
+fn spread_cache(body: &EngineRequest) -> bool {
+    body.reservations.iter().all(|reservation| {
+        let mut left = reservation.tokens.min(prompt_tokens(&body.prompt));
+        while left > 0 {
+            let tokens = left.min(PIECE_TOKENS);
+            left -= tokens;
+            let piece = EngineImport {
+                request_id: body.request_id.clone(),
+                attempt: body.attempt,
+                tokens,
+                last: left == 0,
+            };
+            if !send_piece(&reservation.address, &piece) {
+                return false;
+            }
+        }
+        true
+    })
+}
+
+fn send_piece(address: &str, piece: &EngineImport) -> bool {
+    let bytes = serde_json::to_vec(piece).unwrap_or_default();
+    let sent = attohttpc::post(format!("http://{address}/kv/import"))
+        .proxy_settings(ProxySettings::builder().build())
+        .timeout(PIECE_TIMEOUT)
+        .bytes(bytes)
+        .send();
+    sent.is_ok_and(|response| response.is_success())
+}
+
 fn obey(shared: &Shared, order: EngineOrder) -> (u16, serde_json::Value) {
     let mut orders = lock(&shared.orders);
     let newest = orders
@@ -232,7 +288,15 @@
         .and_then(|()| writer.flush())
         .is_ok();
     let mut next = body.resume_from;
+    let mut spread = false;
     for index in tokens {
+        if !spread && !spread_cache(body) {
+            // A part of the prompt's cache is lost with its engine.
+            shared.runner.cancel(&body.request_id, body.attempt);
+            mark(shared, &body.request_id, body.attempt, "cancelled");
+            return;
+        }
+        spread = true;
         if index < next {
             continue;
         }
--- a/fakes/src/engine/model.rs
+++ b/fakes/src/engine/model.rs
@@ -93,6 +93,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Reservation {
     tokens: u64,
+    /// Tokens that arrived from the engine that runs the prompt; at most `tokens`.
+    imported: u64,
     expires: Duration,
 }
 
@@ -269,11 +271,41 @@
         if self.memory_used() - other + tokens > self.config.memory {
             return Err(ModelRefusal::Full);
         }
-        self.reservations
-            .insert(key, Reservation { tokens, expires });
+        self.reservations.insert(
+            key,
+            Reservation {
+                tokens,
+                imported: 0,
+                expires,
+            },
+        );
+        Ok(())
+    }
+
+    /// Takes in a piece of a prompt's KV cache.
+    ///
+    /// # Errors
+    /// Refuses what was not reserved.
+    pub fn import(&mut self, key: &SequenceKey, tokens: u64) -> Result<(), ModelRefusal> {
+        let held = self.reservations.get_mut(key).ok_or(ModelRefusal::Full)?;
+        if held.imported + tokens > held.tokens {
+            return Err(ModelRefusal::TooLarge);
+        }
+        held.imported += tokens;
         Ok(())
     }
 
+    /// Returns the tokens of a prompt's KV cache that are held here.
+    #[must_use]
+    pub fn exported(&self, key: &SequenceKey) -> u64 {
+        let running = self
+            .running
+            .iter()
+            .find(|running| running.sequence.key == *key);
+        let computed = running.map_or(0, |r| r.sequence.context - r.prefill_left);
+        computed + self.reservations.get(key).map_or(0, |held| held.imported)
+    }
+
     /// Frees what was reserved for a request up to an attempt.
     pub fn release(&mut self, request: &str, attempt: u32) {
         self.reservations
--- a/wire/src/engine.rs
+++ b/wire/src/engine.rs
@@ -141,3 +141,23 @@
     /// Change role.
     SetRole(String),
 }
+
+/// Body of `POST /kv/import`, from engine to engine: a piece of a prompt's KV cache arrives.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EngineImport {
+    /// The request.
+    pub request_id: String,
+    /// The attempt.
+    pub attempt: u32,
+    /// Tokens of the piece.
+    pub tokens: u64,
+    /// Whether it is the last piece.
+    pub last: bool,
+}
+
+/// Answer to `POST /kv/export`: what an engine holds of a request's KV cache.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct EngineExport {
+    /// Tokens that were imported or computed.
+    pub tokens: u64,
+}
