feature: give engines a priority by prompt length

Cause: shorts waited in an engine behind the prefill of prompts of medium length, since all under 32,000 tokens had one priority. Change: one priority step for each doubling over 1,024 tokens.

--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -10,6 +10,8 @@
 const DEFAULT_TOKEN_BYTES: f64 = 4.0;
 /// Output tokens expected of a customer that never asked before.
 const DEFAULT_OUTPUT: f64 = 200.0;
+/// Prompt tokens up to which a prompt has the first priority at an engine.
+const PRIORITY_TOKENS: u64 = 1024;
 /// Weight of the newest observation in a learned average.
 const LEARNING_RATE: f64 = 0.2;
 /// Most customers and services of which an average is kept.
@@ -51,6 +53,15 @@
         self.prompt + self.max_output
     }
 
+    /// Returns the priority at an engine, which runs lower ones first: one step for each doubling.
+    ///
+    /// A prompt waits at most for others of its own length or shorter.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        let units = (self.prompt.0 / PRIORITY_TOKENS).max(1);
+        u8::try_from(units.ilog2()).unwrap_or(u8::MAX)
+    }
+
     /// Predicts the time until the first token on an idle engine that caches `cached` tokens.
     #[must_use]
     pub fn prefill_time(&self, cached: Tokens, speed: EngineSpeed) -> Duration {
--- a/ctl/src/commands/replay.rs
+++ b/ctl/src/commands/replay.rs
@@ -16,7 +16,7 @@
 use crate::replay::{Options, Policy, replay};
 
 /// Streams that share a step of a busy engine, for the estimate of the fleet's capacity.
-const BUSY_STREAMS: f64 = 16.0;
+const BUSY_STREAMS: f64 = 32.0;
 
 /// Runs the replays asked for and prints a row for each policy.
 pub(super) fn run(matches: &ArgMatches) -> Result<bool> {
--- a/ctl/src/replay/run.rs
+++ b/ctl/src/replay/run.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use merlinrudder_core::dispatch::Dispatcher;
 use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant};
-use merlinrudder_core::estimate::Estimator;
+use merlinrudder_core::estimate::{Estimator, WorkEstimate};
 use merlinrudder_core::manifest::{
     CustomerRule, Manifest, ManifestNumber, Policy as Weighing, ServiceKind, ServiceRule,
 };
@@ -23,7 +23,7 @@
 use super::baseline::{Baseline, BaselineState, SeenEngine};
 use super::fleet::{Engine, server_id, server_number};
 use super::result::{Ended, ReplayResult, Sample};
-use super::trace::{POISON_KIND, Trace, blocks};
+use super::trace::{Arrival, POISON_KIND, Trace, blocks};
 
 /// Time between two ticks of the dispatcher.
 const TICK_MS: u64 = 25;
@@ -39,8 +39,6 @@
 const TAIL_MS: u64 = 900_000;
 /// Bytes of a prompt's token.
 const TOKEN_BYTES: u64 = 4;
-/// Prompts from this size on get the lower priority at the engine, as entries give it.
-const LONG_PROMPT: u64 = 32_000;
 
 /// Who places.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -329,7 +327,7 @@
             blocks: blocks(arrival, index),
             next: self.progress[index].tokens,
             total: arrival.output_tokens,
-            priority: u8::from(arrival.prompt_tokens >= LONG_PROMPT),
+            priority: self.priority(arrival),
             memory: servers[0].1,
         };
         let first = servers[0].0;
@@ -346,6 +344,19 @@
         true
     }
 
+    /// Entries give engines a priority by length; a baseline knows none.
+    fn priority(&self, arrival: &Arrival) -> u8 {
+        if matches!(self.options.policy, Policy::Baseline(_)) {
+            return 0;
+        }
+        let prompt = Tokens(arrival.prompt_tokens);
+        WorkEstimate {
+            prompt,
+            ..WorkEstimate::default()
+        }
+        .priority()
+    }
+
     fn begin_step(&mut self, number: usize) {
         let engine = &mut self.engines[number];
         if engine.step.is_some() || engine.dead || engine.model.is_idle() {
--- a/node/src/front/completions/attempt.rs
+++ b/node/src/front/completions/attempt.rs
@@ -16,12 +16,6 @@
 use crate::control::input::ControlInput;
 use crate::metrics;
 
-/// Priority of a request that fits its service's normal work; longs come after.
-const SHORT_PRIORITY: u8 = 0;
-const LONG_PRIORITY: u8 = 1;
-/// Prompts from this size on get the lower priority at the engine.
-const LONG_PROMPT: Tokens = Tokens(32_000);
-
 /// How an attempt ended.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
@@ -87,14 +81,13 @@
                 address: server.address.to_string(),
                 tokens: server.memory.0,
             });
-        let long = self.work.prompt >= LONG_PROMPT;
         EngineRequest {
             request_id: self.admitted.id.to_string(),
             attempt: self.attempt.0,
             prompt: self.body.prompt.clone(),
             max_tokens: self.work.max_output.0,
             resume_from: self.tokens,
-            priority: if long { LONG_PRIORITY } else { SHORT_PRIORITY },
+            priority: self.work.priority(),
             reservations: others.collect(),
         }
     }
