--- a/core/src/dispatch/ledger.rs
+++ b/core/src/dispatch/ledger.rs
@@ -85,7 +85,7 @@
 pub struct OwnLoad {
     /// Requests.
     pub running: u32,
-    /// Long prompts among them.
+    /// Long prompts among them whose first token has not come.
     pub longs: u32,
     /// Tokens promised.
     pub memory: Tokens,
@@ -178,7 +178,7 @@
                 continue;
             };
             load.running += 1;
-            load.longs += u32::from(running.long);
+            load.longs += u32::from(running.long && !running.started);
             load.memory += share.server.memory;
             load.backlog += running.backlog(now, speed);
             load.apart |= running.alone;
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -24,7 +24,7 @@
     pub backlog: Duration,
     /// Requests that it runs.
     pub running: u32,
-    /// Long prompts that it runs.
+    /// Long prompts that it runs and whose first token has not come.
     pub longs: u32,
     /// Tokens of this prompt that it caches.
     pub cached: Tokens,
