feature: keep heavy prompts together and weigh their disturbance of shorts

Cause: a step that also reads a chunk of a longer prompt takes three to four times as long; prompts of medium length were spread over all engines, so most shorts met one. Change: prefill that waits behind a request is no longer counted as its wait; a short weighs two disturbed steps, a heavy prompt weighs taking an undisturbed engine.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::dispatch::ledger::{Ledger, OwnLoad, Running};
+use crate::dispatch::ledger::{Ledger, LoadQuestion, OwnLoad, Running};
 use crate::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant};
 use crate::estimate::{EngineSpeed, WorkEstimate};
 use crate::manifest::{Manifest, Policy, ServiceKind, ServiceRule};
@@ -108,7 +108,14 @@
             .get(key)
             .map(|server| server.announced.speed)
             .unwrap_or_default();
-        self.ledger.load_of(key, speed, now)
+        self.ledger.load_of(
+            key,
+            &LoadQuestion {
+                now,
+                speed,
+                priority: u8::MAX,
+            },
+        )
     }
 
     /// Returns the requests that are placed on a server.
--- a/core/src/dispatch/ledger.rs
+++ b/core/src/dispatch/ledger.rs
@@ -10,6 +10,9 @@
 use crate::time::Moment;
 use crate::units::{AttemptId, ContentDigest, RequestId, Tokens};
 
+/// Priority from which on a prompt takes so many steps to read that it disturbs shorter ones.
+pub const HEAVY_PRIORITY: u8 = 3;
+
 /// Part of a request that one server holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Share {
@@ -37,6 +40,8 @@
     pub servers: Vec<Share>,
     /// Prompt tokens that were not cached when it was placed.
     pub prefill: Tokens,
+    /// Its priority at the engine; lower ones run first.
+    pub priority: u8,
     /// Whether it counts as long.
     pub long: bool,
     /// Whether it must run alone.
@@ -89,12 +94,25 @@
     pub longs: u32,
     /// Tokens promised.
     pub memory: Tokens,
-    /// Prefill time still to come.
+    /// Prefill time still to come of requests that the engine runs before the one in question.
     pub backlog: Duration,
+    /// Whether prefill that fills the engine's steps is still to come.
+    pub disturbed: bool,
     /// Whether a suspect runs there.
     pub apart: bool,
 }
 
+/// For which request a load is summed.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadQuestion {
+    /// Now.
+    pub now: Moment,
+    /// Speed of the server.
+    pub speed: EngineSpeed,
+    /// Priority of the request at the engine.
+    pub priority: u8,
+}
+
 /// Placed requests by id.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -163,7 +181,7 @@
 
     /// Sums what was placed on a server.
     #[must_use]
-    pub fn load_of(&self, key: &ServerKey, speed: EngineSpeed, now: Moment) -> OwnLoad {
+    pub fn load_of(&self, key: &ServerKey, question: &LoadQuestion) -> OwnLoad {
         let mut load = OwnLoad::default();
         for running in self
             .running
@@ -180,7 +198,11 @@
             load.running += 1;
             load.longs += u32::from(running.long && !running.started);
             load.memory += share.server.memory;
-            load.backlog += running.backlog(now, speed);
+            let left = running.backlog(question.now, question.speed);
+            if running.priority <= question.priority {
+                load.backlog += left;
+            }
+            load.disturbed |= running.priority >= HEAVY_PRIORITY && !left.is_zero();
             load.apart |= running.alone;
         }
         load
--- a/core/src/dispatch/placing.rs
+++ b/core/src/dispatch/placing.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::ledger::{Running, Share};
+use super::ledger::{LoadQuestion, Running, Share};
 use super::message::{Ask, DispatchOutput, Grant, GrantedServer};
 use super::{Dispatcher, Pending};
 use crate::manifest::Policy;
@@ -119,7 +119,13 @@
 
     fn candidate(&self, now: Moment, ask: &Ask, server: &KnownServer) -> Candidate {
         let announced = &server.announced;
-        let own = self.ledger.load_of(&announced.key(), announced.speed, now);
+        let priority = ask.work.priority();
+        let question = LoadQuestion {
+            now,
+            speed: announced.speed,
+            priority,
+        };
+        let own = self.ledger.load_of(&announced.key(), &question);
         // Requests that wait inside the server were placed by others; they count as taken slots.
         let foreign = announced.load.waiting;
         Candidate {
@@ -131,6 +137,7 @@
                 .saturating_sub(own.running)
                 .saturating_sub(foreign),
             backlog: own.backlog,
+            disturbed: own.disturbed,
             running: own.running,
             longs: own.longs,
             cached: cached_tokens(ask, server),
@@ -166,6 +173,7 @@
             digest: ask.digest,
             servers,
             prefill: ask.work.prompt.saturating_sub(cached),
+            priority: ask.work.priority(),
             long: pending.long,
             alone: self.suspects.suspicion(&ask.digest) == Suspicion::Suspect,
             since: now,
@@ -185,7 +193,7 @@
             let Some(server) = self.registry.get(&key) else {
                 continue;
             };
-            let own = self.ledger.load_of(&key, server.announced.speed, now);
+            let own = self.load_of(&key, now);
             let memory = need.min(server.announced.memory.saturating_sub(own.memory));
             need = need.saturating_sub(memory);
             let server = GrantedServer {
--- a/core/src/held.rs
+++ b/core/src/held.rs
@@ -358,6 +358,7 @@
             digest: self.ask.digest,
             servers: servers.iter().map(share).collect(),
             prefill: self.ask.work.prompt,
+            priority: self.ask.work.priority(),
             long: false,
             alone: false,
             since,
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::dispatch::ledger::HEAVY_PRIORITY;
 use crate::estimate::{EngineSpeed, WorkEstimate};
 use crate::names::ServerId;
 use crate::units::Tokens;
@@ -9,6 +10,13 @@
 /// Most engines that one prompt may be spread over.
 pub const MAX_GROUP: usize = 8;
 
+/// Prompt tokens that an engine reads in one step.
+const CHUNK: Tokens = Tokens(2048);
+/// Most that it weighs to take an undisturbed engine away from shorts.
+const MAX_SPOILING: Duration = Duration::from_millis(500);
+/// Steps of a prompt that longer ones in progress slow down.
+const DISTURBED_STEPS: u32 = 2;
+
 /// A backend server as the dispatcher sees it when it places a request.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -20,8 +28,10 @@
     pub free: Tokens,
     /// Requests that it can take besides those it has.
     pub free_slots: u32,
-    /// Predicted prefill time that it still has before it.
+    /// Predicted prefill time of requests that it runs before this one.
     pub backlog: Duration,
+    /// Whether it has heavy prefill in progress, which slows each of its steps.
+    pub disturbed: bool,
     /// Requests that it runs.
     pub running: u32,
     /// Long prompts that it runs and whose first token has not come.
@@ -154,10 +164,25 @@
     candidate.longs == 0 && holding < question.long_servers
 }
 
-/// Predicted time to the first token, and for a short the disturbance by running longs.
+/// Predicted time to the first token.
+///
+/// A step that also reads a chunk of a longer prompt takes that chunk's time too.
 fn single_cost(question: &PlacementQuestion, candidate: &Candidate) -> Duration {
-    candidate.backlog
-        + question
-            .work
-            .prefill_time(candidate.cached, candidate.speed)
+    let own = question
+        .work
+        .prefill_time(candidate.cached, candidate.speed);
+    let chunk = WorkEstimate {
+        prompt: CHUNK,
+        ..question.work
+    }
+    .prefill_time(Tokens(0), candidate.speed);
+    let heavy = question.work.priority() >= HEAVY_PRIORITY;
+    let disturbance = match (heavy, candidate.disturbed) {
+        // A short waits for the steps that the heavy one fills.
+        (false, true) => chunk * DISTURBED_STEPS,
+        // A heavy one takes an engine away from the shorts.
+        (true, false) => own.min(MAX_SPOILING),
+        (false, false) | (true, true) => Duration::ZERO,
+    };
+    candidate.backlog + own + disturbance
 }
--- a/ctl/src/commands/replay.rs
+++ b/ctl/src/commands/replay.rs
@@ -128,7 +128,7 @@
 
 fn head() -> String {
     format!(
-        "{:>15} {:>21} {:>21} {:>21} {:>9} {:>9} {:>8} {:>9} {:>5} {:>7}",
+        "{:>15} {:>21} {:>21} {:>21} {:>15} {:>9} {:>8} {:>9} {:>5} {:>7}",
         "policy",
         "< 2k p50/p95/p99 ms",
         "< 10k",
@@ -157,11 +157,14 @@
         })
     };
     format!(
-        "{name:>15} {:>21} {:>21} {:>21} {:>9.2} {:>9} {:>8} {:>9.0} {:>5.2} {:>7.2}{}",
+        "{name:>15} {:>21} {:>21} {:>21} {:>15} {:>9} {:>8} {:>9.0} {:>5.2} {:>7.2}{}",
         class(2_000),
         class(10_000),
         class(u64::MAX),
-        beside as f64 / alone.max(1) as f64,
+        format!(
+            "{:.2} {beside}/{alone}",
+            beside as f64 / alone.max(1) as f64
+        ),
         format!("{}/{}", result.longs.1, result.longs.0),
         result.refused,
         result.goodput,
--- a/ctl/tests/integration/main.rs
+++ b/ctl/tests/integration/main.rs
@@ -5,5 +5,6 @@
 mod faults;
 mod plain_calls;
 mod planned_stop;
+mod replays;
 mod util;
 mod whole_path;
