--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -7,6 +7,7 @@
 mod overhead;
 pub mod replay;
 mod report;
+mod slopes;
 
 use std::path::PathBuf;
 
@@ -33,6 +34,7 @@
         "overhead" => overhead::run(sub),
         "replay" => replay::run(sub),
         "report" => report::run(sub),
+        "slopes" => slopes::run(sub),
         "demo" => demo::run(),
         other => bail!("the command {other} is unknown"),
     }
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -21,6 +21,7 @@
         .subcommand(overhead())
         .subcommand(replay())
         .subcommand(report())
+        .subcommand(slopes())
         .subcommand(demo())
 }
 
@@ -200,6 +201,16 @@
         )
 }
 
+fn slopes() -> Command {
+    Command::new("slopes")
+        .about("Measure what control costs a VM at several sizes")
+        .arg(
+            option("sizes", "COUNTS", "Numbers of VMs, with commas")
+                .default_value("6,12,24,48")
+                .value_delimiter(','),
+        )
+}
+
 fn demo() -> Command {
     Command::new("demo").about("Show a whole deployment in one process, with stand-ins and faults")
 }
