bug: clear suspects by their first token, and index the ledger by server

Ruled out: convicting the only suspect on a dead server even where it was cleared: tried first, two tests failed (an innocent that met two unrelated deaths was refused), so the rule now convicts only one that was not cleared. Change: a suspect is kept apart until its first token; a stream resumes at the token before which it broke off, so a crash that repeats comes before that. After 300 ms without an empty engine it takes the one with the fewest others. One that dies again after it was cleared is kept apart to its end. Bound: two servers lost to a request that crashes by its first token, three to one that crashes later. What remains: an unrelated death in the tenth of a second before a suspect's first token convicts it.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::dispatch::ledger::{Ledger, LoadQuestion, OwnLoad, Running};
+use crate::dispatch::ledger::{Apart, Ledger, LoadQuestion, OwnLoad, Running};
 use crate::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant};
 use crate::estimate::{EngineSpeed, WorkEstimate};
 use crate::manifest::{Manifest, Policy, ServiceKind, ServiceRule};
@@ -35,6 +35,7 @@
 #[derive(Clone, Debug)]
 struct Pending {
     ask: Ask,
+    since: Moment,
     deadline: Moment,
     long: bool,
 }
@@ -146,8 +147,17 @@
     }
 
     /// Takes in that an attempt made its first token.
-    pub fn started(&mut self, request: RequestId, attempt: AttemptId) {
+    pub fn started(&mut self, now: Moment, request: RequestId, attempt: AttemptId) {
+        let running = self
+            .ledger
+            .get(request)
+            .filter(|running| running.attempt == attempt);
+        let frees = running.filter(|running| running.apart != Apart::No || running.long);
+        let service = frees.map(|running| running.service.clone());
         self.ledger.started(request, attempt);
+        if let Some(service) = service {
+            self.place_service(now, &service);
+        }
     }
 
     /// Takes in the end of an attempt and places what waited for its room.
@@ -391,6 +401,7 @@
             ask.request,
             Pending {
                 ask,
+                since: now,
                 deadline,
                 long,
             },
@@ -472,11 +483,10 @@
 
     /// Makes every request that ran on a dead process of this server a suspect, once a death.
     fn blame_running(&mut self, now: Moment, key: &ServerKey, alive: Option<u64>) {
-        for content in self.ledger.blame(key, alive) {
-            if self.suspects.server_died(now, content) == Suspicion::Convicted {
-                self.outputs.push(DispatchOutput::Convict(content));
-                self.refuse_convicted(content);
-            }
+        let blamed = self.ledger.blame(key, alive);
+        if let Some(content) = self.suspects.server_died(now, &blamed) {
+            self.outputs.push(DispatchOutput::Convict(content));
+            self.refuse_convicted(content);
         }
     }
 
--- a/core/src/dispatch/ledger.rs
+++ b/core/src/dispatch/ledger.rs
@@ -1,18 +1,31 @@
 //! What the dispatcher promised to whom, from its own placements rather than from late reports.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::message::GrantedServer;
 use crate::estimate::EngineSpeed;
 use crate::names::{CustomerName, ServerId, ServiceName, VmId};
 use crate::registry::ServerKey;
+use crate::suspects::Blamed;
 use crate::time::Moment;
 use crate::units::{AttemptId, ContentDigest, RequestId, Tokens};
 
 /// Priority from which on a prompt takes so many steps to read that it disturbs shorter ones.
 pub const HEAVY_PRIORITY: u8 = 3;
 
+/// Whether nothing else is placed beside a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Apart {
+    /// Others may run beside it.
+    #[default]
+    No,
+    /// It is a suspect that is cleared by its first token.
+    UntilFirstToken,
+    /// It is a suspect that only its end clears.
+    ToTheEnd,
+}
+
 /// Part of a request that one server holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Share {
@@ -44,8 +57,8 @@
     pub priority: u8,
     /// Whether it counts as long.
     pub long: bool,
-    /// Whether it must run alone.
-    pub alone: bool,
+    /// Whether others are kept away from it.
+    pub apart: Apart,
     /// When it was placed.
     pub since: Moment,
     /// Whether its first token came.
@@ -71,6 +84,14 @@
             .collect()
     }
 
+    fn server_keys(&self) -> Vec<ServerKey> {
+        let key = |share: &Share| ServerKey {
+            service: self.service.clone(),
+            id: share.server.id.clone(),
+        };
+        self.servers.iter().map(key).collect()
+    }
+
     fn backlog(&self, now: Moment, speed: EngineSpeed) -> Duration {
         if self.started {
             return Duration::ZERO;
@@ -117,6 +138,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     running: BTreeMap<RequestId, Running>,
+    /// Requests on each server; holds exactly the shares of `running`.
+    by_server: BTreeMap<ServerKey, BTreeSet<RequestId>>,
 }
 
 impl Ledger {
@@ -140,6 +163,10 @@
 
     /// Enters a placement in place of an older one of the same request.
     pub fn insert(&mut self, request: RequestId, running: Running) {
+        self.remove(request);
+        for key in running.server_keys() {
+            self.by_server.entry(key).or_default().insert(request);
+        }
         self.running.insert(request, running);
     }
 
@@ -148,6 +175,9 @@
         let running = self.running.get_mut(&request);
         if let Some(running) = running.filter(|running| running.attempt == attempt) {
             running.started = true;
+            if running.apart == Apart::UntilFirstToken {
+                running.apart = Apart::No;
+            }
         }
     }
 
@@ -156,18 +186,33 @@
         if self.running.get(&request)?.attempt != attempt {
             return None;
         }
-        self.running.remove(&request)
+        self.remove(request)
     }
 
     /// Ends whatever attempt of the request runs.
     pub fn remove(&mut self, request: RequestId) -> Option<Running> {
-        self.running.remove(&request)
+        let running = self.running.remove(&request)?;
+        for key in running.server_keys() {
+            if let Some(requests) = self.by_server.get_mut(&key) {
+                requests.remove(&request);
+                if requests.is_empty() {
+                    self.by_server.remove(&key);
+                }
+            }
+        }
+        Some(running)
     }
 
     /// Ends all requests of an entry VM.
     pub fn remove_entry(&mut self, vm: &VmId) -> Vec<(RequestId, Running)> {
-        self.running
-            .extract_if(.., |_, running| running.entry == *vm)
+        let of_entry = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.entry == *vm);
+        let requests: Vec<_> = of_entry.map(|(request, _)| *request).collect();
+        requests
+            .into_iter()
+            .filter_map(|id| Some((id, self.remove(id)?)))
             .collect()
     }
 
@@ -184,15 +229,14 @@
     pub fn load_of(&self, key: &ServerKey, question: &LoadQuestion) -> OwnLoad {
         let mut load = OwnLoad::default();
         for running in self
-            .running
-            .values()
-            .filter(|running| running.service == key.service)
+            .on_server(key)
+            .filter_map(|request| self.running.get(&request))
         {
-            let Some(share) = running
+            let held = running
                 .servers
                 .iter()
-                .find(|share| share.server.id == key.id)
-            else {
+                .find(|share| share.server.id == key.id);
+            let Some(share) = held else {
                 continue;
             };
             load.running += 1;
@@ -203,7 +247,7 @@
                 load.backlog += left;
             }
             load.disturbed |= running.priority >= HEAVY_PRIORITY && !left.is_zero();
-            load.apart |= running.alone;
+            load.apart |= running.apart != Apart::No;
         }
         load
     }
@@ -211,27 +255,26 @@
     /// Returns the requests on a server.
     #[must_use]
     pub fn placed_at(&self, key: &ServerKey) -> Vec<(RequestId, AttemptId)> {
-        let there = |running: &Running| {
-            running.service == key.service
-                && running
-                    .servers
-                    .iter()
-                    .any(|share| share.server.id == key.id)
-        };
-        let placed = self.running.iter().filter(|(_, running)| there(running));
-        placed
-            .map(|(request, running)| (*request, running.attempt))
-            .collect()
+        let attempt = |request| Some((request, self.running.get(&request)?.attempt));
+        self.on_server(key).filter_map(attempt).collect()
+    }
+
+    fn on_server(&self, key: &ServerKey) -> impl Iterator<Item = RequestId> {
+        self.by_server.get(key).into_iter().flatten().copied()
     }
 
-    /// Returns the contents that ran on processes of a server other than `alive`, each once.
-    pub fn blame(&mut self, key: &ServerKey, alive: Option<u64>) -> Vec<ContentDigest> {
+    /// Returns the requests that ran on processes of a server other than `alive`, each once.
+    pub fn blame(&mut self, key: &ServerKey, alive: Option<u64>) -> Vec<Blamed> {
         let mut blamed = Vec::new();
-        for running in self
-            .running
-            .values_mut()
-            .filter(|running| running.service == key.service)
-        {
+        let requests: Vec<_> = self.on_server(key).collect();
+        for request in requests {
+            let Some(running) = self.running.get_mut(&request) else {
+                continue;
+            };
+            let known = Blamed {
+                content: running.digest,
+                cleared: running.apart == Apart::No,
+            };
             for share in running
                 .servers
                 .iter_mut()
@@ -239,7 +282,7 @@
             {
                 if !share.blamed && Some(share.server.incarnation) != alive {
                     share.blamed = true;
-                    blamed.push(running.digest);
+                    blamed.push(known);
                 }
             }
         }
--- a/core/src/dispatch/placing.rs
+++ b/core/src/dispatch/placing.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::ledger::{LoadQuestion, Running, Share};
+use super::ledger::{Apart, LoadQuestion, Running, Share};
 use super::message::{Ask, DispatchOutput, Grant, GrantedServer};
 use super::{Dispatcher, Pending};
 use crate::manifest::Policy;
 use crate::names::{ServerId, ServiceName};
 use crate::outcome::{Refusal, RefusalReason};
-use crate::placement::{Candidate, PlacementQuestion, PlacementResult, place};
+use crate::placement::{Candidate, Isolation, PlacementQuestion, PlacementResult, place};
 use crate::registry::{KnownServer, ServerKey};
 use crate::suspects::Suspicion;
 use crate::time::Moment;
@@ -18,6 +18,9 @@
 /// Prompt tokens that one block of a prefix hash covers.
 pub const BLOCK_TOKENS: usize = 256;
 
+/// Time that a suspect waits for an empty server before it takes one with few others.
+const SUSPECT_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Which of a service's two queues is looked at.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Class {
@@ -98,7 +101,7 @@
         let question = PlacementQuestion {
             work: ask.work,
             long: pending.long,
-            alone: self.suspects.suspicion(&ask.digest) == Suspicion::Suspect,
+            isolation: self.isolation(now, pending),
             long_servers: long_servers(candidates.len(), policy),
         };
         let all = candidates.clone();
@@ -110,6 +113,15 @@
         }
     }
 
+    fn isolation(&self, now: Moment, pending: &Pending) -> Isolation {
+        let patient = now.since(pending.since) < SUSPECT_PATIENCE;
+        match self.suspects.suspicion(&pending.ask.digest) {
+            Suspicion::Clear | Suspicion::Convicted => Isolation::Among,
+            Suspicion::Suspect | Suspicion::StrictSuspect if patient => Isolation::Alone,
+            Suspicion::Suspect | Suspicion::StrictSuspect => Isolation::Apart,
+        }
+    }
+
     fn candidates(&self, now: Moment, ask: &Ask) -> Vec<Candidate> {
         let servers = self.registry.of_service(&ask.service);
         servers
@@ -165,6 +177,7 @@
         });
         let first = first.and_then(|key| self.registry.get(&key));
         let cached = first.map_or(Tokens(0), |server| cached_tokens(ask, server));
+        let suspicion = self.suspects.suspicion(&ask.digest);
         Running {
             attempt: ask.attempt,
             entry: ask.entry.clone(),
@@ -175,7 +188,11 @@
             prefill: ask.work.prompt.saturating_sub(cached),
             priority: ask.work.priority(),
             long: pending.long,
-            alone: self.suspects.suspicion(&ask.digest) == Suspicion::Suspect,
+            apart: match suspicion {
+                Suspicion::Clear | Suspicion::Convicted => Apart::No,
+                Suspicion::Suspect => Apart::UntilFirstToken,
+                Suspicion::StrictSuspect => Apart::ToTheEnd,
+            },
             since: now,
             started: false,
         }
--- a/core/src/held.rs
+++ b/core/src/held.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::dispatch::ledger::{Running, Share};
+use crate::dispatch::ledger::{Apart, Running, Share};
 use crate::dispatch::message::{Ask, AttemptEnd, Finish, Grant, GrantedServer};
 use crate::names::{ServiceName, VmId, ZoneName};
 use crate::outcome::{Refusal, RefusalReason, RetryReason, RunState};
@@ -360,7 +360,7 @@
             prefill: self.ask.work.prompt,
             priority: self.ask.work.priority(),
             long: false,
-            alone: false,
+            apart: Apart::No,
             since,
             started,
         }
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -51,12 +51,23 @@
     pub work: WorkEstimate,
     /// Whether the request counts as long.
     pub long: bool,
-    /// Whether the request must run alone.
-    pub alone: bool,
+    /// Beside whom the request may run.
+    pub isolation: Isolation,
     /// Most servers that may hold long prompts.
     pub long_servers: usize,
 }
 
+/// Beside whom a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Isolation {
+    /// Beside anyone.
+    Among,
+    /// Beside anyone but a suspect, and with as few as can be.
+    Apart,
+    /// Beside nobody.
+    Alone,
+}
+
 /// What a placement found.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PlacementResult {
@@ -100,8 +111,10 @@
         .filter(|candidate| candidate.free >= need && is_open(question, candidate))
         .filter(|candidate| !question.long || long_allowed(question, candidates, candidate))
         .min_by_key(|candidate| {
+            let cost = single_cost(question, candidate);
             (
-                single_cost(question, candidate),
+                company(question, candidate),
+                cost,
                 candidate.running,
                 &candidate.id,
             )
@@ -151,7 +164,7 @@
 
 fn is_open(question: &PlacementQuestion, candidate: &Candidate) -> bool {
     let room = candidate.free_slots > 0 && !candidate.apart;
-    room && (!question.alone || candidate.running == 0)
+    room && (question.isolation != Isolation::Alone || candidate.running == 0)
 }
 
 /// Long prompts may go where one runs already, or to a further server while few hold one.
@@ -186,3 +199,12 @@
     };
     candidate.backlog + own + disturbance
 }
+
+/// How many others a suspect could harm; nobody else weighs that.
+fn company(question: &PlacementQuestion, candidate: &Candidate) -> u32 {
+    if question.isolation == Isolation::Among {
+        0
+    } else {
+        candidate.running
+    }
+}
--- a/core/src/suspects.rs
+++ b/core/src/suspects.rs
@@ -1,7 +1,8 @@
 //! Requests that may be what killed a backend server.
 //!
-//! A dead server makes every request that it ran a suspect. Suspects run alone on a server, so the
-//! next death names one request, and innocents are not harmed twice by the same one.
+//! A dead server makes every request that it ran a suspect. A suspect reads its prompt apart from
+//! other suspects, so that the next death names one request; once its first token came it is
+//! cleared to run among others, since a stream resumes at the very token before which it broke off.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -9,27 +10,37 @@
 use crate::time::Moment;
 use crate::units::ContentDigest;
 
-/// Deaths of backend servers that convict a request.
-pub const CONVICTING_DEATHS: u32 = 2;
 /// How long a suspicion or a verdict holds without a further death.
 const SUSPICION_LIFE: Duration = Duration::from_hours(1);
 /// Most contents under suspicion at once; the oldest go first.
 const MAX_SUSPECTS: usize = 4096;
 
 /// What is known about a content.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Suspicion {
     /// Nothing speaks against it.
     Clear,
-    /// It ran on one server that died; it runs alone.
+    /// It ran on one server that died; it reads its prompt apart from other suspects.
     Suspect,
+    /// It ran on two servers that died and was cleared on one; it is kept apart to its end.
+    StrictSuspect,
     /// It is refused.
     Convicted,
 }
 
+/// A request that ran on a server when that died.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Blamed {
+    /// Its content.
+    pub content: ContentDigest,
+    /// Whether its first token had come there, so that it was cleared.
+    pub cleared: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
-    deaths: u32,
+    /// Never `Clear`.
+    suspicion: Suspicion,
     last: Moment,
 }
 
@@ -43,43 +54,43 @@
     /// Returns what is known about a content.
     #[must_use]
     pub fn suspicion(&self, content: &ContentDigest) -> Suspicion {
-        match self.records.get(content) {
-            None => Suspicion::Clear,
-            Some(record) if record.deaths < CONVICTING_DEATHS => Suspicion::Suspect,
-            Some(_) => Suspicion::Convicted,
-        }
+        self.records
+            .get(content)
+            .map_or(Suspicion::Clear, |record| record.suspicion)
     }
 
-    /// Counts the death of a server that ran this content; returns what is now known about it.
-    pub fn server_died(&mut self, now: Moment, content: ContentDigest) -> Suspicion {
-        if self.records.len() >= MAX_SUSPECTS && !self.records.contains_key(&content) {
-            self.forget_oldest();
+    /// Takes in the death of a server with all that ran there; returns what is convicted by it.
+    ///
+    /// The only suspect there that was not cleared is convicted. Where there was none or several, all
+    /// suspects there run alone from now on. All others become suspects.
+    pub fn server_died(&mut self, now: Moment, blamed: &[Blamed]) -> Option<ContentDigest> {
+        let before = |b: &&Blamed| self.suspicion(&b.content) != Suspicion::Clear;
+        let suspects: Vec<_> = blamed.iter().filter(before).copied().collect();
+        for blamed in blamed {
+            let known = self.suspicion(&blamed.content);
+            self.note(now, blamed.content, known.max(Suspicion::Suspect));
+        }
+        let open: Vec<_> = suspects.iter().filter(|suspect| !suspect.cleared).collect();
+        if let [only] = open.as_slice() {
+            self.convict(now, only.content);
+            return Some(only.content);
         }
-        let record = self.records.entry(content).or_insert(Record {
-            deaths: 0,
-            last: now,
-        });
-        record.deaths += 1;
-        record.last = now;
-        self.suspicion(&content)
+        for suspect in suspects {
+            self.note(now, suspect.content, Suspicion::StrictSuspect);
+        }
+        None
     }
 
     /// Clears a suspect that ran to its end.
     pub fn ran_to_end(&mut self, content: &ContentDigest) {
-        if self.suspicion(content) == Suspicion::Suspect {
+        if self.suspicion(content) < Suspicion::Convicted {
             self.records.remove(content);
         }
     }
 
     /// Takes in a verdict of another VM.
     pub fn convict(&mut self, now: Moment, content: ContentDigest) {
-        self.records.insert(
-            content,
-            Record {
-                deaths: CONVICTING_DEATHS,
-                last: now,
-            },
-        );
+        self.note(now, content, Suspicion::Convicted);
     }
 
     /// Forgets what is older than its life.
@@ -88,6 +99,19 @@
             .retain(|_, record| now.since(record.last) < SUSPICION_LIFE);
     }
 
+    fn note(&mut self, now: Moment, content: ContentDigest, suspicion: Suspicion) {
+        if self.records.len() >= MAX_SUSPECTS && !self.records.contains_key(&content) {
+            self.forget_oldest();
+        }
+        self.records.insert(
+            content,
+            Record {
+                suspicion,
+                last: now,
+            },
+        );
+    }
+
     fn forget_oldest(&mut self) {
         let oldest = self.records.iter().min_by_key(|(_, record)| record.last);
         if let Some(content) = oldest.map(|(content, _)| *content) {
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -5,4 +5,5 @@
 mod dispatch;
 mod log_fuzz;
 mod membership;
+mod suspects;
 mod util;
--- /dev/null
+++ b/core/tests/integration/suspects.rs
@@ -0,0 +1,66 @@
+//! Who is convicted when servers die.
+
+use merlinrudder_core::suspects::{Blamed, SuspectTable, Suspicion};
+use merlinrudder_core::time::Moment;
+use merlinrudder_core::units::ContentDigest;
+
+const NOW: Moment = Moment::from_millis(1_000_000);
+
+fn content(number: u8) -> ContentDigest {
+    ContentDigest([number; 32])
+}
+
+fn ran(number: u8, cleared: bool) -> Blamed {
+    Blamed {
+        content: content(number),
+        cleared,
+    }
+}
+
+#[test]
+fn the_only_suspect_that_was_not_cleared_is_convicted_by_the_second_death() {
+    let mut suspects = SuspectTable::default();
+    assert_eq!(
+        suspects.server_died(NOW, &[ran(1, true), ran(2, true)]),
+        None
+    );
+    let second = [ran(1, false), ran(2, true), ran(3, true)];
+    assert_eq!(suspects.server_died(NOW, &second), Some(content(1)));
+    assert_eq!(suspects.suspicion(&content(2)), Suspicion::Suspect);
+    assert_eq!(suspects.suspicion(&content(3)), Suspicion::Suspect);
+}
+
+/// Found by a replay: an innocent stream that met two unrelated deaths was convicted.
+#[test]
+fn a_cleared_suspect_is_not_convicted_by_an_unrelated_death() {
+    let mut suspects = SuspectTable::default();
+    suspects.server_died(NOW, &[ran(1, true)]);
+    assert_eq!(
+        suspects.server_died(NOW, &[ran(1, true), ran(2, true)]),
+        None
+    );
+    assert_eq!(suspects.suspicion(&content(1)), Suspicion::StrictSuspect);
+}
+
+#[test]
+fn one_that_crashes_late_is_convicted_by_the_third_death() {
+    let mut suspects = SuspectTable::default();
+    suspects.server_died(NOW, &[ran(1, true)]);
+    suspects.server_died(NOW, &[ran(1, true), ran(2, true)]);
+    // A strict suspect is kept apart to its end, so it is not cleared by its first token.
+    assert_eq!(
+        suspects.server_died(NOW, &[ran(1, false)]),
+        Some(content(1))
+    );
+}
+
+#[test]
+fn one_that_ran_to_its_end_is_clear_and_a_convicted_one_stays_so() {
+    let mut suspects = SuspectTable::default();
+    suspects.server_died(NOW, &[ran(1, true)]);
+    suspects.ran_to_end(&content(1));
+    assert_eq!(suspects.suspicion(&content(1)), Suspicion::Clear);
+    suspects.convict(NOW, content(2));
+    suspects.ran_to_end(&content(2));
+    assert_eq!(suspects.suspicion(&content(2)), Suspicion::Convicted);
+}
--- a/ctl/src/commands/slopes.rs
+++ b/ctl/src/commands/slopes.rs
@@ -1,5 +1,7 @@
 //! Measures what control costs a VM at several sizes, with VMs of this process and no traffic.
 
+mod core_costs;
+
 use std::fs;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -52,6 +54,8 @@
             row.vms, row.cpu_percent, row.memory_kib, row.mesh_bytes, row.publish_ms
         );
     }
+    core_costs::print_placements();
+    core_costs::print_claims();
     Ok(true)
 }
 
--- /dev/null
+++ b/ctl/src/commands/slopes/core_costs.rs
@@ -0,0 +1,193 @@
+//! What single decisions cost at several sizes, without sockets.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use merlinrudder_core::claims::{ClaimKey, ClaimState};
+use merlinrudder_core::control::{Command, ControlState};
+use merlinrudder_core::dispatch::Dispatcher;
+use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish};
+use merlinrudder_core::estimate::{EngineSpeed, WorkEstimate};
+use merlinrudder_core::manifest::{
+    CustomerRule, Manifest, ManifestNumber, Policy, ServiceKind, ServiceRule,
+};
+use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId, ZoneName};
+use merlinrudder_core::registry::{Announcement, CacheEvents, LoadReport};
+use merlinrudder_core::time::Moment;
+use merlinrudder_core::units::{AttemptId, ContentDigest, RequestId, Tokens};
+use merlinrudder_wire::control::{decode_state, encode_state};
+
+/// Requests that run on each engine while a placement is timed.
+const RUNNING: u128 = 16;
+/// Placements that are timed.
+const PLACEMENTS: u128 = 2_000;
+const CUSTOMERS: u128 = 320;
+
+/// Prints what one placement costs by the number of engines.
+pub(super) fn print_placements() {
+    println!(
+        "\nengines in the zone, microseconds a request at the dispatcher (ask, start, finish)"
+    );
+    for engines in [30, 60, 120, 240] {
+        println!("{engines}, {:.1}", placement_micros(engines));
+    }
+}
+
+fn placement_micros(engines: u128) -> f64 {
+    let now = Moment::from_millis(1_000_000);
+    let mut dispatcher = Dispatcher::open(now);
+    dispatcher.set_manifest(manifest());
+    for number in 0..engines {
+        dispatcher.announce(now, announcement(number));
+    }
+    let mut waiting = 0;
+    for request in 0..engines * RUNNING {
+        dispatcher.ask(now, ask(request));
+        waiting += usize::from(dispatcher.take_outputs().is_empty());
+    }
+    assert_eq!(waiting, 0, "the fleet has room for all");
+    let start = Instant::now();
+    for turn in 0..PLACEMENTS {
+        let (old, new) = (turn, turn + engines * RUNNING);
+        let finish = |request| Finish {
+            request: RequestId(request),
+            attempt: AttemptId(1),
+            end: AttemptEnd::Complete,
+        };
+        dispatcher.finish(now, &finish(old));
+        dispatcher.ask(now, ask(new));
+        dispatcher.started(now, RequestId(new), AttemptId(1));
+        let outputs = dispatcher.take_outputs();
+        assert!(
+            matches!(outputs.as_slice(), [DispatchOutput::Grant(_)]),
+            "{outputs:?}"
+        );
+    }
+    per_turn(start.elapsed(), PLACEMENTS)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn per_turn(time: Duration, turns: u128) -> f64 {
+    time.as_secs_f64() * 1e6 / turns as f64
+}
+
+/// Prints what claims take in memory, in a snapshot and at a start.
+pub(super) fn print_claims() {
+    println!("\nclaims, microseconds a claim and record, snapshot bytes a claim, restore ms");
+    for count in [10_000_u32, 100_000, 1_000_000] {
+        let mut state = ControlState::default();
+        let start = Instant::now();
+        for number in 0..count {
+            claim(&mut state, number);
+        }
+        let apply = per_turn(start.elapsed(), u128::from(count));
+        let snapshot = encode_state(&state);
+        drop(state);
+        let start = Instant::now();
+        let restored = decode_state(&snapshot).map(|state| state.claims.len());
+        let restore = start.elapsed().as_millis();
+        assert_eq!(restored, Ok(count as usize));
+        println!(
+            "{count}, {apply:.2}, {}, {restore}",
+            snapshot.len() / count as usize
+        );
+    }
+}
+
+fn claim(state: &mut ControlState, number: u32) {
+    let key = ClaimKey {
+        customer: customer(u128::from(number) % CUSTOMERS),
+        service: ServiceName::from("filing"),
+        key: Arc::from(format!("report-2026-{number:09}")),
+    };
+    let owner = RequestId(u128::from(number));
+    let now = Moment::from_millis(u64::from(number));
+    let content = ContentDigest([7; 32]);
+    state.apply(Command::Claim {
+        key: key.clone(),
+        owner,
+        content,
+        now,
+    });
+    state.apply(Command::Record {
+        key,
+        owner,
+        state: ClaimState::Unknown,
+    });
+}
+
+fn customer(number: u128) -> CustomerName {
+    CustomerName::from(format!("customer-{number}"))
+}
+
+fn manifest() -> Arc<Manifest> {
+    let rule = ServiceRule {
+        name: ServiceName::from("model"),
+        kind: ServiceKind::Model,
+        zones: Vec::new(),
+        models: Vec::new(),
+        deadline: Duration::from_mins(2),
+        thousand_deadline: Duration::ZERO,
+        max_output: Tokens(4096),
+        retry_percent: 10,
+        queue_limit: 10_000,
+        checks_fencing: true,
+        routes: Vec::new(),
+    };
+    let customers = (0..CUSTOMERS).map(|number| {
+        let rule = CustomerRule {
+            name: customer(number),
+            token: ContentDigest([0; 32]),
+            weight: 1,
+            max_running: 10_000,
+            services: Vec::new(),
+        };
+        (rule.name.clone(), Arc::new(rule))
+    });
+    Arc::new(Manifest {
+        number: ManifestNumber(1),
+        digest: ContentDigest([0; 32]),
+        services: BTreeMap::from([(rule.name.clone(), Arc::new(rule))]),
+        customers: customers.collect(),
+        policy: Policy::FIRST_TOKEN,
+    })
+}
+
+fn announcement(number: u128) -> Announcement {
+    Announcement {
+        service: ServiceName::from("model"),
+        zone: ZoneName::from("zone"),
+        id: ServerId::from(format!("engine-{number}")),
+        address: Arc::from("127.0.0.1:1"),
+        incarnation: 1,
+        sequence: 1,
+        lease: Duration::from_secs(10),
+        memory: Tokens(400_000),
+        slots: 32,
+        speed: EngineSpeed::default(),
+        models: Vec::new(),
+        load: LoadReport::default(),
+        cache: CacheEvents::default(),
+        leaving: false,
+    }
+}
+
+fn ask(request: u128) -> Ask {
+    Ask {
+        request: RequestId(request),
+        attempt: AttemptId(1),
+        entry: VmId::from("vm-1"),
+        service: ServiceName::from("model"),
+        customer: customer(request % CUSTOMERS),
+        work: WorkEstimate {
+            prompt: Tokens(3_000),
+            max_output: Tokens(400),
+            output: Tokens(340),
+        },
+        prefix: Arc::from(vec![1; 11]),
+        digest: ContentDigest::of(&request.to_le_bytes()),
+        time_left: Duration::from_mins(2),
+        avoid: Vec::new(),
+    }
+}
--- a/ctl/src/replay/run.rs
+++ b/ctl/src/replay/run.rs
@@ -79,6 +79,8 @@
 #[derive(Clone, Debug, Default)]
 struct Progress {
     attempt: u32,
+    /// Last attempt whose first token came.
+    started: u32,
     tokens: u64,
     servers: Vec<usize>,
     avoid: Vec<ServerId>,
@@ -400,10 +402,12 @@
             return;
         }
         progress.tokens = token + 1;
-        if progress.ended.first_ms.is_none() {
-            progress.ended.first_ms = Some(now - at);
+        progress.ended.first_ms.get_or_insert(now - at);
+        if progress.started != attempt {
+            progress.started = attempt;
+            let request = RequestId(index as u128);
             self.dispatcher
-                .started(RequestId(index as u128), AttemptId(attempt));
+                .started(self.moment(), request, AttemptId(attempt));
         }
     }
 
--- a/node/src/control/serving.rs
+++ b/node/src/control/serving.rs
@@ -100,7 +100,9 @@
         match message {
             ToDispatcher::Ask(ask) => self.dispatcher.ask(now, ask),
             ToDispatcher::Adopt(request, running) => self.dispatcher.adopt(request, running),
-            ToDispatcher::Started(request, attempt) => self.dispatcher.started(request, attempt),
+            ToDispatcher::Started(request, attempt) => {
+                self.dispatcher.started(now, request, attempt);
+            }
             ToDispatcher::Finish(finish) => self.dispatcher.finish(now, &finish),
             ToDispatcher::Abandon(request) => self.dispatcher.abandon(now, request),
         }
--- a/node/src/front/completions.rs
+++ b/node/src/front/completions.rs
@@ -41,6 +41,8 @@
     prefix: Arc<[u64]>,
     digest: ContentDigest,
     attempt: AttemptId,
+    /// Last attempt whose first token the dispatcher was told of.
+    told_started: AttemptId,
     /// Servers that failed this request.
     avoid: Vec<ServerId>,
     /// Tokens sent so far; the next one has this number.
@@ -171,6 +173,7 @@
             prefix,
             digest,
             attempt: AttemptId(1),
+            told_started: AttemptId(0),
             avoid: Vec::new(),
             tokens: 0,
             touched: false,
--- a/node/src/front/completions/attempt.rs
+++ b/node/src/front/completions/attempt.rs
@@ -136,14 +136,16 @@
             let service = self.admitted.service.name.as_str();
             metrics::note_first_token(service, self.started.elapsed());
         }
-        self.callers_started();
+        self.tell_started();
         self.sink.token(index, text)?;
         self.tokens += 1;
         Ok(())
     }
 
-    fn callers_started(&self) {
-        if self.tokens == 0 {
+    /// Tells the dispatcher of the first token of each attempt.
+    fn tell_started(&mut self) {
+        if self.told_started != self.attempt {
+            self.told_started = self.attempt;
             let started = ControlInput::Started(self.admitted.id, self.attempt);
             self.callers.control.send(started);
         }
--- a/wire/src/dispatch.rs
+++ b/wire/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use merlinrudder_core::dispatch::ledger::{Running, Share};
+use merlinrudder_core::dispatch::ledger::{Apart, Running, Share};
 use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, Finish, Grant, GrantedServer};
 use merlinrudder_core::estimate::WorkEstimate;
 use merlinrudder_core::held::ToDispatcher;
@@ -63,7 +63,7 @@
     prefill: u64,
     priority: u8,
     long: bool,
-    alone: bool,
+
     started: bool,
 }
 
@@ -207,7 +207,7 @@
             prefill: running.prefill.0,
             priority: running.priority,
             long: running.long,
-            alone: running.alone,
+
             started: running.started,
         }
     }
@@ -229,7 +229,7 @@
             prefill: Tokens(self.prefill),
             priority: self.priority,
             long: self.long,
-            alone: self.alone,
+            apart: Apart::No,
             since: now,
             started: self.started,
         }
