feature: keep the load of each server summed, and tell restarts from refutations

Cause: a placement looked at every request of every engine; and a VM that only refuted a suspicion made all others drop their connections to it. Change: the ledger sums memory and requests a server and looks only at requests before their first token; the low bits of an incarnation count refutations.

--- a/core/src/dispatch/ledger.rs
+++ b/core/src/dispatch/ledger.rs
@@ -84,12 +84,21 @@
             .collect()
     }
 
-    fn server_keys(&self) -> Vec<ServerKey> {
-        let key = |share: &Share| ServerKey {
-            service: self.service.clone(),
-            id: share.server.id.clone(),
+    /// Returns the servers that hold a part of it, with the tokens of the part.
+    fn held(&self) -> Vec<(ServerKey, Tokens)> {
+        let part = |share: &Share| {
+            let key = ServerKey {
+                service: self.service.clone(),
+                id: share.server.id.clone(),
+            };
+            (key, share.server.memory)
         };
-        self.servers.iter().map(key).collect()
+        self.servers.iter().map(part).collect()
+    }
+
+    /// Whether it matters to placements by more than its memory and its slot.
+    fn is_watched(&self) -> bool {
+        !self.started || self.apart != Apart::No
     }
 
     fn backlog(&self, now: Moment, speed: EngineSpeed) -> Duration {
@@ -138,8 +147,18 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     running: BTreeMap<RequestId, Running>,
-    /// Requests on each server; holds exactly the shares of `running`.
-    by_server: BTreeMap<ServerKey, BTreeSet<RequestId>>,
+    /// Load of each server; holds exactly the shares of `running`.
+    by_server: BTreeMap<ServerKey, ServerLoad>,
+}
+
+/// What one server holds.
+#[derive(Debug, Default)]
+struct ServerLoad {
+    requests: BTreeSet<RequestId>,
+    /// Those of `requests` whose first token has not come or that are kept apart.
+    watched: BTreeSet<RequestId>,
+    /// Sum of the shares of `requests`.
+    memory: Tokens,
 }
 
 impl Ledger {
@@ -164,8 +183,13 @@
     /// Enters a placement in place of an older one of the same request.
     pub fn insert(&mut self, request: RequestId, running: Running) {
         self.remove(request);
-        for key in running.server_keys() {
-            self.by_server.entry(key).or_default().insert(request);
+        for (key, memory) in running.held() {
+            let load = self.by_server.entry(key).or_default();
+            load.requests.insert(request);
+            load.memory += memory;
+            if running.is_watched() {
+                load.watched.insert(request);
+            }
         }
         self.running.insert(request, running);
     }
@@ -173,10 +197,18 @@
     /// Notes the first token of an attempt.
     pub fn started(&mut self, request: RequestId, attempt: AttemptId) {
         let running = self.running.get_mut(&request);
-        if let Some(running) = running.filter(|running| running.attempt == attempt) {
-            running.started = true;
-            if running.apart == Apart::UntilFirstToken {
-                running.apart = Apart::No;
+        let Some(running) = running.filter(|running| running.attempt == attempt) else {
+            return;
+        };
+        running.started = true;
+        if running.apart == Apart::UntilFirstToken {
+            running.apart = Apart::No;
+        }
+        if !running.is_watched() {
+            for (key, _) in running.held() {
+                if let Some(load) = self.by_server.get_mut(&key) {
+                    load.watched.remove(&request);
+                }
             }
         }
     }
@@ -192,10 +224,12 @@
     /// Ends whatever attempt of the request runs.
     pub fn remove(&mut self, request: RequestId) -> Option<Running> {
         let running = self.running.remove(&request)?;
-        for key in running.server_keys() {
-            if let Some(requests) = self.by_server.get_mut(&key) {
-                requests.remove(&request);
-                if requests.is_empty() {
+        for (key, memory) in running.held() {
+            if let Some(load) = self.by_server.get_mut(&key) {
+                load.requests.remove(&request);
+                load.watched.remove(&request);
+                load.memory = load.memory.saturating_sub(memory);
+                if load.requests.is_empty() {
                     self.by_server.remove(&key);
                 }
             }
@@ -227,21 +261,20 @@
     /// Sums what was placed on a server.
     #[must_use]
     pub fn load_of(&self, key: &ServerKey, question: &LoadQuestion) -> OwnLoad {
-        let mut load = OwnLoad::default();
-        for running in self
-            .on_server(key)
-            .filter_map(|request| self.running.get(&request))
+        let Some(server) = self.by_server.get(key) else {
+            return OwnLoad::default();
+        };
+        let mut load = OwnLoad {
+            running: u32::try_from(server.requests.len()).unwrap_or(u32::MAX),
+            memory: server.memory,
+            ..OwnLoad::default()
+        };
+        for running in server
+            .watched
+            .iter()
+            .filter_map(|request| self.running.get(request))
         {
-            let held = running
-                .servers
-                .iter()
-                .find(|share| share.server.id == key.id);
-            let Some(share) = held else {
-                continue;
-            };
-            load.running += 1;
             load.longs += u32::from(running.long && !running.started);
-            load.memory += share.server.memory;
             let left = running.backlog(question.now, question.speed);
             if running.priority <= question.priority {
                 load.backlog += left;
@@ -260,7 +293,8 @@
     }
 
     fn on_server(&self, key: &ServerKey) -> impl Iterator<Item = RequestId> {
-        self.by_server.get(key).into_iter().flatten().copied()
+        let load = self.by_server.get(key);
+        load.into_iter().flat_map(|load| &load.requests).copied()
     }
 
     /// Returns the requests that ran on processes of a server other than `alive`, each once.
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -27,6 +27,8 @@
 const HELPERS: usize = 2;
 /// Most rumours in one message.
 const MAX_RUMORS: usize = 8;
+/// Low bits of an incarnation that count refuted suspicions; the rest is the start of the process.
+const REFUTATION_BITS: u32 = 16;
 /// A dead VM is probed this seldom, so that a healed cut is found.
 const DEAD_PROBE_ONE_IN: u32 = 4;
 
@@ -56,7 +58,7 @@
     Send(VmId, MembershipMessage),
     /// The health of a VM changed.
     Changed(VmId, Health),
-    /// A VM is a new process, or refuted a suspicion; connections to its old one are dead.
+    /// A VM is a new process; connections to its old one are dead.
     NewIncarnation(VmId),
     /// A VM has a newer manifest in force than this one.
     NewerManifest(VmId, ManifestNumber),
@@ -140,7 +142,7 @@
             own: own.vm,
             own_zone: own.zone,
             own_disk: own.disk,
-            own_incarnation: incarnation,
+            own_incarnation: incarnation << REFUTATION_BITS,
             own_health: Health::Alive,
             own_manifest: ManifestNumber(0),
             members,
@@ -416,7 +418,8 @@
         if (rumor.incarnation, rumor.health.rank()) <= known {
             return;
         }
-        if member.incarnation > 0 && rumor.incarnation > member.incarnation {
+        let start = |incarnation: u64| incarnation >> REFUTATION_BITS;
+        if member.incarnation > 0 && start(rumor.incarnation) > start(member.incarnation) {
             self.outputs
                 .push(MembershipOutput::NewIncarnation(rumor.vm.clone()));
         }
