bug: bound the attempts at one request, and let a quiet service resume all streams

The poison test: an entry's budget of three retries was less than the streams of one engine that died, so a stream could end with retry_budget_spent. With a larger budget, the test of refusing servers showed that a call went to the one refusing server of its zone twenty times until its deadline, and that the last attempt, without any time left, was told as may_have_run though nothing was sent. Change: the budget starts with the 32 streams of one engine; a request has at most six attempts; a server that fails it twice sends it to the next zone; without time left nothing is sent and that is said. The check of the refusing server asked for at most one run and not_run on failure; it now asks for status 200 and exactly one run, and a new test asks for not_run after five retries where all refuse.

--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -5,10 +5,11 @@
 use crate::outcome::RunState;
 use crate::time::Moment;
 
-/// Retries that a service allows without any traffic, so that a quiet service can retry at all.
-const FLOOR: f64 = 3.0;
-/// Most retries that a quiet time can save up.
-const CEILING: f64 = 50.0;
+/// Retries that a service has at the start: the streams of one engine that dies must all go on, in a
+/// quiet service too.
+const FLOOR: f64 = 32.0;
+/// Most retries that a time without failures can save up.
+const CEILING: f64 = 100.0;
 /// Shortest time left in which a retry makes sense.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// First wait between two attempts; it doubles with each further attempt.
--- a/ctl/src/commands/slopes/core_costs.rs
+++ b/ctl/src/commands/slopes/core_costs.rs
@@ -1,6 +1,5 @@
 //! What single decisions cost at several sizes, without sockets.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,20 +8,20 @@
 use merlinrudder_core::dispatch::Dispatcher;
 use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish};
 use merlinrudder_core::estimate::{EngineSpeed, WorkEstimate};
-use merlinrudder_core::manifest::{
-    CustomerRule, Manifest, ManifestNumber, Policy, ServiceKind, ServiceRule,
-};
-use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId, ZoneName};
+use merlinrudder_core::manifest::Policy;
+use merlinrudder_core::names::{ServerId, ServiceName, VmId, ZoneName};
 use merlinrudder_core::registry::{Announcement, CacheEvents, LoadReport};
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{AttemptId, ContentDigest, RequestId, Tokens};
 use merlinrudder_wire::control::{decode_state, encode_state};
 
+use crate::replay::setup::{customer_name, manifest, service_rule};
+
 /// Requests that run on each engine while a placement is timed.
 const RUNNING: u128 = 16;
 /// Placements that are timed.
 const PLACEMENTS: u128 = 2_000;
-const CUSTOMERS: u128 = 320;
+const CUSTOMERS: u32 = 320;
 
 /// Prints what one placement costs by the number of engines.
 pub(super) fn print_placements() {
@@ -37,7 +36,11 @@
 fn placement_micros(engines: u128) -> f64 {
     let now = Moment::from_millis(1_000_000);
     let mut dispatcher = Dispatcher::open(now);
-    dispatcher.set_manifest(manifest());
+    dispatcher.set_manifest(manifest(
+        &Arc::new(service_rule()),
+        Policy::FIRST_TOKEN,
+        CUSTOMERS,
+    ));
     for number in 0..engines {
         dispatcher.announce(now, announcement(number));
     }
@@ -98,7 +101,7 @@
 
 fn claim(state: &mut ControlState, number: u32) {
     let key = ClaimKey {
-        customer: customer(u128::from(number) % CUSTOMERS),
+        customer: customer_name(number % CUSTOMERS),
         service: ServiceName::from("filing"),
         key: Arc::from(format!("report-2026-{number:09}")),
     };
@@ -118,43 +121,6 @@
     });
 }
 
-fn customer(number: u128) -> CustomerName {
-    CustomerName::from(format!("customer-{number}"))
-}
-
-fn manifest() -> Arc<Manifest> {
-    let rule = ServiceRule {
-        name: ServiceName::from("model"),
-        kind: ServiceKind::Model,
-        zones: Vec::new(),
-        models: Vec::new(),
-        deadline: Duration::from_mins(2),
-        thousand_deadline: Duration::ZERO,
-        max_output: Tokens(4096),
-        retry_percent: 10,
-        queue_limit: 10_000,
-        checks_fencing: true,
-        routes: Vec::new(),
-    };
-    let customers = (0..CUSTOMERS).map(|number| {
-        let rule = CustomerRule {
-            name: customer(number),
-            token: ContentDigest([0; 32]),
-            weight: 1,
-            max_running: 10_000,
-            services: Vec::new(),
-        };
-        (rule.name.clone(), Arc::new(rule))
-    });
-    Arc::new(Manifest {
-        number: ManifestNumber(1),
-        digest: ContentDigest([0; 32]),
-        services: BTreeMap::from([(rule.name.clone(), Arc::new(rule))]),
-        customers: customers.collect(),
-        policy: Policy::FIRST_TOKEN,
-    })
-}
-
 fn announcement(number: u128) -> Announcement {
     Announcement {
         service: ServiceName::from("model"),
@@ -180,7 +146,7 @@
         attempt: AttemptId(1),
         entry: VmId::from("vm-1"),
         service: ServiceName::from("model"),
-        customer: customer(request % CUSTOMERS),
+        customer: customer_name(u32::try_from(request % u128::from(CUSTOMERS)).unwrap_or_default()),
         work: WorkEstimate {
             prompt: Tokens(3_000),
             max_output: Tokens(400),
--- a/ctl/src/replay.rs
+++ b/ctl/src/replay.rs
@@ -6,6 +6,8 @@
 mod fleet;
 pub mod result;
 mod run;
+mod running;
+pub(crate) mod setup;
 pub mod trace;
 
 pub use run::{Options, Policy, replay};
--- a/ctl/src/replay/run.rs
+++ b/ctl/src/replay/run.rs
@@ -7,23 +7,22 @@
 
 use fastrand::Rng;
 use merlinrudder_core::dispatch::Dispatcher;
-use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish, Grant};
-use merlinrudder_core::estimate::{Estimator, WorkEstimate};
-use merlinrudder_core::manifest::{
-    CustomerRule, Manifest, ManifestNumber, Policy as Weighing, ServiceKind, ServiceRule,
-};
-use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId};
+use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, DispatchOutput, Finish};
+use merlinrudder_core::estimate::Estimator;
+use merlinrudder_core::manifest::{Policy as Weighing, ServiceRule};
+use merlinrudder_core::names::{ServerId, VmId};
 use merlinrudder_core::outcome::RefusalReason;
 use merlinrudder_core::registry::CacheView;
 use merlinrudder_core::retry::{RetryBudget, RetryQuestion};
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{AttemptId, ContentDigest, RequestId, Tokens};
-use merlinrudder_fakes::engine::model::{EngineConfig, Sequence, SequenceKey};
+use merlinrudder_fakes::engine::model::EngineConfig;
 
 use super::baseline::{Baseline, BaselineState, SeenEngine};
 use super::fleet::{Engine, server_id, server_number};
 use super::result::{Ended, ReplayResult, Sample};
-use super::trace::{Arrival, POISON_KIND, Trace, blocks};
+use super::setup::{customer_name, manifest, service_rule};
+use super::trace::{POISON_KIND, Trace, blocks};
 
 /// Time between two ticks of the dispatcher.
 const TICK_MS: u64 = 25;
@@ -34,11 +33,13 @@
 /// Time that a dead engine stays away.
 const RESTART_MS: u64 = 20_000;
 /// Time from a death until an entry has noticed it.
-const NOTICE_MS: u64 = 50;
+pub(super) const NOTICE_MS: u64 = 50;
 /// Time after the last arrival until the replay ends.
 const TAIL_MS: u64 = 900_000;
+/// Customers of a trace.
+const CUSTOMERS: u32 = 10;
 /// Bytes of a prompt's token.
-const TOKEN_BYTES: u64 = 4;
+pub(super) const TOKEN_BYTES: u64 = 4;
 
 /// Who places.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,7 +64,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Event {
+pub(super) enum Event {
     Arrive(usize),
     StepEnd(usize, u64),
     Announce(usize),
@@ -77,34 +78,34 @@
 
 /// A request in progress.
 #[derive(Clone, Debug, Default)]
-struct Progress {
-    attempt: u32,
+pub(super) struct Progress {
+    pub(super) attempt: u32,
     /// Last attempt whose first token came.
-    started: u32,
-    tokens: u64,
-    servers: Vec<usize>,
-    avoid: Vec<ServerId>,
-    done: bool,
-    ended: Ended,
+    pub(super) started: u32,
+    pub(super) tokens: u64,
+    pub(super) servers: Vec<usize>,
+    pub(super) avoid: Vec<ServerId>,
+    pub(super) done: bool,
+    pub(super) ended: Ended,
 }
 
-struct Replay<'a> {
-    trace: &'a Trace,
-    options: Options,
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    order: u64,
-    now: u64,
-    engines: Vec<Engine>,
-    dispatcher: Dispatcher,
-    baseline: BaselineState,
-    promised: Vec<(u32, u64)>,
-    estimator: Estimator,
-    budget: RetryBudget,
-    progress: Vec<Progress>,
-    by_key: BTreeMap<String, usize>,
-    rule: Arc<ServiceRule>,
-    poisoned: usize,
-    rng: Rng,
+pub(super) struct Replay<'a> {
+    pub(super) trace: &'a Trace,
+    pub(super) options: Options,
+    pub(super) events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    pub(super) order: u64,
+    pub(super) now: u64,
+    pub(super) engines: Vec<Engine>,
+    pub(super) dispatcher: Dispatcher,
+    pub(super) baseline: BaselineState,
+    pub(super) promised: Vec<(u32, u64)>,
+    pub(super) estimator: Estimator,
+    pub(super) budget: RetryBudget,
+    pub(super) progress: Vec<Progress>,
+    pub(super) by_key: BTreeMap<String, usize>,
+    pub(super) rule: Arc<ServiceRule>,
+    pub(super) poisoned: usize,
+    pub(super) rng: Rng,
 }
 
 /// Replays a trace; returns the sums and a sample for each request.
@@ -130,7 +131,7 @@
             Policy::Baseline(_) => Weighing::FIRST_TOKEN,
         };
         let mut dispatcher = Dispatcher::open(Moment::from_millis(0));
-        dispatcher.set_manifest(manifest(&rule, weighing));
+        dispatcher.set_manifest(manifest(&rule, weighing, CUSTOMERS));
         let mut replay = Self {
             trace,
             options,
@@ -165,12 +166,12 @@
         replay
     }
 
-    fn schedule(&mut self, at: u64, event: Event) {
+    pub(super) fn schedule(&mut self, at: u64, event: Event) {
         self.order += 1;
         self.events.push(Reverse((at, self.order, event)));
     }
 
-    fn moment(&self) -> Moment {
+    pub(super) fn moment(&self) -> Moment {
         Moment::from_millis(self.now)
     }
 
@@ -263,7 +264,7 @@
         }
     }
 
-    fn deadline(&self, index: usize) -> Moment {
+    pub(super) fn deadline(&self, index: usize) -> Moment {
         let arrival = &self.trace.arrivals[index];
         let time = self.rule.deadline_for(Tokens(arrival.prompt_tokens));
         Moment::from_millis(arrival.at_ms) + time
@@ -288,150 +289,12 @@
         }
     }
 
-    fn run(&mut self, grant: &Grant) {
-        let index = usize::try_from(grant.request.0).unwrap_or_default();
-        let servers: Vec<_> = grant
-            .servers
-            .iter()
-            .map(|server| (server_number(&server.id), server.memory.0))
-            .collect();
-        if self.start(index, &servers) {
-            return;
-        }
-        self.fail(index, AttemptEnd::Refused, NOTICE_MS);
-    }
-
-    /// Starts a request on engines; the first runs it, the others hold memory.
-    fn start(&mut self, index: usize, servers: &[(usize, u64)]) -> bool {
-        let arrival = &self.trace.arrivals[index];
-        let progress = &mut self.progress[index];
-        let key = SequenceKey {
-            request: index.to_string(),
-            attempt: progress.attempt,
-        };
-        if servers.iter().any(|(number, _)| self.engines[*number].dead) {
-            return false;
-        }
-        progress.servers = servers.iter().map(|(number, _)| *number).collect();
-        for (number, tokens) in &servers[1..] {
-            let lease = Duration::from_hours(1);
-            let held = self.engines[*number]
-                .model
-                .reserve(key.clone(), *tokens, lease);
-            if held.is_err() {
-                self.release(index);
-                return false;
-            }
-        }
-        let sequence = Sequence {
-            key: key.clone(),
-            context: arrival.prompt_tokens + self.progress[index].tokens,
-            blocks: blocks(arrival, index),
-            next: self.progress[index].tokens,
-            total: arrival.output_tokens,
-            priority: self.priority(arrival),
-            memory: servers[0].1,
-        };
-        let first = servers[0].0;
-        if self.engines[first].model.admit(sequence).is_err() {
-            self.release(index);
-            return false;
-        }
-        self.by_key.insert(key.request, index);
-        if arrival.poison {
-            self.poisoned += 1;
-            self.schedule(self.now + 1, Event::Die(first));
-        }
-        self.begin_step(first);
-        true
-    }
-
-    /// Entries give engines a priority by length; a baseline knows none.
-    fn priority(&self, arrival: &Arrival) -> u8 {
-        if matches!(self.options.policy, Policy::Baseline(_)) {
-            return 0;
-        }
-        let prompt = Tokens(arrival.prompt_tokens);
-        WorkEstimate {
-            prompt,
-            ..WorkEstimate::default()
-        }
-        .priority()
-    }
-
-    fn begin_step(&mut self, number: usize) {
-        let engine = &mut self.engines[number];
-        if engine.step.is_some() || engine.dead || engine.model.is_idle() {
-            return;
-        }
-        let step = engine.model.step();
-        let millis = u64::try_from(step.time.as_millis())
-            .unwrap_or(u64::MAX)
-            .max(1);
-        engine.step = Some(step);
-        let incarnation = engine.incarnation;
-        self.schedule(self.now + millis, Event::StepEnd(number, incarnation));
-    }
-
-    fn end_step(&mut self, number: usize, incarnation: u64) {
-        let engine = &mut self.engines[number];
-        if engine.incarnation != incarnation {
-            return;
-        }
-        let Some(step) = engine.step.take() else {
-            return;
-        };
-        for (key, token) in step.tokens {
-            if let Some(index) = self.by_key.get(&key.request).copied() {
-                self.token(index, key.attempt, token);
-            }
-        }
-        for key in step.finished {
-            if let Some(index) = self.by_key.get(&key.request).copied() {
-                self.finish(index);
-            }
-        }
-        self.begin_step(number);
-    }
-
-    fn token(&mut self, index: usize, attempt: u32, token: u64) {
-        let at = self.trace.arrivals[index].at_ms;
-        let now = self.now;
-        let progress = &mut self.progress[index];
-        if progress.attempt != attempt || progress.done {
-            return;
-        }
-        progress.tokens = token + 1;
-        progress.ended.first_ms.get_or_insert(now - at);
-        if progress.started != attempt {
-            progress.started = attempt;
-            let request = RequestId(index as u128);
-            self.dispatcher
-                .started(self.moment(), request, AttemptId(attempt));
-        }
-    }
-
-    fn finish(&mut self, index: usize) {
-        let arrival = &self.trace.arrivals[index];
-        let in_time = self.moment() <= self.deadline(index);
-        let total = self.now - arrival.at_ms;
-        let customer = customer_name(arrival.customer);
-        let bytes = usize::try_from(arrival.prompt_tokens * TOKEN_BYTES).unwrap_or(usize::MAX);
-        let (prompt, output) = (Tokens(arrival.prompt_tokens), Tokens(arrival.output_tokens));
-        self.estimator
-            .observe(&customer, &self.rule.name, bytes, prompt, output);
-        self.progress[index].ended.whole_ms = in_time.then_some(total);
-        self.tell(index, AttemptEnd::Complete);
-        self.release(index);
-        self.end(index, false);
-    }
-
-    fn end(&mut self, index: usize, refused: bool) {
+    pub(super) fn end(&mut self, index: usize, refused: bool) {
         self.progress[index].done = true;
         self.progress[index].ended.refused = refused;
     }
 
-    fn tell(&mut self, index: usize, end: AttemptEnd) {
+    pub(super) fn tell(&mut self, index: usize, end: AttemptEnd) {
         let attempt = AttemptId(self.progress[index].attempt);
         let finish = Finish {
             request: RequestId(index as u128),
@@ -441,32 +304,8 @@
         self.dispatcher.finish(self.moment(), &finish);
     }
 
-    /// Frees all that a request holds.
-    fn release(&mut self, index: usize) {
-        let attempt = self.progress[index].attempt;
-        let request = index.to_string();
-        let servers = std::mem::take(&mut self.progress[index].servers);
-        let need = self.need(index);
-        for (place, number) in servers.iter().enumerate() {
-            let engine = &mut self.engines[*number];
-            engine.model.cancel(&request, attempt);
-            engine.model.release(&request, attempt);
-            if let Policy::Baseline(_) = self.options.policy {
-                let (running, tokens) = &mut self.promised[*number];
-                *running = running.saturating_sub(u32::from(place == 0));
-                let share = need / servers.len() as u64;
-                *tokens = tokens.saturating_sub(share);
-            }
-        }
-    }
-
-    fn need(&self, index: usize) -> u64 {
-        let arrival = &self.trace.arrivals[index];
-        arrival.prompt_tokens + arrival.max_tokens
-    }
-
     /// Ends an attempt and asks again where the rules of retries allow it.
-    fn fail(&mut self, index: usize, end: AttemptEnd, wait_ms: u64) {
+    pub(super) fn fail(&mut self, index: usize, end: AttemptEnd, wait_ms: u64) {
         let run = match end {
             AttemptEnd::Refused => merlinrudder_core::outcome::RunState::NotRun,
             _ => merlinrudder_core::outcome::RunState::MayHaveRun,
@@ -610,43 +449,3 @@
     }
     servers
 }
-
-fn customer_name(number: u32) -> CustomerName {
-    CustomerName::from(format!("customer-{number}"))
-}
-
-fn service_rule() -> ServiceRule {
-    ServiceRule {
-        name: ServiceName::from("model"),
-        kind: ServiceKind::Model,
-        zones: Vec::new(),
-        models: Vec::new(),
-        deadline: Duration::from_mins(1),
-        thousand_deadline: Duration::from_millis(600),
-        max_output: Tokens(4096),
-        retry_percent: 10,
-        queue_limit: 2_000,
-        checks_fencing: true,
-        routes: Vec::new(),
-    }
-}
-
-fn manifest(rule: &Arc<ServiceRule>, policy: Weighing) -> Arc<Manifest> {
-    let customers = (0..10).map(|number| {
-        let rule = CustomerRule {
-            name: customer_name(number),
-            token: ContentDigest([0; 32]),
-            weight: if number < 2 { 4 } else { 1 },
-            max_running: 2_000,
-            services: Vec::new(),
-        };
-        (rule.name.clone(), Arc::new(rule))
-    });
-    Arc::new(Manifest {
-        number: ManifestNumber(1),
-        digest: ContentDigest([0; 32]),
-        services: BTreeMap::from([(rule.name.clone(), Arc::clone(rule))]),
-        customers: customers.collect(),
-        policy,
-    })
-}
--- /dev/null
+++ b/ctl/src/replay/setup.rs
@@ -0,0 +1,54 @@
+//! The manifest that replays and cost runs use.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use merlinrudder_core::manifest::{
+    CustomerRule, Manifest, ManifestNumber, Policy, ServiceKind, ServiceRule,
+};
+use merlinrudder_core::names::{CustomerName, ServiceName};
+use merlinrudder_core::units::{ContentDigest, Tokens};
+
+/// Returns the name of a customer by its number.
+pub(crate) fn customer_name(number: u32) -> CustomerName {
+    CustomerName::from(format!("customer-{number}"))
+}
+
+/// Returns the rule of the one model service.
+pub(crate) fn service_rule() -> ServiceRule {
+    ServiceRule {
+        name: ServiceName::from("model"),
+        kind: ServiceKind::Model,
+        zones: Vec::new(),
+        models: Vec::new(),
+        deadline: Duration::from_mins(1),
+        thousand_deadline: Duration::from_millis(600),
+        max_output: Tokens(4096),
+        retry_percent: 10,
+        queue_limit: 2_000,
+        checks_fencing: true,
+        routes: Vec::new(),
+    }
+}
+
+/// Makes a manifest with one service and so many customers, of which the first two are large.
+pub(crate) fn manifest(rule: &Arc<ServiceRule>, policy: Policy, customers: u32) -> Arc<Manifest> {
+    let customers = (0..customers).map(|number| {
+        let rule = CustomerRule {
+            name: customer_name(number),
+            token: ContentDigest([0; 32]),
+            weight: if number < 2 { 4 } else { 1 },
+            max_running: 2_000,
+            services: Vec::new(),
+        };
+        (rule.name.clone(), Arc::new(rule))
+    });
+    Arc::new(Manifest {
+        number: ManifestNumber(1),
+        digest: ContentDigest([0; 32]),
+        services: BTreeMap::from([(rule.name.clone(), Arc::clone(rule))]),
+        customers: customers.collect(),
+        policy,
+    })
+}
--- a/ctl/tests/integration/plain_calls.rs
+++ b/ctl/tests/integration/plain_calls.rs
@@ -107,12 +107,38 @@
     cluster.set_faults("app-zone-a", &json!({ "refuse": true }));
     for number in 0..3 {
         let key = format!("report-6-{number}");
-        // Zone a has one application, which refuses: no other may be left in the zone.
+        // Zone a has one application, which refuses: another zone's runs the call.
         let outcome = cluster.call(0, "POST", PATH, Some(&key));
-        assert!(runs(&cluster, &key) <= 1);
-        if outcome.status != 200 {
-            assert_eq!(outcome.run.as_deref(), Some("not_run"), "{outcome:?}");
-            assert_eq!(runs(&cluster, &key), 0);
-        }
+        assert_eq!(outcome.status, 200, "{outcome:?}");
+        assert_eq!(runs(&cluster, &key), 1);
     }
 }
+
+/// Found by a run of the test above: the call was sent twenty times to its deadline, and the last
+/// attempt, which had no time left, was told as "may have run".
+#[test]
+fn a_call_that_every_server_refuses_ends_after_a_few_attempts_as_not_run() {
+    let cluster = start();
+    for zone in ZONES {
+        cluster.set_faults(&format!("app-{zone}"), &json!({ "refuse": true }));
+    }
+    let outcome = cluster.call(0, "POST", PATH, Some("report-7"));
+    assert_eq!(
+        (outcome.status, outcome.reason.as_deref()),
+        (503, Some("server_refused"))
+    );
+    assert_eq!(outcome.run.as_deref(), Some("not_run"));
+    assert_eq!(
+        cluster.counter(0, "merlinrudder_retries_total", "server_refused"),
+        5
+    );
+    for zone in ZONES {
+        cluster.set_faults(&format!("app-{zone}"), &json!({}));
+    }
+    let again = cluster.call(1, "POST", PATH, Some("report-7"));
+    assert_eq!(
+        again.status, 200,
+        "the claim of the refused call was given up: {again:?}"
+    );
+    assert_eq!(runs(&cluster, "report-7"), 1);
+}
--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -16,7 +16,7 @@
 use crate::constants::{ADMIN_BODY_BYTES, IN_FORCE_WAIT, PROPOSE_TIMEOUT};
 use crate::control::Control;
 use crate::control::input::{ControlInput, Proposal, VmStatus};
-use crate::front::answer::{refuse, refuse_with, send, send_json};
+use crate::front::answer::{refuse, refuse_with, send, send_json, send_ready};
 use crate::front::{has_token, read_body};
 use crate::metrics;
 use crate::published::PublishedCell;
@@ -52,7 +52,7 @@
             .to_owned();
         match (request.method(), path.as_str()) {
             (Method::Get, "/health") => send(request, 200, "text/plain", "ok\n".into(), &[]),
-            (Method::Get, "/ready") => self.answer_ready(request),
+            (Method::Get, "/ready") => send_ready(request, self.published.load().ready),
             (Method::Get, "/metrics") => {
                 send(
                     request,
@@ -83,17 +83,6 @@
         has_token(request, &self.token)
     }
 
-    fn answer_ready(&self, request: Request) {
-        let published = self.published.load();
-        let ready = published.ready && !published.stopping;
-        let (status, text) = if ready {
-            (200, "ready\n")
-        } else {
-            (503, "not ready\n")
-        };
-        send(request, status, "text/plain", text.into(), &[]);
-    }
-
     fn status(&self) -> Option<VmStatus> {
         let (reply, status) = bounded(1);
         self.control.send(ControlInput::Status(reply));
--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -16,6 +16,9 @@
 
 use crate::constants::{CONNECT_TIMEOUT, PROBE_TIMEOUT};
 
+/// Why nothing is sent once a deadline has passed.
+pub(crate) const NO_TIME: &str = "no time is left";
+
 /// Starts a request to a backend server; no environment variable can redirect it.
 pub(crate) fn request(method: Method, address: &str, path: &str) -> RequestBuilder {
     RequestBuilder::new(method, format!("http://{address}{path}"))
--- a/node/src/backend/engine.rs
+++ b/node/src/backend/engine.rs
@@ -11,7 +11,7 @@
 use merlinrudder_core::units::{AttemptId, RequestId};
 use merlinrudder_wire::engine::{EngineEvent, EngineRefusal, EngineRequest, EngineReserve};
 
-use super::{never_connected, post_json, request, with_json};
+use super::{NO_TIME, never_connected, post_json, request, with_json};
 use crate::constants::{CONNECT_TIMEOUT, RESERVATION_LEASE};
 use crate::metrics;
 
@@ -61,6 +61,10 @@
 }
 
 fn run(address: &str, body: &EngineRequest, time_left: Duration, signals: &Sender<EngineSignal>) {
+    if time_left.is_zero() {
+        drop(signals.send(EngineSignal::NotConnected(NO_TIME.to_owned())));
+        return;
+    }
     let bytes = match serde_json::to_vec(body) {
         Ok(bytes) => bytes,
         Err(error) => {
--- a/node/src/backend/plain.rs
+++ b/node/src/backend/plain.rs
@@ -8,7 +8,7 @@
 use attohttpc::{Method, RequestBuilder, Response};
 use merlinrudder_core::claims::RecordedAnswer;
 
-use super::{never_connected, request};
+use super::{NO_TIME, never_connected, request};
 use crate::constants::PLAIN_ANSWER_BYTES;
 
 /// Header by which a backend server proves that it did not run a call.
@@ -48,6 +48,9 @@
 /// Makes a call and waits for its whole answer.
 #[must_use]
 pub fn call(address: &str, call: &PlainCall, time_left: Duration) -> PlainResult {
+    if time_left.is_zero() {
+        return PlainResult::NotConnected(NO_TIME.to_owned());
+    }
     let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
         return PlainResult::NotConnected(format!("the method {} is unknown", call.method));
     };
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,6 +1,7 @@
 //! The HTTP fronts: callers, backend servers, operators.
 
 pub mod answer;
+mod attempts;
 pub mod backends;
 pub mod callers;
 mod completions;
--- a/node/src/front/answer.rs
+++ b/node/src/front/answer.rs
@@ -33,6 +33,16 @@
     drop(request.respond(response));
 }
 
+/// Answers whether this VM is ready.
+pub fn send_ready(request: Request, ready: bool) {
+    let (status, text) = if ready {
+        (200, "ready\n")
+    } else {
+        (503, "not ready\n")
+    };
+    send(request, status, "text/plain", text.into(), &[]);
+}
+
 /// Makes a header; a value that HTTP does not allow is left empty.
 fn header(name: &str, value: &str) -> Header {
     let made = Header::from_bytes(name.as_bytes(), value.as_bytes());
--- a/node/src/front/callers.rs
+++ b/node/src/front/callers.rs
@@ -16,7 +16,7 @@
 use slog::Logger;
 use tiny_http::{Method, Request};
 
-use super::answer::{refuse, send};
+use super::answer::{refuse, send_ready};
 use super::{completions, plain};
 use crate::clock::Clock;
 use crate::control::Control;
@@ -69,7 +69,7 @@
             .unwrap_or_default()
             .to_owned();
         match (request.method(), path.as_str()) {
-            (Method::Get, "/v1/ready") => self.answer_ready(request),
+            (Method::Get, "/v1/ready") => send_ready(request, self.published.load().ready),
             (Method::Post, "/v1/completions") => completions::handle(self, request),
             _ if path.starts_with("/v1/") => {
                 refuse(
@@ -82,16 +82,6 @@
         }
     }
 
-    fn answer_ready(&self, request: Request) {
-        let ready = self.published.load().ready;
-        let (status, text) = if ready {
-            (200, "ready\n")
-        } else {
-            (503, "not ready\n")
-        };
-        send(request, status, "text/plain", text.into(), &[]);
-    }
-
     /// Returns the manifest in force, where this VM may admit requests.
     pub(super) fn manifest(&self) -> Result<Arc<Manifest>, Refusal> {
         let published = self.published.load();
@@ -108,21 +98,29 @@
         ))
     }
 
-    /// Returns the zones that may run a service, the own one first.
-    pub(super) fn zones(&self, service: &ServiceRule) -> Vec<ZoneName> {
+    /// Returns the zones that may run a service, the own one first but for those passed over.
+    fn zones(&self, service: &ServiceRule, skipped: usize) -> Vec<ZoneName> {
         let mut zones: Vec<_> = service.zones.clone();
         let start = zones
             .iter()
             .position(|zone| *zone == self.zone)
             .unwrap_or_default();
-        zones.rotate_left(start);
+        if !zones.is_empty() {
+            let count = zones.len();
+            zones.rotate_left((start + skipped) % count);
+        }
         zones
     }
 
     /// Asks for a placement; the decision comes on the returned channel.
-    pub(super) fn submit(&self, admitted: &Admitted, ask: Ask) -> Receiver<EntryEvent> {
+    pub(super) fn submit(
+        &self,
+        admitted: &Admitted,
+        ask: Ask,
+        skipped_zones: usize,
+    ) -> Receiver<EntryEvent> {
         let (reply, events) = unbounded();
-        let zones = self.zones(&admitted.service);
+        let zones = self.zones(&admitted.service, skipped_zones);
         let submission = Submission {
             ask,
             deadline: admitted.deadline,
--- a/node/src/front/completions.rs
+++ b/node/src/front/completions.rs
@@ -5,14 +5,12 @@
 mod sink;
 
 use std::sync::{Arc, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, Grant};
 use merlinrudder_core::estimate::WorkEstimate;
-use merlinrudder_core::names::ServerId;
-use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
-use merlinrudder_core::retry::{RetryQuestion, backoff};
+use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason};
 use merlinrudder_core::units::{AttemptId, ContentDigest};
 use merlinrudder_wire::engine::prefix_blocks;
 use slog::{info, warn};
@@ -21,6 +19,7 @@
 use self::attempt::AttemptResult;
 use self::body::{CompletionBody, parse_body};
 use self::sink::{CallerGone, Sink};
+use super::attempts::{Attempts, FAILED_RETRY, Failure};
 use super::callers::{Admitted, Callers, new_request_id};
 use super::{answer, identity};
 use crate::constants::STREAM_HEARTBEAT;
@@ -28,9 +27,6 @@
 use crate::front::listener::read_body;
 use crate::metrics;
 
-/// When a caller whose request failed on the way may come back.
-const FAILED_RETRY: Duration = Duration::from_secs(1);
-
 /// A completion in progress.
 struct Completion<'a> {
     callers: &'a Callers,
@@ -40,15 +36,11 @@
     work: WorkEstimate,
     prefix: Arc<[u64]>,
     digest: ContentDigest,
-    attempt: AttemptId,
+    attempts: Attempts,
     /// Last attempt whose first token the dispatcher was told of.
     told_started: AttemptId,
-    /// Servers that failed this request.
-    avoid: Vec<ServerId>,
     /// Tokens sent so far; the next one has this number.
     tokens: u64,
-    /// Whether any engine may have run it.
-    touched: bool,
     started: Instant,
     sink: Sink,
 }
@@ -172,11 +164,9 @@
             work,
             prefix,
             digest,
-            attempt: AttemptId(1),
+            attempts: Attempts::new(),
             told_started: AttemptId(0),
-            avoid: Vec::new(),
             tokens: 0,
-            touched: false,
             started,
             sink,
         }
@@ -184,7 +174,8 @@
 
     fn run(&mut self) -> End {
         loop {
-            let events = self.callers.submit(&self.admitted, self.ask());
+            let skipped = self.attempts.skipped_zones;
+            let events = self.callers.submit(&self.admitted, self.ask(), skipped);
             let grant = match self.wait_for_grant(&events) {
                 Ok(grant) => grant,
                 Err(end) => return end,
@@ -192,7 +183,7 @@
             match self.run_attempt(&grant) {
                 Ok(AttemptResult::Whole { prompt_tokens }) => return End::Whole { prompt_tokens },
                 Ok(result) => {
-                    if let Some(refusal) = self.after_failure(&grant, &result) {
+                    if let Err(refusal) = self.after_failure(&grant, &result) {
                         return End::Refused(refusal);
                     }
                 }
@@ -204,7 +195,7 @@
     fn ask(&self) -> Ask {
         Ask {
             request: self.admitted.id,
-            attempt: self.attempt,
+            attempt: self.attempts.number,
             entry: self.callers.vm.clone(),
             service: self.admitted.service.name.clone(),
             customer: self.admitted.customer.name.clone(),
@@ -212,7 +203,7 @@
             prefix: Arc::clone(&self.prefix),
             digest: self.digest,
             time_left: self.callers.time_left(&self.admitted),
-            avoid: self.avoid.clone(),
+            avoid: self.attempts.avoid.clone(),
         }
     }
 
@@ -220,7 +211,9 @@
         loop {
             match events.recv_timeout(STREAM_HEARTBEAT) {
                 Ok(EntryEvent::Run(grant)) => return Ok(grant),
-                Ok(EntryEvent::Refuse(refusal)) => return Err(End::Refused(self.last(refusal))),
+                Ok(EntryEvent::Refuse(refusal)) => {
+                    return Err(End::Refused(self.attempts.last(refusal)));
+                }
                 Err(RecvTimeoutError::Timeout) => {
                     if let Err(gone) = self.sink.heartbeat() {
                         self.callers
@@ -231,48 +224,21 @@
                 }
                 Err(RecvTimeoutError::Disconnected) => {
                     let refusal = Refusal::not_run(RefusalReason::Stopping, Some(FAILED_RETRY));
-                    return Err(End::Refused(self.last(refusal)));
+                    return Err(End::Refused(self.attempts.last(refusal)));
                 }
             }
         }
     }
 
-    /// Says "may have run" in a final answer after any attempt that an engine may have run.
-    fn last(&self, refusal: Refusal) -> Refusal {
-        let run = if self.touched {
-            RunState::MayHaveRun
-        } else {
-            refusal.run
-        };
-        Refusal { run, ..refusal }
-    }
-
-    /// Decides on a further attempt; returns the final answer where there is none.
-    fn after_failure(&mut self, grant: &Grant, result: &AttemptResult) -> Option<Refusal> {
-        let server = &grant.servers[0].id;
+    /// Goes on to the next attempt, or returns the final answer.
+    fn after_failure(&mut self, grant: &Grant, result: &AttemptResult) -> Result<(), Refusal> {
+        let server = grant.servers[0].id.clone();
         warn!(self.callers.log, "An attempt failed"; "request" => %self.admitted.id,
-            "attempt" => %self.attempt, "server" => %server, "result" => ?result);
-        self.touched |= result.run_state() != RunState::NotRun;
-        let question = RetryQuestion {
-            idempotent: true,
-            run: result.run_state(),
-            now: self.callers.clock.now(),
-            deadline: self.admitted.deadline,
-        };
-        if !question.allowed() {
-            let reason = RefusalReason::DeadlinePassed;
-            return Some(self.last(Refusal::not_run(reason, Some(FAILED_RETRY))));
-        }
-        if !self.callers.spend_retry(&self.admitted.service) {
-            let reason = RefusalReason::RetryBudgetSpent;
-            return Some(self.last(Refusal::not_run(reason, Some(FAILED_RETRY))));
-        }
-        metrics::count_retry(self.retry_reason(result));
-        self.avoid.push(server.clone());
-        self.attempt = self.attempt.next();
-        let wait = backoff(self.attempt.0, fastrand::f64());
-        std::thread::sleep(wait.min(self.callers.time_left(&self.admitted)));
-        None
+            "attempt" => %self.attempts.number, "server" => %server, "result" => ?result);
+        let (run, retry) = (result.run_state(), self.retry_reason(result));
+        let failure = Failure { server, run, retry };
+        self.attempts
+            .next(self.callers, &self.admitted, true, failure)
     }
 
     fn retry_reason(&self, result: &AttemptResult) -> RetryReason {
@@ -291,7 +257,7 @@
             tokens,
             sink,
             started,
-            attempt,
+            attempts,
             ..
         } = self;
         let (service, id) = (admitted.service.name.as_str(), admitted.id);
@@ -310,13 +276,14 @@
             }
         };
         metrics::count_outcome(service, outcome);
-        info!(callers.log, "A completion ended"; "request" => %id, "attempt" => %attempt,
+        info!(callers.log, "A completion ended"; "request" => %id, "attempt" => %attempts.number,
             "service" => service, "customer" => %admitted.customer.name, "outcome" => outcome,
             "reason" => reason, "tokens" => tokens,
             "ms" => u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
     }
 
     fn end_attempt(&self, end: AttemptEnd) {
-        self.callers.finish(self.admitted.id, self.attempt, end);
+        self.callers
+            .finish(self.admitted.id, self.attempts.number, end);
     }
 }
--- a/node/src/front/completions/attempt.rs
+++ b/node/src/front/completions/attempt.rs
@@ -14,6 +14,7 @@
 use crate::backend::{cancel_later, is_alive};
 use crate::constants::{FIRST_TOKEN_SLACK, STREAM_HEARTBEAT, TOKEN_TIMEOUT};
 use crate::control::input::ControlInput;
+use crate::front::attempts::FAILED_RETRY;
 use crate::metrics;
 
 /// How an attempt ended.
@@ -48,8 +49,8 @@
     /// Runs an attempt; whatever its end, the dispatcher is told and all memory is freed.
     pub(super) fn run_attempt(&mut self, grant: &Grant) -> Result<AttemptResult, End> {
         let id = self.admitted.id;
-        if let Err(detail) = reserve_group(&grant.servers, id, self.attempt) {
-            release_group(grant.servers.clone(), id, self.attempt);
+        if let Err(detail) = reserve_group(&grant.servers, id, self.attempts.number) {
+            release_group(grant.servers.clone(), id, self.attempts.number);
             self.end_attempt(AttemptEnd::Refused);
             return Ok(AttemptResult::Refused(detail));
         }
@@ -61,11 +62,11 @@
         );
         let result = self.follow(&signals);
         drop(signals);
-        release_group(grant.servers.clone(), id, self.attempt);
+        release_group(grant.servers.clone(), id, self.attempts.number);
         match result {
             Ok(result) => Ok(self.settle(grant, result)),
             Err(end) => {
-                cancel_later(grant.servers.clone(), id, self.attempt);
+                cancel_later(grant.servers.clone(), id, self.attempts.number);
                 self.end_attempt(AttemptEnd::Cancelled);
                 Err(end)
             }
@@ -83,7 +84,7 @@
             });
         EngineRequest {
             request_id: self.admitted.id.to_string(),
-            attempt: self.attempt.0,
+            attempt: self.attempts.number.0,
             prompt: self.body.prompt.clone(),
             max_tokens: self.work.max_output.0,
             resume_from: self.tokens,
@@ -144,9 +145,9 @@
 
     /// Tells the dispatcher of the first token of each attempt.
     fn tell_started(&mut self) {
-        if self.told_started != self.attempt {
-            self.told_started = self.attempt;
-            let started = ControlInput::Started(self.admitted.id, self.attempt);
+        if self.told_started != self.attempts.number {
+            self.told_started = self.attempts.number;
+            let started = ControlInput::Started(self.admitted.id, self.attempts.number);
             self.callers.control.send(started);
         }
     }
@@ -165,7 +166,7 @@
         Err(End::Refused(Refusal {
             reason: RefusalReason::DeadlinePassed,
             run: RunState::MayHaveRun,
-            retry_after: Some(super::FAILED_RETRY),
+            retry_after: Some(FAILED_RETRY),
         }))
     }
 
@@ -191,7 +192,11 @@
             AttemptResult::Broken(detail) | AttemptResult::Died(detail)
                 if is_alive(&server.address) =>
             {
-                cancel_later(grant.servers.clone(), self.admitted.id, self.attempt);
+                cancel_later(
+                    grant.servers.clone(),
+                    self.admitted.id,
+                    self.attempts.number,
+                );
                 self.end_attempt(AttemptEnd::Broken);
                 AttemptResult::Broken(detail)
             }
--- a/node/src/front/plain.rs
+++ b/node/src/front/plain.rs
@@ -8,15 +8,14 @@
 use merlinrudder_core::control::{Answer, Command};
 use merlinrudder_core::dispatch::message::{Ask, AttemptEnd, Grant};
 use merlinrudder_core::estimate::WorkEstimate;
-use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
-use merlinrudder_core::retry::{RetryQuestion, backoff};
 use merlinrudder_core::time::Moment;
-use merlinrudder_core::units::{AttemptId, ContentDigest, Tokens};
+use merlinrudder_core::units::{ContentDigest, Tokens};
 use slog::{info, warn};
 use tiny_http::Request;
 
 use super::answer::{refuse, send};
+use super::attempts::{Attempts, FAILED_RETRY, Failure};
 use super::callers::{Admitted, Callers, new_request_id};
 use super::identity;
 use crate::backend::is_alive;
@@ -26,8 +25,6 @@
 use crate::front::listener::read_body;
 use crate::metrics;
 
-/// When a caller whose call failed on the way may come back.
-const FAILED_RETRY: Duration = Duration::from_secs(1);
 /// Time that an answer waits for its record in the control log.
 const RECORD_TIME: Duration = Duration::from_millis(500);
 /// Time in which a record or a release is sent again.
@@ -42,9 +39,7 @@
     call: PlainCall,
     content: ContentDigest,
     idempotent: bool,
-    attempt: AttemptId,
-    avoid: Vec<ServerId>,
-    touched: bool,
+    attempts: Attempts,
 }
 
 /// Answers a call that the manifest routes.
@@ -125,9 +120,7 @@
         call,
         content,
         idempotent: route.idempotent,
-        attempt: AttemptId(1),
-        avoid: Vec::new(),
-        touched: false,
+        attempts: Attempts::new(),
     })
 }
 
@@ -246,25 +239,27 @@
             let time_left = self.callers.time_left(&self.admitted);
             let result = call(&server.address, &self.call, time_left);
             let end = attempt_end(&grant, &result);
-            self.callers.finish(self.admitted.id, self.attempt, end);
+            self.callers
+                .finish(self.admitted.id, self.attempts.number, end);
             let failure = match result {
                 PlainResult::Answered(answer) => return Ok(answer),
                 failure => failure,
             };
             warn!(self.callers.log, "An attempt failed"; "request" => %self.admitted.id,
-                "attempt" => %self.attempt, "server" => %server.id, "result" => ?failure);
+                "attempt" => %self.attempts.number, "server" => %server.id, "result" => ?failure);
             self.after_failure(&grant, &failure)?;
         }
     }
 
     fn wait_for_grant(&self) -> Result<Grant, Refusal> {
-        let events = self.callers.submit(&self.admitted, self.ask());
+        let skipped = self.attempts.skipped_zones;
+        let events = self.callers.submit(&self.admitted, self.ask(), skipped);
         match events.recv() {
             Ok(EntryEvent::Run(grant)) => Ok(grant),
-            Ok(EntryEvent::Refuse(refusal)) => Err(self.last(refusal)),
+            Ok(EntryEvent::Refuse(refusal)) => Err(self.attempts.last(refusal)),
             Err(_) => {
                 let refusal = Refusal::not_run(RefusalReason::Stopping, Some(FAILED_RETRY));
-                Err(self.last(refusal))
+                Err(self.attempts.last(refusal))
             }
         }
     }
@@ -277,7 +272,7 @@
         };
         Ask {
             request: self.admitted.id,
-            attempt: self.attempt,
+            attempt: self.attempts.number,
             entry: self.callers.vm.clone(),
             service: self.admitted.service.name.clone(),
             customer: self.admitted.customer.name.clone(),
@@ -285,66 +280,26 @@
             prefix: Arc::from([]),
             digest: self.content,
             time_left: self.callers.time_left(&self.admitted),
-            avoid: self.avoid.clone(),
+            avoid: self.attempts.avoid.clone(),
         }
     }
 
-    /// Decides on a further attempt, or returns the final answer.
+    /// Goes on to the next attempt, or returns the final answer.
     fn after_failure(&mut self, grant: &Grant, failure: &PlainResult) -> Result<(), Refusal> {
-        let run = match failure {
-            PlainResult::Refused | PlainResult::NotConnected(_) => RunState::NotRun,
-            PlainResult::Answered(_) | PlainResult::Broken(_) => RunState::MayHaveRun,
+        let (run, retry) = match failure {
+            PlainResult::NotConnected(_) => (RunState::NotRun, RetryReason::ConnectFailed),
+            PlainResult::Refused => (RunState::NotRun, RetryReason::ServerRefused),
+            PlainResult::Answered(_) | PlainResult::Broken(_) => {
+                (RunState::MayHaveRun, RetryReason::IdempotentBroken)
+            }
         };
-        self.touched |= run != RunState::NotRun;
-        let now = self.callers.clock.now();
-        let deadline = self.admitted.deadline;
-        let question = RetryQuestion {
-            idempotent: self.idempotent,
+        let failure = Failure {
+            server: grant.servers[0].id.clone(),
             run,
-            now,
-            deadline,
-        };
-        if !question.allowed() {
-            let passed = deadline <= now;
-            let reason = if passed {
-                RefusalReason::DeadlinePassed
-            } else {
-                RefusalReason::ServerFailed
-            };
-            return Err(self.last(Refusal {
-                reason,
-                run,
-                retry_after: Some(FAILED_RETRY),
-            }));
-        }
-        if !self.callers.spend_retry(&self.admitted.service) {
-            let reason = RefusalReason::RetryBudgetSpent;
-            return Err(self.last(Refusal {
-                reason,
-                run,
-                retry_after: Some(FAILED_RETRY),
-            }));
-        }
-        metrics::count_retry(match failure {
-            PlainResult::NotConnected(_) => RetryReason::ConnectFailed,
-            PlainResult::Refused => RetryReason::ServerRefused,
-            PlainResult::Answered(_) | PlainResult::Broken(_) => RetryReason::IdempotentBroken,
-        });
-        self.avoid.push(grant.servers[0].id.clone());
-        self.attempt = self.attempt.next();
-        let wait = backoff(self.attempt.0, fastrand::f64());
-        std::thread::sleep(wait.min(self.callers.time_left(&self.admitted)));
-        Ok(())
-    }
-
-    /// Says "may have run" in a final answer after any attempt that a server may have run.
-    fn last(&self, refusal: Refusal) -> Refusal {
-        let run = if self.touched {
-            RunState::MayHaveRun
-        } else {
-            refusal.run
+            retry,
         };
-        Refusal { run, ..refusal }
+        self.attempts
+            .next(self.callers, &self.admitted, self.idempotent, failure)
     }
 }
 
