feature: serve the users' platform through entry and control roles

Cause: nothing of the system ran on the platform; its addresses, routes, kinds and streams had no place in the product. Change: package platform decodes settings, configuration, heartbeats and headers. Core gains the deployment, the directory of servers, the engines' model, placing by predicted loss of value, health, and a windowed retry budget. Node gains links between VMs that find each other, the control role on the existing control log, and the entry role on an event-driven HTTP path. The replica and its formation are shared by both control threads; a disk that refuses writes is tried again in place of leaving the log; a leader with enough voters removes one that it does not hear any more.

--- a/core/src/consensus.rs
+++ b/core/src/consensus.rs
@@ -26,6 +26,9 @@
 /// Longest time without a leader after which a replica campaigns.
 pub const ELECTION_MAX: Duration = Duration::from_millis(1200);
 
+/// Time without a word from a voter after which a leader with enough others removes it.
+pub const VOTER_LOST: Duration = Duration::from_secs(2);
+
 /// What the caller has to carry out, in the order given.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Output {
@@ -76,6 +79,8 @@
     applied: Index,
     /// Last position known to be synced here.
     synced: Index,
+    /// Voters beyond which one that is not heard any more is removed.
+    enough_voters: usize,
     rng: Rng,
     outputs: Vec<Output>,
 }
@@ -97,6 +102,7 @@
             commit: start,
             applied: start,
             synced,
+            enough_voters: usize::MAX,
             rng: Rng::with_seed(seed),
             outputs: Vec::new(),
         };
@@ -104,6 +110,13 @@
         consensus
     }
 
+    /// Lets a leader remove voters that it does not hear any more, down to `enough`.
+    ///
+    /// Without this call the voters are only replaced by later incarnations of themselves.
+    pub fn remove_lost_voters(&mut self, enough: usize) {
+        self.enough_voters = enough;
+    }
+
     /// Returns what has to be carried out since the last call.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::message::{Body, Entry, Index, Message, Payload, Record, ReplicaId, Term};
-use super::{Consensus, ELECTION_MIN, HEARTBEAT_PERIOD, Output, ProgressTable, Role, quorum};
+use super::{
+    Consensus, ELECTION_MIN, HEARTBEAT_PERIOD, Output, ProgressTable, Role, VOTER_LOST, quorum,
+};
 use crate::time::Moment;
 
 /// Shortest time between two snapshots sent to one replica.
@@ -252,7 +254,7 @@
         if !self.is_settled_leader() || self.log.voters_index() > self.commit {
             return;
         }
-        let Some(voters) = self.next_voters() else {
+        let Some(voters) = self.next_voters(now) else {
             return;
         };
         let members: Vec<_> = voters
@@ -273,12 +275,12 @@
         self.replicate_all(now);
     }
 
-    fn next_voters(&self) -> Option<Vec<ReplicaId>> {
+    fn next_voters(&self, now: Moment) -> Option<Vec<ReplicaId>> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
         let voters = self.log.voters();
-        if let Some(old) = outlived(voters, leader) {
+        if let Some(old) = outlived(voters, leader).or_else(|| self.lost_voter(now, leader)) {
             return Some(
                 voters
                     .iter()
@@ -289,7 +291,9 @@
         }
         let last = self.log.last_index();
         let ready = leader.progress.iter().find(|(replica, progress)| {
-            !voters.contains(replica) && progress.matched == last && progress.matched > Index(0)
+            let heard = now.since(progress.heard) < ELECTION_MIN;
+            let caught_up = progress.matched == last && progress.matched > Index(0);
+            !voters.contains(replica) && caught_up && heard
         });
         let (learner, _) = ready?;
         let mut next = voters.to_vec();
@@ -298,6 +302,21 @@
     }
 }
 
+impl Consensus {
+    /// Finds the voter that was not heard for longest, where there are enough others.
+    fn lost_voter(&self, now: Moment, leader: &Leader) -> Option<ReplicaId> {
+        let voters = self.log.voters();
+        if voters.len() <= self.enough_voters {
+            return None;
+        }
+        let heard = |voter: &ReplicaId| leader.progress.get(voter).map(|progress| progress.heard);
+        let others = voters.iter().filter(|voter| **voter != self.own);
+        let oldest = others.min_by_key(|voter| heard(voter))?;
+        let lost = heard(oldest).is_some_and(|heard| now.since(heard) > VOTER_LOST);
+        lost.then(|| oldest.clone())
+    }
+}
+
 /// Finds a voter whose VM has another voter that was heard later.
 fn outlived(voters: &[ReplicaId], leader: &Leader) -> Option<ReplicaId> {
     let heard = |voter: &ReplicaId| leader.progress.get(voter).map(|progress| progress.heard);
--- /dev/null
+++ b/core/src/engine_model.rs
@@ -0,0 +1,83 @@
+//! How long an engine takes: reading a prompt, and a pass over everything that it serves.
+
+use std::time::Duration;
+
+/// How the engines of a service work; times are milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineProfile {
+    /// Requests served at once.
+    pub slots: u32,
+    /// Tokens that the memory holds.
+    pub memory: u64,
+    /// Token steps of a pass in which answers are written.
+    pub stride: f64,
+    /// Time of a token step.
+    pub step: f64,
+    /// Further time of a step for each answer being written.
+    pub writer: f64,
+    /// Further time of a step for each thousand tokens of context of the answers being written.
+    pub context: f64,
+    /// Prompt tokens read in a millisecond.
+    pub read_rate: f64,
+    /// Time for each million pairs of a prompt token and an earlier one.
+    pub pairs: f64,
+    /// Most prompt tokens read in a step.
+    pub chunk: f64,
+    /// Mean tokens of an answer.
+    pub usual_answer: u64,
+}
+
+impl EngineProfile {
+    /// Returns the time to read a prompt alone, in milliseconds.
+    #[must_use]
+    pub fn read_time(&self, prompt: u64) -> f64 {
+        let tokens = as_float(prompt);
+        tokens / self.read_rate + tokens * tokens / 2.0e6 * self.pairs
+    }
+
+    /// Returns the time to read one of `parts` even parts of a prompt, in milliseconds.
+    #[must_use]
+    pub fn part_time(&self, prompt: u64, parts: usize) -> f64 {
+        self.read_time(prompt) / as_float(parts as u64)
+    }
+
+    /// Returns the time of a pass that writes and reads nothing, in milliseconds.
+    #[must_use]
+    pub fn pass_time(&self, writers: usize, context: u64) -> f64 {
+        let writers = as_float(writers as u64) * self.writer;
+        let step = self.step + writers + as_float(context) / 1000.0 * self.context;
+        self.stride * step
+    }
+
+    /// Returns how much of a read of `time` a pass can hold, in milliseconds.
+    ///
+    /// A pass reads at most a chunk a step, so a long prompt is spread over several passes.
+    #[must_use]
+    pub fn read_in_pass(&self, prompt: u64, time: f64) -> f64 {
+        let most = self.stride * self.chunk;
+        let tokens = as_float(prompt);
+        if tokens <= most {
+            time
+        } else {
+            time * most / tokens
+        }
+    }
+
+    /// Returns the time to write an answer among `writers` others.
+    #[must_use]
+    pub fn write_time(&self, answer: u64, writers: usize, context: u64) -> Duration {
+        let passes = as_float(answer) / self.stride;
+        let millis = passes * self.pass_time(writers, context);
+        Duration::from_secs_f64(millis.max(0.0) / 1000.0)
+    }
+}
+
+/// Converts a count to a float; counts of tokens and requests stay far below 2^52.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of tokens and requests stay far below 2^52"
+)]
+#[must_use]
+pub fn as_float(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/core/src/placing.rs
@@ -0,0 +1,308 @@
+//! Chooses the engines of a prompt by what the choice costs all callers.
+//!
+//! It answers loads in which prompts of very unlike lengths share engines: a long read beside short
+//! answers stretches their pauses, and a short prompt behind a long read waits for it. Each candidate
+//! is priced by the value that the prompt itself, the answers being written there and the prompts
+//! waiting there are likely to lose; long prompts may be read in parts by several engines.
+
+pub mod ledger;
+
+use std::time::Duration;
+
+use self::ledger::{EngineLoad, Ledger, Share};
+use crate::directory::ServerRecord;
+use crate::engine_model::{EngineProfile, as_float};
+use crate::names::{ServerId, ZoneName};
+use crate::time::{Moment, duration_millis};
+
+/// Shortest prompt, in tokens, that is read in parts; a shorter one is read within a few passes.
+const MIN_SPLIT_TOKENS: u64 = 12_000;
+/// Numbers of helping engines that are tried; the engines take 16 at most.
+const HELPER_COUNTS: [usize; 9] = [1, 2, 3, 4, 5, 7, 9, 12, 15];
+/// Prompt tokens that double a request's value: callers lose more with a longer job.
+const VALUE_TOKENS: f64 = 9_500.0;
+/// Value that a late answer keeps, as a part of the whole.
+const LATE_PART: f64 = 0.25;
+/// Value lost for each millisecond of predicted time to first token, to break ties.
+const MILLI_COST: f64 = 0.000_2;
+/// Value lost by a crossing between availability zones: bytes and delay.
+const CROSS_COST: f64 = 0.004;
+/// Value lost for each helper: another engine that can fail.
+const HELPER_COST: f64 = 0.01;
+/// Part of the memory that may be promised; the rest is for answers longer than expected.
+const MEMORY_PART: f64 = 0.96;
+/// Time that a request waits for each one before it where all slots are taken, in milliseconds.
+const SLOT_WAIT: f64 = 250.0;
+
+/// A prompt that needs an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptAsk {
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Tokens of the answer, as far as expected.
+    pub answer: u64,
+    /// Time that has passed since the caller asked.
+    pub waited: Duration,
+    /// Time in which the first event is on time.
+    pub objective: Duration,
+    /// Longest pause between two events that is on time.
+    pub pause: Duration,
+    /// Time left until the caller gives up.
+    pub left: Duration,
+}
+
+/// A server that may be chosen.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// The server.
+    pub server: &'a ServerRecord,
+    /// Further value lost there, for a server that failed or was slow of late.
+    pub penalty: f64,
+}
+
+/// The engines chosen for a prompt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Engine that reads its part and writes the answer.
+    pub lead: ServerId,
+    /// Engines that read further parts.
+    pub helpers: Vec<ServerId>,
+    /// Predicted time to the first event.
+    pub first: Duration,
+}
+
+/// Returns the value of a request with this prompt to its caller; 1 for the shortest.
+#[must_use]
+pub fn prompt_value(prompt: u64) -> f64 {
+    1.0 + as_float(prompt) / VALUE_TOKENS
+}
+
+/// Returns how likely a time misses its bound, from sure to be in time (0) to sure to be late (1).
+#[must_use]
+fn lateness(time: f64, bound: f64) -> f64 {
+    if bound <= 0.0 {
+        return 1.0;
+    }
+    ((time / bound - 0.7) / 0.35).clamp(0.0, 1.0)
+}
+
+fn millis(time: Duration) -> f64 {
+    as_float(duration_millis(time))
+}
+
+/// What a choice of one engine costs.
+#[derive(Clone, Copy, Debug)]
+struct Priced<'a> {
+    candidate: usize,
+    server: &'a ServerRecord,
+    /// Value that others lose there.
+    harm: f64,
+    /// Predicted time until the part is read there, in milliseconds.
+    ready: f64,
+    /// Time of one token pass there afterwards, in milliseconds.
+    pass: f64,
+}
+
+/// Chooses engines for prompts.
+#[derive(Debug)]
+pub struct Placer<'a> {
+    /// How the service's engines work.
+    pub profile: &'a EngineProfile,
+    /// What runs where.
+    pub ledger: &'a Ledger,
+    /// Own availability zone.
+    pub zone: &'a ZoneName,
+    /// Now.
+    pub now: Moment,
+}
+
+impl Placer<'_> {
+    /// Chooses the engines that cost least; `None` where no candidate is left.
+    #[must_use]
+    pub fn place(&self, ask: &PromptAsk, candidates: &[Candidate<'_>]) -> Option<Placement> {
+        let alone = self.best_alone(ask, candidates);
+        let mut best = alone;
+        if ask.prompt >= MIN_SPLIT_TOKENS {
+            for count in HELPER_COUNTS {
+                let split = self.best_split(ask, candidates, count);
+                best = cheaper(best, split);
+            }
+        }
+        best.map(|(_, placement)| placement)
+    }
+
+    fn best_alone(
+        &self,
+        ask: &PromptAsk,
+        candidates: &[Candidate<'_>],
+    ) -> Option<(f64, Placement)> {
+        let priced = self.price_all(ask, candidates, 1);
+        let total = |p: &Priced<'_>| {
+            let first = p.ready + p.pass;
+            let own = own_cost(ask, first) + candidates[p.candidate].penalty;
+            p.harm + own + self.lead_cost(ask, p.server)
+        };
+        let costs = priced.iter().map(|p| (total(p), p));
+        let (cost, chosen) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let placement = Placement {
+            lead: chosen.server.id.clone(),
+            helpers: Vec::new(),
+            first: from_millis(chosen.ready + chosen.pass),
+        };
+        Some((cost, placement))
+    }
+
+    /// Prices a split over the lead and `count` helpers, each the cheapest for its part.
+    fn best_split(
+        &self,
+        ask: &PromptAsk,
+        candidates: &[Candidate<'_>],
+        count: usize,
+    ) -> Option<(f64, Placement)> {
+        if candidates.len() <= count {
+            return None;
+        }
+        let mut priced = self.price_all(ask, candidates, count + 1);
+        let part_cost = |p: &Priced<'_>| {
+            let late = own_cost(ask, p.ready + p.pass);
+            p.harm + late + candidates[p.candidate].penalty + self.cross_cost(p.server)
+        };
+        priced.sort_by(|a, b| part_cost(a).total_cmp(&part_cost(b)));
+        priced.truncate(count + 1);
+        let lead_cost = |p: &Priced<'_>| self.lead_cost(ask, p.server);
+        let lead = (0..priced.len())
+            .min_by(|a, b| lead_cost(&priced[*a]).total_cmp(&lead_cost(&priced[*b])))?;
+        let lead = priced.swap_remove(lead);
+        let helpers = &priced;
+        let slowest = helpers.iter().fold(lead.ready, |slow, p| slow.max(p.ready));
+        let first = slowest + lead.pass;
+        let harm: f64 = helpers.iter().map(|p| p.harm).sum::<f64>() + lead.harm;
+        let penalty: f64 = helpers
+            .iter()
+            .chain([&lead])
+            .map(|p| candidates[p.candidate].penalty + self.cross_cost(p.server))
+            .sum();
+        let fragile = as_float(count as u64) * HELPER_COST;
+        let own = own_cost(ask, first) + self.lead_cost(ask, lead.server);
+        let placement = Placement {
+            lead: lead.server.id.clone(),
+            helpers: helpers.iter().map(|p| p.server.id.clone()).collect(),
+            first: from_millis(first),
+        };
+        Some((harm + penalty + fragile + own, placement))
+    }
+
+    fn price_all<'c>(
+        &self,
+        ask: &PromptAsk,
+        candidates: &[Candidate<'c>],
+        parts: usize,
+    ) -> Vec<Priced<'c>> {
+        let prices = candidates.iter().enumerate();
+        prices
+            .map(|(at, candidate)| self.price(ask, at, candidate.server, parts))
+            .collect()
+    }
+
+    fn price<'c>(
+        &self,
+        ask: &PromptAsk,
+        candidate: usize,
+        server: &'c ServerRecord,
+        parts: usize,
+    ) -> Priced<'c> {
+        let empty = EngineLoad::default();
+        let load = self.ledger.load(&server.id).unwrap_or(&empty);
+        let part = self.profile.part_time(ask.prompt, parts);
+        let tokens = ask.prompt / parts as u64;
+        let in_pass = self.profile.read_in_pass(tokens, part);
+        let pass = self.profile.pass_time(load.writers() + 1, load.context());
+        let backlog = load.backlog(self.now);
+        let over = load.len().saturating_sub(self.profile.slots as usize - 1);
+        let ready = pass / 2.0 + backlog + part + as_float(over as u64) * SLOT_WAIT;
+        let harm = self.harm(load, in_pass, pass);
+        Priced {
+            candidate,
+            server,
+            harm,
+            ready,
+            pass,
+        }
+    }
+
+    /// Returns the value that others lose where a read of `in_pass` joins their passes.
+    fn harm(&self, load: &EngineLoad, in_pass: f64, pass: f64) -> f64 {
+        let backlog = load.backlog(self.now);
+        let before = pass + load.read_in_pass(self.now);
+        let after = before + in_pass;
+        load.shares()
+            .map(|share| {
+                let lost = if share.reading {
+                    self.first_lost(share, backlog + pass, in_pass)
+                } else {
+                    pause_lost(share, before, after)
+                };
+                lost * (1.0 - LATE_PART) * prompt_value(share.prompt)
+            })
+            .sum()
+    }
+
+    /// Returns how much likelier a waiting prompt is late where another read joins it.
+    fn first_lost(&self, share: &Share, ready: f64, in_pass: f64) -> f64 {
+        if !share.leads {
+            return 0.0;
+        }
+        let waited = as_float(duration_millis(self.now.since(share.asked)));
+        let bound = millis(share.objective);
+        lateness(waited + ready + in_pass, bound) - lateness(waited + ready, bound)
+    }
+
+    /// Returns the value lost where this engine writes the answer.
+    fn lead_cost(&self, ask: &PromptAsk, server: &ServerRecord) -> f64 {
+        let used = self.ledger.load(&server.id).map_or(0, EngineLoad::memory);
+        let need = as_float(used + ask.prompt + ask.answer);
+        let room = as_float(self.profile.memory) * MEMORY_PART;
+        let over = if need > room {
+            prompt_value(ask.prompt) + 1.0
+        } else {
+            0.0
+        };
+        over + self.cross_cost(server)
+    }
+
+    fn cross_cost(&self, server: &ServerRecord) -> f64 {
+        if server.zone == *self.zone {
+            0.0
+        } else {
+            CROSS_COST
+        }
+    }
+}
+
+/// Returns the value that the prompt itself is likely to lose with its first event after `first`.
+fn own_cost(ask: &PromptAsk, first: f64) -> f64 {
+    let time = millis(ask.waited) + first;
+    let value = prompt_value(ask.prompt);
+    let late = lateness(time, millis(ask.objective)) * (1.0 - LATE_PART);
+    let lost = lateness(first, millis(ask.left)) * LATE_PART;
+    value * (late + lost) + first * MILLI_COST
+}
+
+fn pause_lost(share: &Share, before: f64, after: f64) -> f64 {
+    let bound = millis(share.pause);
+    lateness(after, bound) - lateness(before, bound)
+}
+
+fn cheaper(
+    one: Option<(f64, Placement)>,
+    other: Option<(f64, Placement)>,
+) -> Option<(f64, Placement)> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(if other.0 < one.0 { other } else { one }),
+        (one, other) => one.or(other),
+    }
+}
+
+fn from_millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis.max(0.0) / 1000.0)
+}
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -1,7 +1,9 @@
 //! When a request may be sent again, and how often a service allows it.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::engine_model::as_float;
 use crate::outcome::RunState;
 use crate::time::Moment;
 
@@ -76,3 +78,56 @@
         .min(MAX_BACKOFF)
         .mul_f64(0.5 + jitter.clamp(0.0, 1.0) / 2.0)
 }
+
+/// Limits of the retries of a service over all VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimits {
+    /// Span in which retries are counted.
+    pub window: Duration,
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Further retries of all VMs together.
+    pub slack: f64,
+}
+
+/// Part of a limit that is used, since VMs see requests of unlike number.
+const USED_PART: f64 = 0.7;
+
+/// Requests and retries of one service at one VM in a sliding window.
+#[derive(Debug, Default)]
+pub struct RetryWindow {
+    /// Times of requests and retries in order, none older than the window.
+    requests: VecDeque<Moment>,
+    retries: VecDeque<Moment>,
+}
+
+impl RetryWindow {
+    /// Counts a request.
+    pub fn request(&mut self, now: Moment, limits: &RetryLimits) {
+        self.requests.push_back(now);
+        self.expire(now, limits);
+    }
+
+    /// Takes one retry, where this VM's share of the limits of `vms` VMs allows it.
+    pub fn spend(&mut self, now: Moment, limits: &RetryLimits, vms: usize) -> bool {
+        self.expire(now, limits);
+        let requests = as_float(self.requests.len() as u64);
+        let share = limits.slack / as_float(vms.max(1) as u64);
+        let allowed = (requests * limits.ratio + share) * USED_PART;
+        if as_float(self.retries.len() as u64) + 1.0 > allowed {
+            return false;
+        }
+        self.retries.push_back(now);
+        true
+    }
+
+    fn expire(&mut self, now: Moment, limits: &RetryLimits) {
+        let old = |at: &Moment| now.since(*at) > limits.window;
+        while self.requests.front().is_some_and(old) {
+            self.requests.pop_front();
+        }
+        while self.retries.front().is_some_and(old) {
+            self.retries.pop_front();
+        }
+    }
+}
--- a/node/src/constants.rs
+++ b/node/src/constants.rs
@@ -14,6 +14,10 @@
 pub const PROPOSE_AGAIN: Duration = Duration::from_millis(400);
 /// Applied entries after which the control log is compacted.
 pub const COMPACT_ENTRIES: u64 = 8192;
+/// Bytes of applied commands after which the control log is compacted.
+pub const COMPACT_BYTES: usize = 8 * 1024 * 1024;
+/// Time after which a write that the disk refused is tried again.
+pub const DISK_RETRY: Duration = Duration::from_millis(200);
 /// Time to reach a backend server.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time in which a backend server must answer a probe of its health.
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -1,6 +1,5 @@
 //! The control thread: it owns the core's state and is the only one that changes it.
 
-pub mod disk;
 mod hello;
 pub mod input;
 mod manifests;
@@ -24,18 +23,19 @@
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::RequestId;
 use merlinrudder_wire::mesh::MeshMessage;
-use slog::{Logger, info, o};
+use slog::{Logger, info, o, warn};
 
-use self::hello::Formation;
 use self::input::{Canceller, ControlInput, EntryEvent};
 use self::manifests::Manifests;
 use self::proposals::Proposals;
-use self::replica::Replica;
 use crate::clock::Clock;
 use crate::constants::TICK_PERIOD;
 use crate::mesh::Mesh;
 use crate::metrics;
 use crate::published::PublishedCell;
+use crate::replica::Replica;
+use crate::replica::disk::OpenedDisk;
+use crate::replica::formation::Formation;
 use crate::timer::Timer;
 
 /// Handle by which other threads talk to the control thread.
@@ -67,7 +67,7 @@
     /// Tells backend servers to drop requests.
     pub canceller: Canceller,
     /// The opened data folder, on a VM with a disk.
-    pub disk: Option<disk::OpenedDisk>,
+    pub disk: Option<OpenedDisk>,
     /// Root logger.
     pub log: Logger,
 }
@@ -145,8 +145,12 @@
             .collect();
         let (replica, formation) = match start.disk {
             Some(disk) => {
-                let replica = Replica::open(now, &start.own.vm, disk, control, &log)?;
-                let formation = Formation::open(&start.own.vm, &voters);
+                let control = control.clone();
+                let report = move |report| control.send(ControlInput::Disk(report));
+                let replica = Replica::open(now, &start.own.vm, disk, report, &log)?;
+                let own = std::iter::once(start.own.vm.clone());
+                let founders = own.chain(voters.iter().map(|peer| peer.vm.clone()));
+                let formation = Formation::open(founders.collect());
                 (Some(replica), Some(formation))
             }
             None => (None, None),
@@ -241,6 +245,14 @@
             }
             MeshMessage::PullVerdicts { have } => self.answer_verdicts(from, have),
             MeshMessage::Verdicts(verdicts) => self.take_verdicts(now, verdicts),
+            MeshMessage::Confirm { .. }
+            | MeshMessage::Join(_)
+            | MeshMessage::Newest { .. }
+            | MeshMessage::Peers(_)
+            | MeshMessage::Placements(_)
+            | MeshMessage::Servers(_) => {
+                warn!(self.log, "Dropped a message that only links carry"; "from" => %from);
+            }
         }
     }
 
--- a/node/src/control/input.rs
+++ b/node/src/control/input.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crossbeam::channel::Sender;
-use merlinrudder_core::consensus::message::{Index, Message, ReplicaId, Term};
 use merlinrudder_core::control::{Answer, Command};
 use merlinrudder_core::dispatch::message::{Ask, Finish, Grant, GrantedServer};
 use merlinrudder_core::names::{VmId, ZoneName};
@@ -14,6 +13,8 @@
 use merlinrudder_core::units::{AttemptId, RequestId};
 use merlinrudder_wire::mesh::MeshMessage;
 
+use crate::replica::disk::DiskReport;
+
 pub use super::serving::PlacedServer;
 pub use super::status::{MemberStatus, ServerStatus, VmStatus};
 
@@ -85,20 +86,6 @@
     pub reply: Sender<Option<Answer>>,
 }
 
-/// Report of the disk thread.
-#[derive(Debug)]
-pub enum DiskReport {
-    /// Jobs are synced.
-    Synced {
-        /// Last entry that they held.
-        last: Option<(Term, Index)>,
-        /// Messages that may go out now.
-        messages: Vec<(ReplicaId, Message)>,
-    },
-    /// The disk failed, and nothing more is written.
-    Failed(String),
-}
-
 /// Tells backend servers to drop a request, on another thread.
 #[derive(Clone)]
 pub struct Canceller(Arc<dyn Fn(RequestId, Vec<GrantedServer>) + Send + Sync>);
--- a/node/src/control/proposals.rs
+++ b/node/src/control/proposals.rs
@@ -10,9 +10,9 @@
 
 use super::ControlThread;
 use super::input::Proposal;
-use super::replica::Requester;
 use crate::constants::PROPOSE_AGAIN;
 use crate::metrics;
+use crate::replica::Requester;
 
 #[derive(Debug)]
 struct Pending {
--- /dev/null
+++ b/node/src/gateway/exchange.rs
@@ -0,0 +1,412 @@
+//! One attempt at a request: a choice of servers, a connection, the head of the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap};
+use hyper::http::response::Parts;
+use merlinrudder_core::deployment::CallKind;
+use merlinrudder_core::engine_model::EngineProfile;
+use merlinrudder_core::health::Served;
+use merlinrudder_core::names::ServerId;
+use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
+use merlinrudder_core::placing::PromptAsk;
+use merlinrudder_core::placing::ledger::PlacedPrompt;
+use merlinrudder_platform::headers;
+use slog::{debug, info};
+use tokio::time::{sleep, timeout};
+
+use super::refusal::SOON;
+use super::request::{CallerRequest, Outgoing, text_header};
+use super::sharing::OwnPlacement;
+use super::state::Gateway;
+use super::upstream::{Connection, SendFailure};
+use crate::metrics;
+
+/// Most refusals by servers before a request is refused here.
+const MAX_REFUSALS: u32 = 5;
+/// Time before a request that a server refused is sent to another.
+const REFUSED_WAIT: Duration = Duration::from_millis(10);
+/// Shortest time in which a first event is expected before the engine counts as hung.
+const MIN_HANG: Duration = Duration::from_millis(900);
+/// Ranks at an engine by the time to read the prompt alone, in milliseconds: shorter goes first.
+const RANKS: [(f64, u8); 3] = [(80.0, 2), (700.0, 4), (f64::INFINITY, 6)];
+
+/// The servers of one attempt; their load counts until this is dropped.
+#[derive(Debug)]
+pub(super) struct Chosen {
+    pub(super) server: ServerId,
+    address: std::net::SocketAddr,
+    helpers: String,
+    /// Predicted time to the first event.
+    predicted: Option<Duration>,
+    pub(super) placement: Option<OwnPlacement>,
+    _call: Option<CallGuard>,
+}
+
+/// Counts a plain call at a server while it lives.
+#[derive(Debug)]
+struct CallGuard {
+    gateway: Rc<Gateway>,
+    server: ServerId,
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.gateway.fleet.borrow_mut().call_ended(&self.server);
+    }
+}
+
+/// An answer whose head came.
+#[derive(Debug)]
+pub(super) struct Opened {
+    pub(super) chosen: Chosen,
+    pub(super) head: Parts,
+    pub(super) body: Incoming,
+    pub(super) connection: Connection,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Failure {
+    /// No connection was made.
+    Unreachable,
+    /// The server refused it and says that it did not run it.
+    Refused,
+    /// Another server has the address.
+    Replaced,
+    /// The connection broke, or what came is no answer to this request.
+    Broken,
+    /// Nothing came in time.
+    Hung,
+}
+
+impl Failure {
+    const fn run(self) -> RunState {
+        match self {
+            Self::Unreachable | Self::Refused | Self::Replaced => RunState::NotRun,
+            Self::Broken | Self::Hung => RunState::MayHaveRun,
+        }
+    }
+
+    const fn served(self) -> Served {
+        match self {
+            Self::Unreachable => Served::Unreachable,
+            Self::Refused => Served::Full,
+            Self::Replaced | Self::Broken | Self::Hung => Served::Badly,
+        }
+    }
+}
+
+/// The attempts at one request so far.
+#[derive(Debug)]
+pub(super) struct Attempts {
+    /// Servers that are not asked again.
+    pub(super) tried: Vec<ServerId>,
+    /// Attempts that may have run.
+    ran: u32,
+    refusals: u32,
+}
+
+impl Attempts {
+    pub(super) fn new() -> Self {
+        Self {
+            tried: Vec::new(),
+            ran: 0,
+            refusals: 0,
+        }
+    }
+
+    pub(super) fn run_state(&self) -> RunState {
+        if self.ran == 0 {
+            RunState::NotRun
+        } else {
+            RunState::MayHaveRun
+        }
+    }
+
+    /// Makes attempts until one brings the head of an answer.
+    pub(super) async fn open(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &CallerRequest,
+        last_event: Option<u64>,
+    ) -> Result<Opened, Refusal> {
+        loop {
+            if call.left(gateway.now()).is_zero() {
+                return Err(self.refusal(RefusalReason::DeadlinePassed));
+            }
+            let Some(chosen) = choose(gateway, call, &self.tried) else {
+                return Err(self.refusal(RefusalReason::NoServer));
+            };
+            let server = chosen.server.clone();
+            let failure = match attempt(gateway, call, chosen, last_event).await {
+                Ok(opened) => return Ok(opened),
+                Err(failure) => failure,
+            };
+            self.note(gateway, call, &server, failure);
+            self.next(gateway, call, failure)?;
+            if failure == Failure::Refused {
+                sleep(REFUSED_WAIT).await;
+            }
+        }
+    }
+
+    /// Decides whether another attempt may follow one that broke after it may have run.
+    pub(super) fn may_repeat(&mut self, gateway: &Gateway, call: &CallerRequest) -> bool {
+        let idempotent = call.route.kind.is_idempotent();
+        let in_time = !call.left(gateway.now()).is_zero();
+        self.ran += 1;
+        idempotent
+            && in_time
+            && self.ran < call.route.attempts
+            && gateway.spend_retry(&call.service)
+    }
+
+    fn next(
+        &mut self,
+        gateway: &Gateway,
+        call: &CallerRequest,
+        failure: Failure,
+    ) -> Result<(), Refusal> {
+        if failure.run() == RunState::MayHaveRun {
+            if self.may_repeat(gateway, call) {
+                metrics::count_retry(RetryReason::IdempotentBroken);
+                return Ok(());
+            }
+            return Err(self.refusal(RefusalReason::ServerFailed));
+        }
+        self.refusals += 1;
+        // A refusal reached the server, so sending again counts as a retry there.
+        let free = failure == Failure::Unreachable || gateway.spend_retry(&call.service);
+        if self.refusals >= MAX_REFUSALS || !free {
+            return Err(self.refusal(RefusalReason::ServerRefused));
+        }
+        let reason = if failure == Failure::Unreachable {
+            RetryReason::ConnectFailed
+        } else {
+            RetryReason::ServerRefused
+        };
+        metrics::count_retry(reason);
+        Ok(())
+    }
+
+    fn refusal(&self, reason: RefusalReason) -> Refusal {
+        let run = self.run_state();
+        Refusal {
+            reason,
+            run,
+            retry_after: (run == RunState::NotRun).then_some(SOON),
+        }
+    }
+
+    fn note(
+        &mut self,
+        gateway: &Gateway,
+        call: &CallerRequest,
+        server: &ServerId,
+        failure: Failure,
+    ) {
+        let now = gateway.now();
+        self.tried.push(server.clone());
+        let mut fleet = gateway.fleet.borrow_mut();
+        fleet.served(now, server, failure.served());
+        if failure == Failure::Replaced {
+            fleet.replaced(now, server);
+        }
+        info!(gateway.log, "Attempt failed"; "request" => call.id_text(), "server" => %server,
+            "failure" => ?failure, "after_ms" => now.since(call.began).as_millis(),
+            "manifest" => call.manifest);
+    }
+}
+
+/// Chooses servers for a request; engines by their model, plain servers by their load.
+fn choose(gateway: &Rc<Gateway>, call: &CallerRequest, tried: &[ServerId]) -> Option<Chosen> {
+    let now = gateway.now();
+    let prompt = call.profile.as_ref().zip(call.tokens);
+    let Some((profile, tokens)) = prompt else {
+        let mut fleet = gateway.fleet.borrow_mut();
+        let server = fleet.choose_server(now, &call.service, tried)?;
+        let address = fleet.directory.get(&server)?.address;
+        fleet.call_began(&server);
+        let call = CallGuard {
+            gateway: Rc::clone(gateway),
+            server: server.clone(),
+        };
+        return Some(Chosen {
+            server,
+            address,
+            helpers: String::new(),
+            predicted: None,
+            placement: None,
+            _call: Some(call),
+        });
+    };
+    let ask = prompt_ask(gateway, call, profile, tokens);
+    let (placement, address, helpers) = {
+        let fleet = gateway.fleet.borrow();
+        let placement = fleet.choose_engines(now, &call.service, profile, &ask, tried)?;
+        let address = fleet.directory.get(&placement.lead)?.address;
+        let helpers = placement.helpers.iter();
+        let helpers = helpers.filter_map(|id| fleet.directory.get(id));
+        let helpers: Vec<_> = helpers.map(|record| record.address.to_string()).collect();
+        (placement, address, helpers.join(","))
+    };
+    let placed = PlacedPrompt {
+        lead: placement.lead.clone(),
+        helpers: placement.helpers,
+        prompt: ask.prompt,
+        answer: ask.answer,
+        asked: call.began,
+        objective: ask.objective,
+        pause: ask.pause,
+    };
+    let own = OwnPlacement::new(gateway, &call.service, placed);
+    Some(Chosen {
+        server: placement.lead,
+        address,
+        helpers,
+        predicted: Some(placement.first),
+        placement: Some(own),
+        _call: None,
+    })
+}
+
+fn prompt_ask(
+    gateway: &Gateway,
+    call: &CallerRequest,
+    profile: &EngineProfile,
+    tokens: headers::TokenCounts,
+) -> PromptAsk {
+    let now = gateway.now();
+    let pause = match call.route.kind {
+        CallKind::Stream { pause, .. } => pause,
+        CallKind::Idempotent | CallKind::Once => call.route.timeout,
+    };
+    PromptAsk {
+        prompt: tokens.prompt,
+        answer: tokens.answer.min(profile.usual_answer * 2),
+        waited: now.since(call.began),
+        objective: call.route.objective,
+        pause,
+        left: call.left(now),
+    }
+}
+
+async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &CallerRequest,
+    chosen: Chosen,
+    last_event: Option<u64>,
+) -> Result<Opened, Failure> {
+    // A kept connection may end just as a request goes out, and then nobody knows whether it ran.
+    let fresh = call.route.kind == CallKind::Once;
+    let connecting = gateway.pool.connect(chosen.address, fresh).await;
+    let mut connection = connecting.map_err(|_error| Failure::Unreachable)?;
+    let rank = call.profile.as_ref().zip(call.tokens);
+    let rank = rank.map(|(profile, tokens)| rank_of(profile, tokens.prompt));
+    let outgoing = Outgoing {
+        server: chosen.server.as_str(),
+        helpers: chosen.helpers.clone(),
+        rank,
+        last_event: last_event.or(call.last_event),
+    };
+    let now = gateway.now();
+    let request = call.outgoing(now, &outgoing);
+    let wait = hang_time(call, &chosen).min(call.left(now));
+    let sent = timeout(wait, connection.send(request)).await;
+    let response = match sent {
+        Err(_elapsed) => return Err(Failure::Hung),
+        Ok(Err(failure)) => {
+            debug!(gateway.log, "Sending failed"; "request" => call.id_text(),
+                "server" => %chosen.server, "error" => ?failure);
+            return Err(match failure {
+                SendFailure::NotSent(_) => Failure::Unreachable,
+                SendFailure::MayHaveRun(_) => Failure::Broken,
+            });
+        }
+        Ok(Ok(response)) => response,
+    };
+    let (head, body) = response.into_parts();
+    check_head(call, &head)?;
+    note_head(gateway, &chosen, &head.headers);
+    Ok(Opened {
+        chosen,
+        head,
+        body,
+        connection,
+    })
+}
+
+fn rank_of(profile: &EngineProfile, prompt: u64) -> u8 {
+    let time = profile.read_time(prompt);
+    let rank = RANKS.iter().find(|(most, _)| time < *most);
+    rank.map_or(9, |(_, rank)| *rank)
+}
+
+/// Returns the time after which a server that says nothing counts as hung.
+///
+/// A call that may not be repeated waits to its end: sending it elsewhere is no choice.
+fn hang_time(call: &CallerRequest, chosen: &Chosen) -> Duration {
+    if !call.route.kind.is_idempotent() {
+        return Duration::MAX;
+    }
+    let usual = chosen.predicted.unwrap_or_default() * 2;
+    MIN_HANG.max(usual + call.route.objective * 2)
+}
+
+/// Tells an answer to this request from anything else that may come on the connection.
+fn check_head(call: &CallerRequest, head: &Parts) -> Result<(), Failure> {
+    if head.headers.contains_key(headers::NOT_RUN) {
+        let replaced = head.status.as_u16() == 421;
+        return Err(if replaced {
+            Failure::Replaced
+        } else {
+            Failure::Refused
+        });
+    }
+    if head.status.as_u16() == 421 {
+        return Err(Failure::Replaced);
+    }
+    let own = head.headers.get(headers::ATTEMPT) == Some(&call.id);
+    let sealed = head.headers.contains_key(headers::SEAL);
+    let encoded = head.headers.contains_key(CONTENT_ENCODING);
+    if !own || encoded || (head.status.is_success() && !sealed) {
+        return Err(Failure::Broken);
+    }
+    Ok(())
+}
+
+fn note_head(gateway: &Gateway, chosen: &Chosen, head: &HeaderMap) {
+    let told = text_header(head, headers::LOAD).and_then(headers::told_load);
+    if let Some(told) = told {
+        let mut fleet = gateway.fleet.borrow_mut();
+        fleet.told_load(gateway.now(), &chosen.server, told.running + told.waiting);
+    }
+}
+
+/// Keeps the connection of an answer that came whole, unless the server closes it.
+pub(super) fn keep_connection(gateway: &Gateway, connection: Connection, head: &HeaderMap) {
+    let closes = text_header(head, CONNECTION.as_str())
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return;
+    }
+    let stated = text_header(head, "keep-alive")
+        .and_then(headers::keep_alive_seconds)
+        .map(Duration::from_secs);
+    gateway.pool.keep(connection, stated);
+}
+
+/// Makes the head of the caller's answer from a server's.
+pub(super) fn passed_on<B>(head: &Parts, body: B) -> Response<B> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    let mut kept = head.headers.clone();
+    super::request::strip_connection(&mut kept);
+    kept.remove(hyper::header::CONTENT_LENGTH);
+    *answer.headers_mut() = kept;
+    answer
+}
--- a/node/src/logging.rs
+++ b/node/src/logging.rs
@@ -26,6 +26,13 @@
     }
 }
 
+/// Builds the root logger of a role: JSON lines on standard output, dropped and counted past a bound.
+pub fn build_role(vm: &str, role: &'static str) -> Logger {
+    let drain = slog_json::Json::default(std::io::stdout());
+    let drain = std::sync::Mutex::new(drain).fuse();
+    finish(drain, Level::Info, vm).new(o!("role" => role))
+}
+
 fn finish<D>(drain: D, level: Level, vm: &str) -> Logger
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 use anyhow::Result;
 use merlinrudder_node::options::args::{Action, action, build_command};
 use merlinrudder_node::options::settings::Settings;
+use merlinrudder_node::roles;
 use merlinrudder_node::vm::RunningVm;
 use mimalloc::MiMalloc;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -34,6 +35,12 @@
             println!("{}: the settings are valid", path.display());
             Ok(())
         }
+        Action::CheckNode(path) => {
+            merlinrudder_platform::settings::open(&path)?;
+            println!("{}: the settings are valid", path.display());
+            Ok(())
+        }
+        Action::Role(role) => roles::run(role),
         Action::Run(path) => {
             let settings = Settings::open(&path)?;
             let log = merlinrudder_node::logging::build(&settings.log, settings.vm.as_str());
--- a/node/src/options/args.rs
+++ b/node/src/options/args.rs
@@ -11,6 +11,19 @@
     Run(PathBuf),
     /// Check the settings and stop.
     Check(PathBuf),
+    /// Run one role on the users' platform.
+    Role(Role),
+    /// Check a settings file of the platform and stop.
+    CheckNode(PathBuf),
+}
+
+/// A role that a process has on the users' platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Takes callers.
+    Entry,
+    /// Serves operators, backend servers and entry VMs.
+    Control,
 }
 
 /// Builds the command line.
@@ -34,18 +47,31 @@
         .subcommand(
             Command::new("check")
                 .about("Check the settings and stop")
-                .arg(settings),
+                .arg(settings.clone()),
         )
+        .subcommand(
+            Command::new("check-node")
+                .about("Check a settings file of the platform and stop")
+                .arg(settings.help("settings file that the platform wrote")),
+        )
+        .subcommand(Command::new("entry").about("Run an entry VM on the platform"))
+        .subcommand(Command::new("control").about("Run a control VM on the platform"))
 }
 
 /// Reads what the parsed command line asks for.
 #[must_use]
 pub fn action(matches: &ArgMatches) -> Option<Action> {
     let (name, sub) = matches.subcommand()?;
+    match name {
+        "entry" => return Some(Action::Role(Role::Entry)),
+        "control" => return Some(Action::Role(Role::Control)),
+        _ => {}
+    }
     let settings = sub.get_one::<PathBuf>("settings")?.clone();
     match name {
         "run" => Some(Action::Run(settings)),
         "check" => Some(Action::Check(settings)),
+        "check-node" => Some(Action::CheckNode(settings)),
         _ => None,
     }
 }
--- a/node/src/vm.rs
+++ b/node/src/vm.rs
@@ -16,7 +16,6 @@
 use crate::backend::{cancel_later, reconcile};
 use crate::clock::Clock;
 use crate::constants::{BALANCER_TIME, DRAIN_TIMEOUT};
-use crate::control::disk::OpenedDisk;
 use crate::control::input::{Canceller, ControlInput, VmStatus};
 use crate::control::{self, Control, ControlStart};
 use crate::front::HttpFront;
@@ -27,6 +26,7 @@
 use crate::metrics;
 use crate::options::settings::Settings;
 use crate::published::PublishedCell;
+use crate::replica::disk::OpenedDisk;
 use crate::timer::Timer;
 
 /// Requests of operators and of backend servers that run at once.
--- a/store/src/journal.rs
+++ b/store/src/journal.rs
@@ -21,7 +21,7 @@
     /// Number of the next record; records of a file are numbered without gaps.
     sequence: u64,
     bytes: u64,
-    /// After a failed write or sync nothing more is written: what the disk holds is not known.
+    /// Whether a write or sync failed: what the file holds after `bytes` is not known.
     failed: bool,
 }
 
@@ -60,14 +60,15 @@
     /// Appends records and syncs them together; they count once this returns.
     ///
     /// # Errors
-    /// Fails where the disk does; the journal takes nothing more after that.
+    /// Fails where the disk does; the same records may be appended again later.
     pub fn append(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
-        self.check_usable()?;
+        if self.failed {
+            cut_tail(&self.path, &self.file, self.bytes)?;
+        }
         let mut buffer = Vec::new();
-        for payload in payloads {
+        for (sequence, payload) in (self.sequence..).zip(payloads) {
             check_size(&self.path, payload)?;
-            write_frame(&mut buffer, self.sequence, payload);
-            self.sequence += 1;
+            write_frame(&mut buffer, sequence, payload);
         }
         self.failed = true;
         self.file
@@ -77,6 +78,7 @@
             .sync_data()
             .map_err(|source| StoreError::io(&self.path, "cannot sync", source))?;
         self.failed = false;
+        self.sequence += payloads.len() as u64;
         self.bytes += buffer.len() as u64;
         Ok(())
     }
@@ -86,20 +88,11 @@
     /// # Errors
     /// Fails where the disk does; the old records stay in that case.
     pub fn replace(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
-        self.check_usable()?;
         let next = Self::start(&self.folder, self.generation + 1, payloads)?;
         let old = std::mem::replace(self, next);
         remove(&old.path)
     }
 
-    fn check_usable(&self) -> Result<(), StoreError> {
-        if self.failed {
-            let detail = "an earlier write failed; restart after the disk is mended".to_owned();
-            return Err(StoreError::damaged(&self.path, detail));
-        }
-        Ok(())
-    }
-
     fn start(folder: &Path, generation: u64, payloads: &[Vec<u8>]) -> Result<Self, StoreError> {
         let path = journal_path(folder, generation);
         let mut buffer = Vec::new();
@@ -130,7 +123,7 @@
         let (payloads, sound) = read_all(&path, &bytes)?;
         let file = open_append(&path)?;
         if sound < bytes.len() {
-            cut_tail(&path, &file, sound)?;
+            cut_tail(&path, &file, sound as u64)?;
         }
         let sequence = payloads.len() as u64;
         let folder = folder.to_owned();
@@ -185,9 +178,9 @@
     Ok(())
 }
 
-fn cut_tail(path: &Path, file: &File, sound: usize) -> Result<(), StoreError> {
+fn cut_tail(path: &Path, file: &File, sound: u64) -> Result<(), StoreError> {
     let failed = |source| StoreError::io(path, "cannot cut the torn tail", source);
-    file.set_len(sound as u64).map_err(failed)?;
+    file.set_len(sound).map_err(failed)?;
     file.sync_all().map_err(failed)
 }
 
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod manifest;
 pub mod membership;
 pub mod mesh;
+pub mod peers;
 mod units;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -11,6 +11,7 @@
 use crate::error::DecodeError;
 use crate::log::{WireLogMessage, WireReplica, core_voters, wire_voters};
 use crate::membership::WireMembership;
+use crate::peers::{WirePeer, WirePlacements, WireServer};
 
 /// Version of the frames; VMs of another version are not understood.
 pub const MESH_VERSION: u8 = 1;
@@ -74,6 +75,26 @@
     },
     /// All verdicts in force.
     Verdicts(Vec<[u8; 32]>),
+    /// The first message of a link: who opened or accepted it.
+    Join(WirePeer),
+    /// VMs that the sender knows.
+    Peers(Vec<WirePeer>),
+    /// Backend servers that the sender heard of.
+    Servers(Vec<WireServer>),
+    /// What an entry VM placed.
+    Placements(WirePlacements),
+    /// A control VM tells which manifest is the newest that it knows.
+    Newest {
+        /// Its number; zero where there is none.
+        number: u64,
+        /// Whether the sender is in touch with the leader.
+        current: bool,
+    },
+    /// Asks the leader to confirm that it leads; answered like a proposal.
+    Confirm {
+        /// Number that the answer repeats.
+        id: u64,
+    },
 }
 
 /// A replica's introduction.
