bug: let a silent server be, where no other attempt may follow

Change: silence ends an attempt only where another may follow; time-outs of the request are a failure of their own.

--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -40,8 +40,10 @@
     pub(super) server: ServerId,
     address: std::net::SocketAddr,
     helpers: String,
+    /// Engines that read further parts.
+    pub(super) parts: usize,
     /// Predicted time to the first event.
-    predicted: Option<Duration>,
+    pub(super) predicted: Option<Duration>,
     pub(super) placement: Option<OwnPlacement>,
     _call: Option<CallGuard>,
 }
@@ -79,23 +81,27 @@
     Replaced,
     /// The connection broke, or what came is no answer to this request.
     Broken,
-    /// Nothing came in time.
+    /// Nothing came for far longer than expected.
     Hung,
+    /// The time of the request is over.
+    Overdue,
 }
 
 impl Failure {
     const fn run(self) -> RunState {
         match self {
             Self::Unreachable | Self::Refused | Self::Replaced => RunState::NotRun,
-            Self::Broken | Self::Hung => RunState::MayHaveRun,
+            Self::Broken | Self::Hung | Self::Overdue => RunState::MayHaveRun,
         }
     }
 
-    const fn served(self) -> Served {
+    /// Returns what it says of the server; a request that had little time says nothing.
+    const fn served(self) -> Option<Served> {
         match self {
-            Self::Unreachable => Served::Unreachable,
-            Self::Refused => Served::Full,
-            Self::Replaced | Self::Broken | Self::Hung => Served::Badly,
+            Self::Unreachable => Some(Served::Unreachable),
+            Self::Refused => Some(Served::Full),
+            Self::Replaced | Self::Broken | Self::Hung => Some(Served::Badly),
+            Self::Overdue => None,
         }
     }
 }
@@ -142,7 +148,7 @@
                 return Err(self.refusal(RefusalReason::NoServer));
             };
             let server = chosen.server.clone();
-            let failure = match attempt(gateway, call, chosen, last_event).await {
+            let failure = match attempt(gateway, call, chosen, last_event, self.repeats(call)).await {
                 Ok(opened) => return Ok(opened),
                 Err(failure) => failure,
             };
@@ -154,6 +160,13 @@
         }
     }
 
+    /// Whether another attempt may follow the one in progress.
+    ///
+    /// Where none may, a silent server is waited for to the end.
+    pub(super) fn repeats(&self, call: &CallerRequest) -> bool {
+        call.route.kind.is_idempotent() && self.ran + 1 < call.route.attempts
+    }
+
     /// Decides whether another attempt may follow one that broke after it may have run.
     pub(super) fn may_repeat(&mut self, gateway: &Gateway, call: &CallerRequest) -> bool {
         let idempotent = call.route.kind.is_idempotent();
@@ -176,7 +189,11 @@
                 metrics::count_retry(RetryReason::IdempotentBroken);
                 return Ok(());
             }
-            return Err(self.refusal(RefusalReason::ServerFailed));
+            let reason = match failure {
+                Failure::Overdue => RefusalReason::DeadlinePassed,
+                _ => RefusalReason::ServerFailed,
+            };
+            return Err(self.refusal(reason));
         }
         self.refusals += 1;
         // A refusal reached the server, so sending again counts as a retry there.
@@ -212,7 +229,9 @@
         let now = gateway.now();
         self.tried.push(server.clone());
         let mut fleet = gateway.fleet.borrow_mut();
-        fleet.served(now, server, failure.served());
+        if let Some(result) = failure.served() {
+            fleet.served(now, server, result);
+        }
         if failure == Failure::Replaced {
             fleet.replaced(now, server);
         }
@@ -239,6 +258,7 @@
             server,
             address,
             helpers: String::new(),
+            parts: 0,
             predicted: None,
             placement: None,
             _call: Some(call),
@@ -256,18 +276,20 @@
     };
     let placed = PlacedPrompt {
         lead: placement.lead.clone(),
-        helpers: placement.helpers,
+        helpers: placement.helpers.clone(),
         prompt: ask.prompt,
         answer: ask.answer,
         asked: call.began,
         objective: ask.objective,
         pause: ask.pause,
     };
+    let parts = placement.helpers.len();
     let own = OwnPlacement::new(gateway, &call.service, placed);
     Some(Chosen {
         server: placement.lead,
         address,
         helpers,
+        parts,
         predicted: Some(placement.first),
         placement: Some(own),
         _call: None,
@@ -300,6 +322,7 @@
     call: &CallerRequest,
     chosen: Chosen,
     last_event: Option<u64>,
+    repeats: bool,
 ) -> Result<Opened, Failure> {
     // A kept connection may end just as a request goes out, and then nobody knows whether it ran.
     let fresh = call.route.kind == CallKind::Once;
@@ -315,9 +338,15 @@
     };
     let now = gateway.now();
     let request = call.outgoing(now, &outgoing);
-    let wait = hang_time(call, &chosen).min(call.left(now));
+    let left = call.left(now);
+    let wait = if repeats {
+        hang_time(call, &chosen).min(left)
+    } else {
+        left
+    };
     let sent = timeout(wait, connection.send(request)).await;
     let response = match sent {
+        Err(_elapsed) if wait == left => return Err(Failure::Overdue),
         Err(_elapsed) => return Err(Failure::Hung),
         Ok(Err(failure)) => {
             debug!(gateway.log, "Sending failed"; "request" => call.id_text(),
@@ -347,12 +376,7 @@
 }
 
 /// Returns the time after which a server that says nothing counts as hung.
-///
-/// A call that may not be repeated waits to its end: sending it elsewhere is no choice.
 fn hang_time(call: &CallerRequest, chosen: &Chosen) -> Duration {
-    if !call.route.kind.is_idempotent() {
-        return Duration::MAX;
-    }
     let usual = chosen.predicted.unwrap_or_default() * 2;
     MIN_HANG.max(usual + call.route.objective * 2)
 }
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 use merlinrudder_core::deployment::CallKind;
 use merlinrudder_core::events::{Event, EventSplitter};
 use merlinrudder_core::health::Served;
+use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::RetryReason;
 use slog::info;
 use tokio::sync::mpsc;
@@ -47,11 +48,17 @@
         first: None,
         longest: Duration::ZERO,
         resumed: 0,
+        placed: placed_on(&opened),
     };
     spawn_local(passing.run(opened));
     answer
 }
 
+fn placed_on(opened: &Opened) -> (ServerId, usize, Option<Duration>) {
+    let chosen = &opened.chosen;
+    (chosen.server.clone(), chosen.parts, chosen.predicted)
+}
+
 /// How passing on the events of one engine ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Ended {
@@ -79,6 +86,8 @@
     /// Longest time between two events.
     longest: Duration,
     resumed: u32,
+    /// Engine that writes, engines that help it, and the predicted time to the first event.
+    placed: (ServerId, usize, Option<Duration>),
 }
 
 impl Passing {
@@ -122,7 +131,10 @@
             self.resumed += 1;
             let next = self.attempts.open(&self.gateway, &self.call, self.last);
             match next.await {
-                Ok(next) if next.head.status.is_success() => opened = next,
+                Ok(next) if next.head.status.is_success() => {
+                    self.placed = placed_on(&next);
+                    opened = next;
+                }
                 _ => return ended,
             }
         }
@@ -207,7 +219,9 @@
             CallKind::Stream {
                 resumable: true,
                 pause,
-            } if self.first.is_some() => MIN_STALL.max(pause * 3),
+            } if self.first.is_some() && self.attempts.repeats(&self.call) => {
+                MIN_STALL.max(pause * 3)
+            }
             _ => Duration::MAX,
         }
     }
@@ -223,6 +237,8 @@
         info!(self.gateway.log, "Stream ended"; "request" => self.call.id_text(),
             "route" => &*self.call.route.name, "outcome" => outcome, "events" => self.events,
             "prompt" => self.call.tokens.map(|tokens| tokens.prompt),
+            "server" => %self.placed.0, "helpers" => self.placed.1,
+            "predicted_ms" => self.placed.2.map(|predicted| predicted.as_millis()),
             "first_ms" => self.first.map(|first| first.as_millis()),
             "longest_ms" => self.longest.as_millis(), "resumed" => self.resumed,
             "took_ms" => self.gateway.now().since(self.call.began).as_millis(),
