--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -5,9 +5,10 @@
 
 use crate::deployment::Deployment;
 use crate::directory::{Directory, Merged, ServerRecord, ServerStage};
-use crate::engine_model::EngineProfile;
+use crate::engine_model::{EngineProfile, as_float};
 use crate::health::{HealthTable, Served};
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
+use crate::placing::judging::{Verdict, judge};
 use crate::placing::ledger::{Ledger, PlacedPrompt, PlacementKey};
 use crate::placing::{Candidate, Placement, Placer, PromptAsk, prompt_value};
 use crate::time::Moment;
@@ -87,7 +88,7 @@
         self.ledger.add(now, key, profile, placed);
     }
 
-    /// Chooses engines for a prompt, none of them in `tried`.
+    /// Chooses engines for a prompt, none of them in `tried`, and judges whether to use them now.
     #[must_use]
     pub fn choose_engines(
         &self,
@@ -96,7 +97,7 @@
         profile: &EngineProfile,
         ask: &PromptAsk,
         tried: &[ServerId],
-    ) -> Option<Placement> {
+    ) -> Option<(Placement, Verdict)> {
         let servers = self.usable(now, service, tried);
         let value = prompt_value(ask.prompt);
         let candidates: Vec<_> = servers
@@ -112,7 +113,12 @@
             zone: &self.zone,
             now,
         };
-        placer.place(ask, &candidates)
+        let placement = placer.place(ask, &candidates)?;
+        let reading = |c: &&Candidate<'_>| self.ledger.is_reading(now, &c.server.id);
+        let reading = candidates.iter().filter(reading).count();
+        let busy = as_float(reading as u64) / as_float(candidates.len() as u64);
+        let verdict = judge(profile, ask, &placement, busy);
+        Some((placement, verdict))
     }
 
     /// Chooses the server of a plain call, not one of `tried`.
--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -5,6 +5,7 @@
 //! is priced by the value that the prompt itself, the answers being written there and the prompts
 //! waiting there are likely to lose; long prompts may be read in parts by several engines.
 
+pub mod judging;
 pub mod ledger;
 
 use std::time::Duration;
@@ -29,8 +30,10 @@
 const CROSS_COST: f64 = 0.004;
 /// Value lost for each helper: another engine that can fail.
 const HELPER_COST: f64 = 0.01;
-/// Part of the memory that may be promised; the rest is for answers longer than expected.
-const MEMORY_PART: f64 = 0.96;
+/// One part in so many of the memory is not promised, for answers longer than expected.
+const MEMORY_SPARE: u64 = 25;
+/// Tokens set aside beyond an even part of the prompt, since engines count memory in blocks.
+const HELD_SPARE: u64 = 64;
 /// Time that a request waits for each one before it where all slots are taken, in milliseconds.
 const SLOT_WAIT: f64 = 250.0;
 
@@ -67,8 +70,12 @@
     pub lead: ServerId,
     /// Engines that read further parts.
     pub helpers: Vec<ServerId>,
+    /// Tokens of memory that each helper sets aside for its part; 0 where the lead holds all.
+    pub held: u64,
     /// Predicted time to the first event.
     pub first: Duration,
+    /// Value that other requests are likely to lose by it.
+    pub harm: f64,
 }
 
 /// Returns the value of a request with this prompt to its caller; 1 for the shortest.
@@ -147,7 +154,9 @@
         let placement = Placement {
             lead: chosen.server.id.clone(),
             helpers: Vec::new(),
+            held: 0,
             first: from_millis(chosen.ready + chosen.pass),
+            harm: chosen.harm,
         };
         Some((cost, placement))
     }
@@ -162,14 +171,34 @@
         if candidates.len() <= count {
             return None;
         }
+        let parts = count as u64 + 1;
         let mut priced = self.price_all(ask, candidates, count + 1);
+        let whole = ask.prompt + ask.answer;
+        let roomiest = priced.iter().map(|p| self.room(p.server)).max()?;
+        let held = if roomiest >= whole {
+            0
+        } else {
+            ask.prompt.div_ceil(parts) + HELD_SPARE
+        };
+        if held > 0 {
+            priced.retain(|p| self.room(p.server) >= held + ask.answer);
+        }
+        if priced.len() <= count {
+            return None;
+        }
         let part_cost = |p: &Priced<'_>| {
             let late = own_cost(ask, p.ready + p.pass);
             p.harm + late + candidates[p.candidate].penalty + self.cross_cost(p.server)
         };
         priced.sort_by(|a, b| part_cost(a).total_cmp(&part_cost(b)));
         priced.truncate(count + 1);
-        let lead_cost = |p: &Priced<'_>| self.lead_cost(ask, p.server);
+        let lead_cost = |p: &Priced<'_>| {
+            if held > 0 {
+                self.cross_cost(p.server)
+            } else {
+                self.lead_cost(ask, p.server)
+            }
+        };
         let lead = (0..priced.len())
             .min_by(|a, b| lead_cost(&priced[*a]).total_cmp(&lead_cost(&priced[*b])))?;
         let lead = priced.swap_remove(lead);
@@ -183,11 +212,13 @@
             .map(|p| candidates[p.candidate].penalty + self.cross_cost(p.server))
             .sum();
         let fragile = as_float(count as u64) * HELPER_COST;
-        let own = own_cost(ask, first) + self.lead_cost(ask, lead.server);
+        let own = own_cost(ask, first) + lead_cost(&lead);
         let placement = Placement {
             lead: lead.server.id.clone(),
             helpers: helpers.iter().map(|p| p.server.id.clone()).collect(),
+            held,
             first: from_millis(first),
+            harm,
         };
         Some((harm + penalty + fragile + own, placement))
     }
@@ -220,7 +251,8 @@
         let backlog = load.backlog(self.now);
         let over = load.len().saturating_sub(self.profile.slots as usize - 1);
         let ready = pass / 2.0 + backlog + part + as_float(over as u64) * SLOT_WAIT;
-        let harm = self.harm(load, in_pass, pass);
+        let ahead = if parts > 1 { part } else { in_pass };
+        let harm = self.harm(load, in_pass, ahead, pass);
         Priced {
             candidate,
             server,
@@ -231,14 +263,16 @@
     }
 
     /// Returns the value that others lose where a read of `in_pass` joins their passes.
-    fn harm(&self, load: &EngineLoad, in_pass: f64, pass: f64) -> f64 {
+    ///
+    /// Prompts that wait are delayed by `ahead`: helpers read before the engine's own prompts.
+    fn harm(&self, load: &EngineLoad, in_pass: f64, ahead: f64, pass: f64) -> f64 {
         let backlog = load.backlog(self.now);
         let before = pass + load.read_in_pass(self.now);
         let after = before + in_pass;
         load.shares()
             .map(|share| {
                 let lost = if share.reading {
-                    self.first_lost(share, backlog + pass, in_pass)
+                    self.first_lost(share, backlog + pass, ahead)
                 } else {
                     pause_lost(share, before, after)
                 };
@@ -248,21 +282,18 @@
     }
 
     /// Returns how much likelier a waiting prompt is late where another read joins it.
-    fn first_lost(&self, share: &Share, ready: f64, in_pass: f64) -> f64 {
+    fn first_lost(&self, share: &Share, ready: f64, ahead: f64) -> f64 {
         if !share.leads {
             return 0.0;
         }
         let waited = as_float(duration_millis(self.now.since(share.asked)));
         let bound = millis(share.objective);
-        lateness(waited + ready + in_pass, bound) - lateness(waited + ready, bound)
+        lateness(waited + ready + ahead, bound) - lateness(waited + ready, bound)
     }
 
     /// Returns the value lost where this engine writes the answer.
     fn lead_cost(&self, ask: &PromptAsk, server: &ServerRecord) -> f64 {
-        let used = self.ledger.load(&server.id).map_or(0, EngineLoad::memory);
-        let need = as_float(used + ask.prompt + ask.answer);
-        let room = as_float(self.profile.memory) * MEMORY_PART;
-        let over = if need > room {
+        let over = if ask.prompt + ask.answer > self.room(server) {
             prompt_value(ask.prompt) + 1.0
         } else {
             0.0
@@ -270,6 +301,13 @@
         over + self.cross_cost(server)
     }
 
+    /// Returns the memory that is free at an engine, in tokens.
+    fn room(&self, server: &ServerRecord) -> u64 {
+        let used = self.ledger.load(&server.id).map_or(0, EngineLoad::memory);
+        let usable = self.profile.memory - self.profile.memory / MEMORY_SPARE;
+        usable.saturating_sub(used)
+    }
+
     fn cross_cost(&self, server: &ServerRecord) -> f64 {
         if server.zone == *self.zone {
             0.0
--- a/core/src/placing/ledger.rs
+++ b/core/src/placing/ledger.rs
@@ -7,6 +7,9 @@
 use crate::names::{ServerId, VmId};
 use crate::time::{Moment, duration_millis};
 
+/// Least time that an engine still reads to count as reading, in milliseconds.
+const READING: f64 = 60.0;
+
 /// One placement, in the whole deployment.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct PlacementKey {
@@ -23,6 +26,8 @@
     pub lead: ServerId,
     /// Engines that read further parts.
     pub helpers: Vec<ServerId>,
+    /// Tokens of memory that each helper sets aside for its part; 0 where the lead holds all.
+    pub held: u64,
     /// Prompt tokens.
     pub prompt: u64,
     /// Tokens of the answer, as far as expected.
@@ -42,6 +47,8 @@
     pub leads: bool,
     /// Whether the part is not known to be read.
     pub reading: bool,
+    /// Tokens of the prompt that the engine's memory holds.
+    pub holds: u64,
     /// Prompt tokens of the whole prompt.
     pub prompt: u64,
     /// Tokens of the answer, as far as expected.
@@ -94,15 +101,15 @@
     /// Returns the context of the answers being written, in tokens.
     #[must_use]
     pub fn context(&self) -> u64 {
-        let writing = self.shares.values().filter(|s| s.leads && !s.reading);
-        writing.map(|share| share.prompt).sum()
+        let writing = self.shares.values().filter(|share| !share.reading);
+        writing.map(|share| share.holds).sum()
     }
 
     /// Returns the memory promised, in tokens.
     #[must_use]
     pub fn memory(&self) -> u64 {
-        let leads = self.shares.values().filter(|share| share.leads);
-        leads.map(|share| share.prompt + share.answer).sum()
+        let shares = self.shares.values();
+        shares.map(|share| share.holds + share.answer).sum()
     }
 
     /// Returns the time until all reads are done, in milliseconds.
@@ -138,6 +145,13 @@
         self.engines.get(server)
     }
 
+    /// Whether an engine has more to read than a short prompt.
+    #[must_use]
+    pub fn is_reading(&self, now: Moment, server: &ServerId) -> bool {
+        let load = self.engines.get(server);
+        load.is_some_and(|load| load.backlog(now) > READING)
+    }
+
     /// Takes in a placement; one that is known already is replaced.
     pub fn add(
         &mut self,
@@ -163,11 +177,18 @@
                 as_float(now.as_millis()) + pass / 2.0
             };
             load.read_until = start + part;
+            let leads = *server == placed.lead;
+            let elsewhere = placed.held * placed.helpers.len() as u64;
             let share = Share {
-                leads: *server == placed.lead,
+                leads,
                 reading: true,
+                holds: if leads {
+                    placed.prompt.saturating_sub(elsewhere)
+                } else {
+                    placed.held
+                },
                 prompt: placed.prompt,
-                answer: placed.answer,
+                answer: if leads { placed.answer } else { 0 },
                 asked: placed.asked,
                 objective: placed.objective,
                 pause: placed.pause,
@@ -185,8 +206,8 @@
             let Some(load) = self.engines.get_mut(server) else {
                 continue;
             };
-            let helper = load.shares.get(key).is_some_and(|share| !share.leads);
-            if helper {
+            let done = |share: &Share| !share.leads && share.holds == 0;
+            if load.shares.get(key).is_some_and(done) {
                 load.shares.remove(key);
             } else if let Some(share) = load.shares.get_mut(key) {
                 share.reading = false;
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -10,6 +10,7 @@
 mod plain;
 mod refusal;
 mod request;
+mod reservation;
 mod sharing;
 mod state;
 mod stream;
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt at a request: a choice of servers, a connection, the head of the answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,14 +13,16 @@
 use merlinrudder_core::health::Served;
 use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
-use merlinrudder_core::placing::PromptAsk;
+use merlinrudder_core::placing::judging::Verdict;
 use merlinrudder_core::placing::ledger::PlacedPrompt;
-use merlinrudder_platform::headers;
+use merlinrudder_core::placing::{Placement, PromptAsk};
+use merlinrudder_platform::{headers, orders};
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
 use super::refusal::SOON;
 use super::request::{CallerRequest, Outgoing, text_header};
+use super::reservation::{Holder, Reservation};
 use super::sharing::OwnPlacement;
 use super::state::Gateway;
 use super::upstream::{Connection, SendFailure};
@@ -29,6 +32,8 @@
 const MAX_REFUSALS: u32 = 5;
 /// Time before a request that a server refused is sent to another.
 const REFUSED_WAIT: Duration = Duration::from_millis(10);
+/// Mean time after which a long prompt that waits for room is placed again.
+const ROOM_WAIT: Duration = Duration::from_millis(25);
 /// Shortest time in which a first event is expected before the engine counts as hung.
 const MIN_HANG: Duration = Duration::from_millis(900);
 /// Ranks at an engine by the time to read the prompt alone, in milliseconds: shorter goes first.
@@ -38,10 +43,10 @@
 #[derive(Debug)]
 pub(super) struct Chosen {
     pub(super) server: ServerId,
-    address: std::net::SocketAddr,
-    helpers: String,
-    /// Engines that read further parts.
-    pub(super) parts: usize,
+    address: SocketAddr,
+    helpers: Vec<Holder>,
+    /// Tokens of memory that each helper sets aside; 0 for none.
+    held: u64,
     /// Predicted time to the first event.
     pub(super) predicted: Option<Duration>,
     pub(super) placement: Option<OwnPlacement>,
@@ -61,10 +66,18 @@
     }
 }
 
+impl Chosen {
+    /// Returns the number of engines that read further parts.
+    pub(super) fn helpers(&self) -> usize {
+        self.helpers.len()
+    }
+}
+
 /// An answer whose head came.
 #[derive(Debug)]
 pub(super) struct Opened {
     pub(super) chosen: Chosen,
+    pub(super) _reservation: Option<Reservation>,
     pub(super) head: Parts,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
@@ -79,6 +92,8 @@
     Refused,
     /// Another server has the address.
     Replaced,
+    /// A helper has no memory left.
+    NoMemory,
     /// The connection broke, or what came is no answer to this request.
     Broken,
     /// Nothing came for far longer than expected.
@@ -90,7 +105,7 @@
 impl Failure {
     const fn run(self) -> RunState {
         match self {
-            Self::Unreachable | Self::Refused | Self::Replaced => RunState::NotRun,
+            Self::Unreachable | Self::Refused | Self::Replaced | Self::NoMemory => RunState::NotRun,
             Self::Broken | Self::Hung | Self::Overdue => RunState::MayHaveRun,
         }
     }
@@ -101,7 +116,7 @@
             Self::Unreachable => Some(Served::Unreachable),
             Self::Refused => Some(Served::Full),
             Self::Replaced | Self::Broken | Self::Hung => Some(Served::Badly),
-            Self::Overdue => None,
+            Self::NoMemory | Self::Overdue => None,
         }
     }
 }
@@ -144,17 +159,24 @@
             if call.left(gateway.now()).is_zero() {
                 return Err(self.refusal(RefusalReason::DeadlinePassed));
             }
-            let Some(chosen) = choose(gateway, call, &self.tried) else {
-                return Err(self.refusal(RefusalReason::NoServer));
+            let chosen = match choose(gateway, call, &self.tried) {
+                Choice::Chosen(chosen) => chosen,
+                Choice::Wait => {
+                    sleep(ROOM_WAIT.mul_f64(0.5 + fastrand::f64())).await;
+                    continue;
+                }
+                Choice::Refuse => return Err(self.refusal(RefusalReason::QueueFull)),
+                Choice::Nobody => return Err(self.refusal(RefusalReason::NoServer)),
             };
             let server = chosen.server.clone();
-            let failure = match attempt(gateway, call, chosen, last_event, self.repeats(call)).await {
+            let failure = match attempt(gateway, call, chosen, last_event, self.repeats(call)).await
+            {
                 Ok(opened) => return Ok(opened),
                 Err(failure) => failure,
             };
             self.note(gateway, call, &server, failure);
             self.next(gateway, call, failure)?;
-            if failure == Failure::Refused {
+            if matches!(failure, Failure::Refused | Failure::NoMemory) {
                 sleep(REFUSED_WAIT).await;
             }
         }
@@ -197,7 +219,8 @@
         }
         self.refusals += 1;
         // A refusal reached the server, so sending again counts as a retry there.
-        let free = failure == Failure::Unreachable || gateway.spend_retry(&call.service);
+        let free = matches!(failure, Failure::Unreachable | Failure::NoMemory)
+            || gateway.spend_retry(&call.service);
         if self.refusals >= MAX_REFUSALS || !free {
             return Err(self.refusal(RefusalReason::ServerRefused));
         }
@@ -227,7 +250,9 @@
         failure: Failure,
     ) {
         let now = gateway.now();
-        self.tried.push(server.clone());
+        if failure != Failure::NoMemory {
+            self.tried.push(server.clone());
+        }
         let mut fleet = gateway.fleet.borrow_mut();
         if let Some(result) = failure.served() {
             fleet.served(now, server, result);
@@ -241,59 +266,108 @@
     }
 }
 
+/// What to do with a request that needs servers.
+enum Choice {
+    Chosen(Chosen),
+    /// Ask again in a moment.
+    Wait,
+    /// Others would lose more than this caller gains.
+    Refuse,
+    Nobody,
+}
+
 /// Chooses servers for a request; engines by their model, plain servers by their load.
-fn choose(gateway: &Rc<Gateway>, call: &CallerRequest, tried: &[ServerId]) -> Option<Chosen> {
-    let now = gateway.now();
-    let prompt = call.profile.as_ref().zip(call.tokens);
-    let Some((profile, tokens)) = prompt else {
-        let mut fleet = gateway.fleet.borrow_mut();
-        let server = fleet.choose_server(now, &call.service, tried)?;
-        let address = fleet.directory.get(&server)?.address;
-        fleet.call_began(&server);
-        let call = CallGuard {
-            gateway: Rc::clone(gateway),
-            server: server.clone(),
-        };
-        return Some(Chosen {
-            server,
-            address,
-            helpers: String::new(),
-            parts: 0,
-            predicted: None,
-            placement: None,
-            _call: Some(call),
-        });
+fn choose(gateway: &Rc<Gateway>, call: &CallerRequest, tried: &[ServerId]) -> Choice {
+    if let Some((profile, tokens)) = call.profile.as_ref().zip(call.tokens) {
+        return choose_engines(gateway, call, profile, tokens, tried);
+    }
+    choose_server(gateway, call, tried).map_or(Choice::Nobody, Choice::Chosen)
+}
+
+fn choose_server(
+    gateway: &Rc<Gateway>,
+    call: &CallerRequest,
+    tried: &[ServerId],
+) -> Option<Chosen> {
+    let mut fleet = gateway.fleet.borrow_mut();
+    let server = fleet.choose_server(gateway.now(), &call.service, tried)?;
+    let address = fleet.directory.get(&server)?.address;
+    fleet.call_began(&server);
+    let guard = CallGuard {
+        gateway: Rc::clone(gateway),
+        server: server.clone(),
     };
+    Some(Chosen {
+        server,
+        address,
+        helpers: Vec::new(),
+        held: 0,
+        predicted: None,
+        placement: None,
+        _call: Some(guard),
+    })
+}
+
+fn choose_engines(
+    gateway: &Rc<Gateway>,
+    call: &CallerRequest,
+    profile: &EngineProfile,
+    tokens: headers::TokenCounts,
+    tried: &[ServerId],
+) -> Choice {
     let ask = prompt_ask(gateway, call, profile, tokens);
-    let (placement, address, helpers) = {
-        let fleet = gateway.fleet.borrow();
-        let placement = fleet.choose_engines(now, &call.service, profile, &ask, tried)?;
-        let address = fleet.directory.get(&placement.lead)?.address;
-        let helpers = placement.helpers.iter();
-        let helpers = helpers.filter_map(|id| fleet.directory.get(id));
-        let helpers: Vec<_> = helpers.map(|record| record.address.to_string()).collect();
-        (placement, address, helpers.join(","))
+    let fleet = gateway.fleet.borrow();
+    let chosen = fleet.choose_engines(gateway.now(), &call.service, profile, &ask, tried);
+    let Some((placement, verdict)) = chosen else {
+        return Choice::Nobody;
+    };
+    match verdict {
+        Verdict::Place => {}
+        Verdict::Wait => return Choice::Wait,
+        Verdict::Refuse => return Choice::Refuse,
+    }
+    let holder = |id: &ServerId| {
+        let address = fleet.directory.get(id)?.address;
+        let server = id.clone();
+        Some(Holder { server, address })
+    };
+    let Some(lead) = holder(&placement.lead) else {
+        return Choice::Nobody;
     };
+    let helpers = placement.helpers.iter().filter_map(holder).collect();
+    drop(fleet);
+    Choice::Chosen(enter(gateway, call, &ask, placement, &lead, helpers))
+}
+
+/// Enters a placement, so that everybody sees it.
+fn enter(
+    gateway: &Rc<Gateway>,
+    call: &CallerRequest,
+    ask: &PromptAsk,
+    placement: Placement,
+    lead: &Holder,
+    helpers: Vec<Holder>,
+) -> Chosen {
     let placed = PlacedPrompt {
         lead: placement.lead.clone(),
-        helpers: placement.helpers.clone(),
+        helpers: placement.helpers,
+        held: placement.held,
         prompt: ask.prompt,
         answer: ask.answer,
         asked: call.began,
         objective: ask.objective,
         pause: ask.pause,
     };
-    let parts = placement.helpers.len();
     let own = OwnPlacement::new(gateway, &call.service, placed);
-    Some(Chosen {
+    Chosen {
         server: placement.lead,
-        address,
+        address: lead.address,
         helpers,
-        parts,
+        held: placement.held,
         predicted: Some(placement.first),
         placement: Some(own),
         _call: None,
-    })
+    }
 }
 
 fn prompt_ask(
@@ -324,6 +398,10 @@
     last_event: Option<u64>,
     repeats: bool,
 ) -> Result<Opened, Failure> {
+    let reservation = reserve(gateway, &chosen).await?;
+    let ticket = reservation.as_ref().map(|r| r.ticket.as_str());
+    let helpers = chosen.helpers.iter();
+    let helpers: Vec<_> = helpers.map(|h| orders::helper(h.address, ticket)).collect();
     // A kept connection may end just as a request goes out, and then nobody knows whether it ran.
     let fresh = call.route.kind == CallKind::Once;
     let connecting = gateway.pool.connect(chosen.address, fresh).await;
@@ -332,7 +410,7 @@
     let rank = rank.map(|(profile, tokens)| rank_of(profile, tokens.prompt));
     let outgoing = Outgoing {
         server: chosen.server.as_str(),
-        helpers: chosen.helpers.clone(),
+        helpers: helpers.join(","),
         rank,
         last_event: last_event.or(call.last_event),
     };
@@ -363,12 +441,28 @@
     note_head(gateway, &chosen, &head.headers);
     Ok(Opened {
         chosen,
+        _reservation: reservation,
         head,
         body,
         connection,
     })
 }
 
+/// Sets memory aside at the helpers, where the placement asks for it.
+async fn reserve(gateway: &Rc<Gateway>, chosen: &Chosen) -> Result<Option<Reservation>, Failure> {
+    if chosen.held == 0 {
+        return Ok(None);
+    }
+    let opened = Reservation::open(gateway, chosen.helpers.clone(), chosen.held).await;
+    let refused = match opened {
+        Ok(reservation) => return Ok(Some(reservation)),
+        Err(refused) => refused,
+    };
+    let mut fleet = gateway.fleet.borrow_mut();
+    fleet.served(gateway.now(), &refused, Served::Full);
+    Err(Failure::NoMemory)
+}
+
 fn rank_of(profile: &EngineProfile, prompt: u64) -> u8 {
     let time = profile.read_time(prompt);
     let rank = RANKS.iter().find(|(most, _)| time < *most);
--- a/node/src/gateway/ingress.rs
+++ b/node/src/gateway/ingress.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use merlinrudder_core::deployment::CallKind;
+use merlinrudder_core::outcome::RefusalReason;
 use merlinrudder_platform::calls::READY_PATH;
 use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -24,10 +25,15 @@
 /// Time after which accepting is tried again when the system refused it.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
-/// Accepts callers until the process ends.
+/// Accepts callers until the VM closes; callers that come later are turned away by the system.
 pub(super) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    let mut closing = gateway.closing();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _closing = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 spawn_local(serve_caller(Rc::clone(&gateway), stream));
             }
@@ -102,6 +108,10 @@
 
 async fn answer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let mut answer = match request::admit(gateway, request).await {
+        // What is taken now might not end before the process must.
+        Ok(call) if *gateway.closing().borrow() => {
+            plain::give_up(gateway, &call, &refusal::come_back(RefusalReason::Stopping))
+        }
         Ok(call) => {
             gateway.count_request(&call.service);
             match call.route.kind {
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -56,7 +56,7 @@
 
 fn placed_on(opened: &Opened) -> (ServerId, usize, Option<Duration>) {
     let chosen = &opened.chosen;
-    (chosen.server.clone(), chosen.parts, chosen.predicted)
+    (chosen.server.clone(), chosen.helpers(), chosen.predicted)
 }
 
 /// How passing on the events of one engine ended.
@@ -147,6 +147,7 @@
             head,
             mut body,
             connection,
+            _reservation,
         } = opened;
         let mut splitter = EventSplitter::default();
         let mut heard = self.gateway.now();
--- a/wire/src/peers.rs
+++ b/wire/src/peers.rs
@@ -128,6 +128,7 @@
     service: String,
     lead: String,
     helpers: Vec<String>,
+    held: u64,
     prompt: u64,
     answer: u64,
     waited_ms: u64,
@@ -144,6 +145,7 @@
             service: service.to_string(),
             lead: placed.lead.to_string(),
             helpers: placed.helpers.iter().map(ToString::to_string).collect(),
+            held: placed.held,
             prompt: placed.prompt,
             answer: placed.answer,
             waited_ms: millis(now.since(placed.asked)),
@@ -158,6 +160,7 @@
         let placed = PlacedPrompt {
             lead: ServerId::from(self.lead),
             helpers: self.helpers.into_iter().map(ServerId::from).collect(),
+            held: self.held,
             prompt: self.prompt,
             answer: self.answer,
             asked: now - Duration::from_millis(self.waited_ms),
