feature: let short prompts share engines, so that long ones find some without them

Cause: in bursts of long prompts each engine had one or two short answers, so every long read stretched some pause to 1.3 to 1.6 s. Ruled out: first events (in bounds) and late news of placements. Change: a short prompt prefers engines that have other shorts, up to half of the slots; lateness counts from 0.55 of a bound on.

--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -34,6 +34,14 @@
 const MEMORY_SPARE: u64 = 25;
 /// Tokens set aside beyond an even part of the prompt, since engines count memory in blocks.
 const HELD_SPARE: u64 = 64;
+/// Longest time to read a prompt that counts as short, in milliseconds.
+const SHORT_READ: f64 = 60.0;
+/// Part of an engine's slots that short prompts fill before they use a further engine.
+const TOGETHER_PART: f64 = 0.5;
+/// Value lost by a short prompt that has an engine to itself.
+const SPREAD_COST: f64 = 0.1;
+/// Value lost where an engine has twice as many short prompts as it should.
+const CROWD_COST: f64 = 0.2;
 /// Time that a request waits for each one before it where all slots are taken, in milliseconds.
 const SLOT_WAIT: f64 = 250.0;
 
@@ -90,7 +98,7 @@
     if bound <= 0.0 {
         return 1.0;
     }
-    ((time / bound - 0.7) / 0.35).clamp(0.0, 1.0)
+    ((time / bound - 0.55) / 0.5).clamp(0.0, 1.0)
 }
 
 fn millis(time: Duration) -> f64 {
@@ -147,7 +155,7 @@
         let total = |p: &Priced<'_>| {
             let first = p.ready + p.pass;
             let own = own_cost(ask, first) + candidates[p.candidate].penalty;
-            p.harm + own + self.lead_cost(ask, p.server)
+            p.harm + own + self.lead_cost(ask, p.server) + self.spread_cost(ask, p.server)
         };
         let costs = priced.iter().map(|p| (total(p), p));
         let (cost, chosen) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -308,6 +316,24 @@
         usable.saturating_sub(used)
     }
 
+    /// Returns the value that long prompts lose where short ones are spread over many engines.
+    ///
+    /// Shorts hardly disturb each other; kept together, they leave engines on which a long prompt can
+    /// be read without a pause for anybody.
+    fn spread_cost(&self, ask: &PromptAsk, server: &ServerRecord) -> f64 {
+        if self.profile.read_time(ask.prompt) > SHORT_READ {
+            return 0.0;
+        }
+        let together = f64::from(self.profile.slots) * TOGETHER_PART;
+        let others = self.ledger.load(&server.id).map_or(0, EngineLoad::len);
+        let missing = (together - as_float(others as u64)) / together;
+        if missing >= 0.0 {
+            missing * SPREAD_COST
+        } else {
+            -missing * CROWD_COST
+        }
+    }
+
     fn cross_cost(&self, server: &ServerRecord) -> f64 {
         if server.zone == *self.zone {
             0.0
