feature: leave cut zones alone, wait at a start, tell others of failures

Cause: in a cut each try at a server across it cost a caller 400 ms, and every entry VM learned each server by itself; a VM that had just started refused what it could serve some milliseconds later. Change: several servers of a zone out of reach count as a cut; connecting has 150 ms; requests wait up to three quarters of a second for the deployment after a start; a broken answer is told to other entry VMs. Silence is not told: a long read holds up all answers of an engine.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -17,6 +17,10 @@
 const SILENT_AFTER: Duration = Duration::from_secs(6);
 /// Time for which a load that a server told counts.
 const TOLD_LIFE: Duration = Duration::from_millis(500);
+/// Least servers of a zone that cannot be reached where the zone counts as cut off.
+const CUT_SERVERS: u32 = 2;
+/// One server in so many must be out of reach where the zone counts as cut off.
+const CUT_PART: u32 = 4;
 /// Load, as a part of the slots, that a plain call rather bears than cross zones.
 const CROSS_LOAD: f64 = 0.34;
 
@@ -196,18 +200,44 @@
             .ready(service)
             .filter(|(record, _)| !tried.contains(&record.id))
             .collect();
+        let cut = self.cut_zones(now, &ready);
         let good: Vec<_> = ready
             .iter()
             .filter(|(record, heard)| fresh(*heard) && !self.health.is_suspended(now, &record.id))
             .map(|(record, _)| *record)
             .collect();
-        if good.is_empty() {
+        let reached = good.iter().filter(|record| !cut.contains(&&record.zone));
+        let reached: Vec<_> = reached.copied().collect();
+        if !reached.is_empty() {
+            reached
+        } else if good.is_empty() {
             ready.into_iter().map(|(record, _)| record).collect()
         } else {
             good
         }
     }
 
+    /// Returns the other zones of which too many servers cannot be reached from here.
+    ///
+    /// One server that does not answer may be dead; several of a zone at once speak for a cut, and
+    /// each further try would cost a caller the time of a connection attempt.
+    fn cut_zones<'a>(
+        &self,
+        now: Moment,
+        ready: &[(&'a ServerRecord, Moment)],
+    ) -> Vec<&'a ZoneName> {
+        let mut counts: BTreeMap<&ZoneName, (u32, u32)> = BTreeMap::new();
+        for (record, _) in ready {
+            let (all, lost) = counts.entry(&record.zone).or_default();
+            *all += 1;
+            *lost += u32::from(self.health.is_unreachable(now, &record.id));
+        }
+        let cut = counts.into_iter().filter(|(zone, (all, lost))| {
+            **zone != self.zone && *lost >= CUT_SERVERS && *lost * CUT_PART >= *all
+        });
+        cut.map(|(zone, _)| zone).collect()
+    }
+
     /// Returns the requests at a plain server as a part of its slots.
     fn busy(&self, now: Moment, server: &ServerRecord) -> f64 {
         let own = self.calls.get(&server.id).copied().unwrap_or(0);
--- a/core/src/health.rs
+++ b/core/src/health.rs
@@ -12,6 +12,8 @@
 const MAX_SUSPENSION: Duration = Duration::from_secs(4);
 /// Time for which a server that had no room gets no work.
 const FULL_SUSPENSION: Duration = Duration::from_millis(80);
+/// Time for which a server that could not be reached speaks against its availability zone.
+const ZONE_MEMORY: Duration = Duration::from_millis(2500);
 /// Weight of the last result in a server's share of failures.
 const LAST_WEIGHT: f64 = 0.25;
 /// Time in which a share of failures falls by half without further results.
@@ -95,6 +97,13 @@
         suspended.is_some_and(|until| now < until)
     }
 
+    /// Whether a server could not be reached of late, and was not reached since.
+    #[must_use]
+    pub fn is_unreachable(&self, now: Moment, server: &ServerId) -> bool {
+        let seen = self.servers.get(server);
+        seen.is_some_and(|seen| seen.unreachable > 0 && now.since(seen.updated) < ZONE_MEMORY)
+    }
+
     /// Forgets a server that is gone.
     pub fn forget(&mut self, server: &ServerId) {
         self.servers.remove(server);
--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -39,7 +39,7 @@
 /// Part of an engine's slots that short prompts fill before they use a further engine.
 const TOGETHER_PART: f64 = 0.5;
 /// Value lost by a short prompt that has an engine to itself.
-const SPREAD_COST: f64 = 0.1;
+const SPREAD_COST: f64 = 0.25;
 /// Value lost where an engine has twice as many short prompts as it should.
 const CROWD_COST: f64 = 0.2;
 /// Time that a request waits for each one before it where all slots are taken, in milliseconds.
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -23,7 +23,7 @@
 use super::refusal::SOON;
 use super::request::{CallerRequest, Outgoing, text_header};
 use super::reservation::{Holder, Reservation};
-use super::sharing::OwnPlacement;
+use super::sharing::{self, OwnPlacement};
 use super::state::Gateway;
 use super::upstream::{Connection, SendFailure};
 use crate::metrics;
@@ -253,12 +253,15 @@
         if failure != Failure::NoMemory {
             self.tried.push(server.clone());
         }
-        let mut fleet = gateway.fleet.borrow_mut();
         if let Some(result) = failure.served() {
-            fleet.served(now, server, result);
+            if failure == Failure::Broken {
+                sharing::note_served(gateway, server, result);
+            } else {
+                gateway.fleet.borrow_mut().served(now, server, result);
+            }
         }
         if failure == Failure::Replaced {
-            fleet.replaced(now, server);
+            gateway.fleet.borrow_mut().replaced(now, server);
         }
         info!(gateway.log, "Attempt failed"; "request" => call.id_text(), "server" => %server,
             "failure" => ?failure, "after_ms" => now.since(call.began).as_millis(),
--- a/node/src/gateway/plain.rs
+++ b/node/src/gateway/plain.rs
@@ -31,10 +31,8 @@
         let read = read_whole(gateway, &call, opened).await;
         let good = matches!(&read, Some((head, _)) if !head.status.is_server_error());
         let result = if good { Served::Well } else { Served::Badly };
-        gateway
-            .fleet
-            .borrow_mut()
-            .served(gateway.now(), &server, result);
+        let now = gateway.now();
+        gateway.fleet.borrow_mut().served(now, &server, result);
         if !good {
             attempts.tried.push(server.clone());
             if attempts.may_repeat(gateway, &call) {
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -17,11 +17,16 @@
 use merlinrudder_core::outcome::{Refusal, RefusalReason};
 use merlinrudder_core::time::{Moment, duration_millis};
 use merlinrudder_platform::headers::{self, TokenCounts};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::refusal::{SOON, come_back};
 use super::state::Gateway;
 
+/// Time between two looks whether a VM that has just started knows its deployment.
+const START_POLL: Duration = Duration::from_millis(25);
+/// Looks before a request is refused; three quarters of a second.
+const START_POLLS: u32 = 30;
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 8] = [
     "connection",
@@ -116,9 +121,8 @@
 ) -> Result<CallerRequest, Refusal> {
     let began = gateway.now();
     let (head, body) = request.into_parts();
-    let deployment = gateway
-        .deployment()
-        .ok_or_else(|| come_back(RefusalReason::NoManifest))?;
+    let deployment = await_deployment(gateway).await;
+    let deployment = deployment.ok_or_else(|| come_back(RefusalReason::NoManifest))?;
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.map(|host| host.split(':').next().unwrap_or(host));
     let route = host.and_then(|host| deployment.route(host, head.uri.path()));
@@ -152,6 +156,20 @@
     })
 }
 
+/// Returns the deployment in force; a VM that has just started learns it within moments.
+async fn await_deployment(gateway: &Gateway) -> Option<Arc<Deployment>> {
+    for _ in 0..START_POLLS {
+        let deployment = gateway.deployment();
+        let informed =
+            |deployment: &Arc<Deployment>| gateway.fleet.borrow().knows_servers(deployment);
+        if deployment.as_ref().is_some_and(informed) {
+            return deployment;
+        }
+        sleep(START_POLL).await;
+    }
+    gateway.deployment()
+}
+
 fn find_customer(
     deployment: &Deployment,
     route: &RouteRule,
--- a/node/src/gateway/sharing.rs
+++ b/node/src/gateway/sharing.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use merlinrudder_core::names::{ServiceName, VmId};
+use merlinrudder_core::health::Served;
+use merlinrudder_core::names::{ServerId, ServiceName, VmId};
 use merlinrudder_core::placing::ledger::{PlacedPrompt, PlacementKey};
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::MeshMessage;
@@ -88,6 +89,16 @@
     }
 }
 
+/// Notes how a server served a request here; others are told of failures.
+pub(super) fn note_served(gateway: &Gateway, server: &ServerId, result: Served) {
+    let now = gateway.now();
+    gateway.fleet.borrow_mut().served(now, server, result);
+    if result == Served::Badly {
+        let change = WirePlacementChange::ServerFailed(server.to_string());
+        gateway.outbox.borrow_mut().push(change);
+    }
+}
+
 /// Tells changes until the process ends.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let wake = Rc::clone(&gateway.outbox.borrow().wake);
@@ -149,6 +160,11 @@
                 let mut fleet = gateway.fleet.borrow_mut();
                 fleet.ledger.first_event(&key(from, number));
             }
+            WirePlacementChange::ServerFailed(server) => {
+                let server = ServerId::from(server);
+                let mut fleet = gateway.fleet.borrow_mut();
+                fleet.served(now, &server, Served::Badly);
+            }
             WirePlacementChange::Ended(number) => {
                 let mut fleet = gateway.fleet.borrow_mut();
                 fleet.ledger.remove(now, &key(from, number));
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -21,6 +21,7 @@
 use super::exchange::{Attempts, Opened, keep_connection, passed_on};
 use super::plain;
 use super::request::CallerRequest;
+use super::sharing;
 use super::state::Gateway;
 use crate::metrics;
 
@@ -29,6 +30,9 @@
 /// Shortest silence between two events after which an engine counts as hung.
 const MIN_STALL: Duration = Duration::from_millis(1600);
 
+/// Reason of a stream that broke because its engine said nothing.
+const SILENT: &str = "silent";
+
 /// Serves a stream: returns its head, and goes on with its events in a task of its own.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<AnswerBody> {
     let mut attempts = Attempts::new();
@@ -113,11 +117,14 @@
             let server = opened.chosen.server.clone();
             let ended = self.pass_one(opened).await;
             let result = match ended {
-                Ended::Broken(_) => Served::Badly,
-                _ => Served::Well,
+                // A long read holds up all answers of an engine; that is no fault.
+                Ended::Broken(SILENT) => None,
+                Ended::Broken(_) => Some(Served::Badly),
+                _ => Some(Served::Well),
             };
-            let now = self.gateway.now();
-            self.gateway.fleet.borrow_mut().served(now, &server, result);
+            if let Some(result) = result {
+                sharing::note_served(&self.gateway, &server, result);
+            }
             let Ended::Broken(reason) = ended else {
                 return ended;
             };
@@ -208,7 +215,7 @@
         let wait = left.min(self.stall_time());
         match timeout(wait, body.frame()).await {
             Err(_elapsed) if wait == left => Err(Ended::Overdue),
-            Err(_elapsed) => Err(Ended::Broken("silent")),
+            Err(_elapsed) => Err(Ended::Broken(SILENT)),
             Ok(None) => Ok(None),
             Ok(Some(Err(_error))) => Err(Ended::Broken("cut")),
             Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -18,7 +18,7 @@
 use crate::sockets;
 
 /// Time to open a connection to a backend server.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Time for which an idle connection is kept where the server states none.
 const USUAL_KEEP: Duration = Duration::from_millis(2500);
 /// Part of the server's own idle time after which a connection is not used again.
--- a/wire/src/peers.rs
+++ b/wire/src/peers.rs
@@ -118,6 +118,8 @@
     FirstEvent(u64),
     /// It ended.
     Ended(u64),
+    /// A backend server failed a request.
+    ServerFailed(String),
 }
 
 /// A placement.
