--- a/core/tests/integration/consensus.rs
+++ b/core/tests/integration/consensus.rs
@@ -6,7 +6,9 @@
 use merlinrudder_core::consensus::message::{
     Body, HardState, Index, Message, Payload, ReplicaId, Term, VoteKind,
 };
-use merlinrudder_core::consensus::{Consensus, ELECTION_MAX, ELECTION_MIN, Output};
+use merlinrudder_core::consensus::{
+    Consensus, ELECTION_MAX, ELECTION_MIN, HEARTBEAT_PERIOD, Output, VOTER_LOST,
+};
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::time::Moment;
 
@@ -137,3 +139,46 @@
         .position(|output| matches!(output, Output::SendSynced(..)));
     assert!(persisted < sent && persisted.is_some(), "{outputs:?}");
 }
+
+/// Leads four voters of which the last one is never heard; returns the voters after a while.
+fn voters_without_the_last(enough: usize) -> Vec<ReplicaId> {
+    let mut consensus = open(1, 4);
+    consensus.remove_lost_voters(enough);
+    let mut now = START + ELECTION_MAX;
+    consensus.tick(now);
+    for pre in [true, false] {
+        for voter in [1, 2, 3] {
+            let granted = true;
+            let body = Body::VoteReply { pre, granted };
+            let term = Term(1);
+            consensus.receive(now, &replica(voter), Message { term, body });
+        }
+    }
+    assert!(consensus.is_leader());
+    while now < START + ELECTION_MAX + VOTER_LOST * 2 {
+        now = now + HEARTBEAT_PERIOD;
+        consensus.tick(now);
+        let index = consensus.log().last_index();
+        let term = consensus.term();
+        consensus.synced(index, term);
+        for voter in [2, 3] {
+            let success = true;
+            let body = Body::AppendReply { success, index };
+            consensus.receive(now, &replica(voter), Message { term, body });
+        }
+        consensus.take_outputs();
+    }
+    consensus.voters().to_vec()
+}
+
+#[test]
+fn a_voter_that_is_not_heard_is_removed_where_enough_are_left() {
+    let left = voters_without_the_last(3);
+    assert_eq!(left, (1..=3).map(replica).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_voter_that_is_not_heard_stays_where_all_are_needed() {
+    assert_eq!(voters_without_the_last(4).len(), 4);
+    assert_eq!(voters_without_the_last(usize::MAX).len(), 4);
+}
--- a/node/src/constants.rs
+++ b/node/src/constants.rs
@@ -18,6 +18,8 @@
 pub const COMPACT_BYTES: usize = 8 * 1024 * 1024;
 /// Time after which a write that the disk refused is tried again.
 pub const DISK_RETRY: Duration = Duration::from_millis(200);
+/// Time after which accepting is tried again when the system refused it.
+pub const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// Time to reach a backend server.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time in which a backend server must answer a probe of its health.
--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -20,7 +20,7 @@
 use tokio::sync::oneshot;
 
 use super::input::{Input, Inputs, Reply};
-use crate::constants::ADMIN_BODY_BYTES;
+use crate::constants::{ACCEPT_RETRY, ADMIN_BODY_BYTES};
 use crate::sockets;
 
 /// Time that a caller may take for a request's head, and that a connection may stay idle.
@@ -37,7 +37,7 @@
             }
             Err(error) => {
                 warn!(log, "Accepting a call failed"; "error" => %error);
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                tokio::time::sleep(ACCEPT_RETRY).await;
             }
         }
     }
--- a/node/src/gateway/ingress.rs
+++ b/node/src/gateway/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -20,11 +19,9 @@
 use super::body::AnswerBody;
 use super::state::{ConnectionGuard, Gateway};
 use super::{plain, refusal, request, stream};
+use crate::constants::ACCEPT_RETRY;
 use crate::sockets;
 
-/// Time after which accepting is tried again when the system refused it.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-
 /// Accepts callers until the VM closes; callers that come later are turned away by the system.
 pub(super) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     let mut closing = gateway.closing();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod logging;
 pub mod mesh;
 pub mod metrics;
+pub mod metrics_port;
 pub mod options;
 pub mod published;
 pub mod replica;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -5,7 +5,7 @@
 
 use merlinrudder_core::outcome::{RefusalReason, RetryReason};
 use metrics::{counter, gauge, histogram};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
 const REFUSALS: &str = "merlinrudder_refusals_total";
 const RETRIES: &str = "merlinrudder_retries_total";
@@ -16,12 +16,15 @@
 const MESH_SENT: &str = "merlinrudder_mesh_sent_bytes_total";
 const MESH_DROPPED: &str = "merlinrudder_mesh_dropped_total";
 
+/// Upper bounds of the buckets of latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 3.0, 6.0, 15.0];
+
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Installs the recorder once a process, and makes every reason's counter visible at zero.
 pub fn install() {
     RECORDER.get_or_init(|| {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let recorder = build_recorder();
         let handle = recorder.handle();
         // Another recorder in the same process, such as a test's, keeps its place.
         drop(metrics::set_global_recorder(recorder));
@@ -35,6 +38,13 @@
     }
 }
 
+fn build_recorder() -> PrometheusRecorder {
+    let plain = PrometheusBuilder::new();
+    let with_buckets = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
+    // Only an empty list of buckets is refused.
+    with_buckets.unwrap_or(plain).build_recorder()
+}
+
 /// Renders all metrics.
 #[must_use]
 pub fn render() -> String {
--- a/node/src/roles.rs
+++ b/node/src/roles.rs
@@ -13,7 +13,10 @@
 use crate::controller::{ControllerStart, RunningController};
 use crate::gateway::{GatewayStart, RunningGateway};
 use crate::options::args::Role;
-use crate::{logging, metrics};
+use crate::{logging, metrics, metrics_port};
+
+/// Port of the metrics; `deploy/system.toml` names it too.
+const METRICS_PORT: u16 = 9464;
 
 /// Runs a role until it is told to stop.
 ///
@@ -32,6 +35,8 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     local.block_on(&runtime, async {
+        let metrics = SocketAddr::new(settings.internal.ip(), METRICS_PORT);
+        tokio::spawn(metrics_port::serve(metrics, log.clone()));
         match role {
             Role::Entry => run_entry(&settings, &log).await,
             Role::Control => run_control(settings, &log).await,
--- a/node/tests/integration/platform.rs
+++ b/node/tests/integration/platform.rs
@@ -1,5 +1,6 @@
 //! The roles of the platform as real processes, with stand-ins for its backend servers.
 
+use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -14,10 +15,13 @@
 use tempfile::TempDir;
 
 /// Longest wait for a state that must come; tests do not measure time.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 const LOOK: Duration = Duration::from_millis(50);
 const PACE: Duration = Duration::from_millis(20);
 
+/// Time after which a stopping entry VM has closed, with the start of the stop before it.
+const CLOSED_AFTER: Duration = Duration::from_millis(3400);
+
 /// Makes the loopback addresses of each deployment in this process its own.
 static DEPLOYMENTS: AtomicU8 = AtomicU8::new(1);
 
@@ -83,12 +87,14 @@
         );
         if node.control {
             let folder = self.folder.path().join(name);
-            text += &format!(
-                "listen.control={ip}:{calls}\ndata-dir={}\n",
-                folder.display()
-            );
+            let folder = folder.display();
+            writeln!(text, "listen.control={ip}:{calls}\ndata-dir={folder}").expect("text");
         } else {
-            text += &format!("listen.front={ip}:{callers}\nlisten.ready={ip}:{ready}\n");
+            writeln!(
+                text,
+                "listen.front={ip}:{callers}\nlisten.ready={ip}:{ready}"
+            )
+            .expect("text");
         }
         let file = self.folder.path().join(format!("{name}.conf"));
         std::fs::write(&file, text).expect("a settings file");
@@ -446,17 +452,21 @@
     for stream in streams {
         whole_stream(&stream.join().expect("a stream"));
     }
-    // Until it closes it serves; afterwards nobody gets in who might be cut.
-    let mut number = 0;
-    wait_for("the end of service", || {
-        number += 1;
-        let answer = request(callers, "POST /stream/x", &format!("f{number}"));
-        let refused = matches!(answer.status, 0 | 503);
-        if !refused {
-            whole_stream(&answer);
-        }
-        refused
-    });
+    // Callers that come once it closes would still be served when the process must end.
+    let long = Fault::SilentAfter(1, Duration::from_secs(6));
+    server.set_faults(&[long; 40]);
+    thread::sleep(CLOSED_AFTER);
+    // Stopped, the process finds connections and requests at the same moment, as under load.
+    platform.signal(3, Signal::SIGSTOP);
+    let late: Vec<_> = (0..20)
+        .map(|n| thread::spawn(move || request(callers, "POST /stream/x", &format!("f{n}"))))
+        .collect();
+    thread::sleep(LOOK * 4);
+    platform.signal(3, Signal::SIGCONT);
+    for caller in late {
+        let answer = caller.join().expect("an answer");
+        assert!(matches!(answer.status, 0 | 503), "taken late: {answer:?}");
+    }
 }
 
 #[test]
