bug: an engine whose read is overdue is not free

Cause: predictions of long reads ran out before their first event, and the engine then looked idle, so further prompts were placed there; reads of 200,000 tokens took three times as long as predicted. Change: while a first event has not come, three tenths of its read count as left.

--- a/core/src/placing/ledger.rs
+++ b/core/src/placing/ledger.rs
@@ -7,6 +7,8 @@
 use crate::names::{ServerId, VmId};
 use crate::time::{Moment, duration_millis};
 
+/// Part of a read that is taken to be left for as long as its first event has not come.
+const OVERRUN_PART: f64 = 0.3;
 /// Least time that an engine still reads to count as reading, in milliseconds.
 const READING: f64 = 60.0;
 
@@ -59,7 +61,9 @@
     pub objective: Duration,
     /// Longest pause that is on time.
     pub pause: Duration,
-    /// Most time that reading the part takes in one pass, in milliseconds.
+    /// Time to read the part, in milliseconds.
+    part: f64,
+    /// Most of it that one pass holds, in milliseconds.
     in_pass: f64,
 }
 
@@ -115,11 +119,12 @@
     /// Returns the time until all reads are done, in milliseconds.
     #[must_use]
     pub fn backlog(&self, now: Moment) -> f64 {
-        if self.shares.values().any(|share| share.reading) {
-            (self.read_until - as_float(now.as_millis())).max(0.0)
-        } else {
-            0.0
-        }
+        let reading = self.shares.values().filter(|share| share.reading);
+        let overrun = reading.map(|share| share.part * OVERRUN_PART);
+        let Some(overrun) = overrun.reduce(f64::max) else {
+            return 0.0;
+        };
+        (self.read_until - as_float(now.as_millis())).max(overrun)
     }
 
     /// Returns how much reading the next pass holds, in milliseconds.
@@ -192,6 +197,7 @@
                 asked: placed.asked,
                 objective: placed.objective,
                 pause: placed.pause,
+                part,
                 in_pass,
             };
             load.shares.insert(key.clone(), share);
