refactor: split the attempts at a request from the choice of servers and the exchange

Change: attempts, choosing and exchange are files of their own; unused functions and parameters are gone.

--- a/core/src/engine_model.rs
+++ b/core/src/engine_model.rs
@@ -1,7 +1,5 @@
 //! How long an engine takes: reading a prompt, and a pass over everything that it serves.
 
-use std::time::Duration;
-
 /// How the engines of a service work; times are milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineProfile {
@@ -62,14 +60,6 @@
             time * most / tokens
         }
     }
-
-    /// Returns the time to write an answer among `writers` others.
-    #[must_use]
-    pub fn write_time(&self, answer: u64, writers: usize, context: u64) -> Duration {
-        let passes = as_float(answer) / self.stride;
-        let millis = passes * self.pass_time(writers, context);
-        Duration::from_secs_f64(millis.max(0.0) / 1000.0)
-    }
 }
 
 /// Converts a count to a float; counts of tokens and requests stay far below 2^52.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::deployment::Deployment;
-use crate::directory::{Directory, Merged, ServerRecord, ServerStage};
+use crate::directory::{Directory, Merged, ServerRecord};
 use crate::engine_model::{EngineProfile, as_float};
 use crate::health::{HealthTable, Served};
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
@@ -247,11 +247,3 @@
         f64::from(busy) / f64::from(server.slots.max(1))
     }
 }
-
-/// Whether a server takes work, as far as the directory knows.
-#[must_use]
-pub fn takes_work(directory: &Directory, id: &ServerId) -> bool {
-    directory
-        .get(id)
-        .is_some_and(|record| record.stage == ServerStage::Ready)
-}
--- a/core/src/placing/ledger.rs
+++ b/core/src/placing/ledger.rs
@@ -5,7 +5,7 @@
 
 use crate::engine_model::{EngineProfile, as_float};
 use crate::names::{ServerId, VmId};
-use crate::time::{Moment, duration_millis};
+use crate::time::Moment;
 
 /// Part of a read that is taken to be left for as long as its first event has not come.
 const OVERRUN_PART: f64 = 0.3;
@@ -258,14 +258,4 @@
             self.remove(now, &key);
         }
     }
-
-    /// Returns how long a server has kept the oldest prompt that is not read.
-    #[must_use]
-    pub fn oldest_read(&self, now: Moment, server: &ServerId) -> Duration {
-        let load = self.engines.get(server);
-        let reading = load.into_iter().flat_map(EngineLoad::shares);
-        let oldest = reading.filter(|s| s.reading).map(|s| s.asked).min();
-        let millis = oldest.map_or(0, |asked| duration_millis(now.since(asked)));
-        Duration::from_millis(millis)
-    }
 }
--- a/node/src/controller/calls.rs
+++ b/node/src/controller/calls.rs
@@ -67,7 +67,7 @@
     }
 
     /// Takes in how a proposal or a confirmation went.
-    pub(super) fn take_proposed(&mut self, now: Moment, id: u64, result: WireProposed) {
+    pub(super) fn take_proposed(&mut self, id: u64, result: WireProposed) {
         let Some(call) = self.calls.waiting.get_mut(&id) else {
             return;
         };
@@ -84,7 +84,7 @@
             }
             (CallKind::Read { confirmed, .. }, Answer::Accepted(number)) => {
                 *confirmed = Some(number);
-                self.answer_calls(now);
+                self.answer_calls();
             }
             (CallKind::Read { .. }, _) => {}
         }
@@ -107,7 +107,7 @@
     }
 
     /// Answers the calls that the own control state settles.
-    pub(super) fn answer_calls(&mut self, _now: Moment) {
+    pub(super) fn answer_calls(&mut self) {
         let Some(manifest) = self.replica.state.manifest.clone() else {
             return;
         };
@@ -158,7 +158,7 @@
             sent: None,
         };
         self.calls.waiting.insert(id, call);
-        self.answer_calls(now);
+        self.answer_calls();
         self.send_call(now, id);
     }
 
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -145,13 +145,13 @@
                 self.send_log(now, &to, message);
             }
             for answered in flushed.answers {
-                self.send_answer(now, answered);
+                self.send_answer(answered);
             }
         }
         let now = self.clock.now();
         if self.replica.state.manifest_number().0 > self.told {
             self.tell_newest(now);
-            self.answer_calls(now);
+            self.answer_calls();
         }
     }
 
@@ -255,7 +255,7 @@
                 };
                 self.confirm(now, requester);
             }
-            MeshMessage::Proposed { id, result } => self.take_proposed(now, id, result),
+            MeshMessage::Proposed { id, result } => self.take_proposed(id, result),
             MeshMessage::PullManifest { have } => self.send_manifest(now, from, have),
             MeshMessage::Servers(servers) => self.take_servers(now, servers),
             MeshMessage::Peers(peers) => {
@@ -273,19 +273,19 @@
             .propose(now, requester.clone(), command)
             .is_err()
         {
-            self.refuse_proposal(now, requester);
+            self.refuse_proposal(requester);
         }
     }
 
     pub(super) fn confirm(&mut self, now: Moment, requester: Requester) {
         if self.replica.confirm(now, requester.clone()).is_err() {
-            self.refuse_proposal(now, requester);
+            self.refuse_proposal(requester);
         }
     }
 
-    fn refuse_proposal(&mut self, now: Moment, requester: Requester) {
+    fn refuse_proposal(&mut self, requester: Requester) {
         let answer = None;
-        self.send_answer(now, Answered { requester, answer });
+        self.send_answer(Answered { requester, answer });
     }
 
     fn send_log(&mut self, now: Moment, to: &ReplicaId, message: Message) {
@@ -303,7 +303,7 @@
         self.send(&vm, &message);
     }
 
-    fn send_answer(&mut self, now: Moment, answered: Answered) {
+    fn send_answer(&mut self, answered: Answered) {
         let Requester { vm, id } = answered.requester;
         let result = match answered.answer {
             Some(answer) => WireProposed::Committed(answer.into()),
@@ -312,7 +312,7 @@
             },
         };
         if vm == self.own.vm_id() {
-            self.take_proposed(now, id, result);
+            self.take_proposed(id, result);
         } else {
             self.send(&vm, &MeshMessage::Proposed { id, result });
         }
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -3,7 +3,9 @@
 //! One thread carries all traffic and owns what it knows of the servers; that state is soft, and
 //! control VMs and other entry VMs rebuild it within a second of a start.
 
+mod attempts;
 mod body;
+mod choosing;
 mod exchange;
 mod informed;
 mod ingress;
--- a/node/src/gateway/plain.rs
+++ b/node/src/gateway/plain.rs
@@ -11,8 +11,9 @@
 use slog::info;
 use tokio::time::timeout;
 
+use super::attempts::Attempts;
 use super::body::AnswerBody;
-use super::exchange::{Attempts, Opened, keep_connection, passed_on};
+use super::exchange::{Opened, keep_connection, passed_on};
 use super::refusal;
 use super::request::CallerRequest;
 use super::state::Gateway;
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -17,8 +17,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::attempts::Attempts;
 use super::body::{AnswerBody, CutOff, PartSender};
-use super::exchange::{Attempts, Opened, keep_connection, passed_on};
+use super::exchange::{Opened, keep_connection, passed_on};
 use super::plain;
 use super::request::CallerRequest;
 use super::sharing;
@@ -60,7 +61,11 @@
 
 fn placed_on(opened: &Opened) -> (ServerId, usize, Option<Duration>) {
     let chosen = &opened.chosen;
-    (chosen.server.clone(), chosen.helpers(), chosen.predicted)
+    (
+        chosen.server.clone(),
+        chosen.helpers.len(),
+        chosen.predicted,
+    )
 }
 
 /// How passing on the events of one engine ended.
