--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -1,7 +1,7 @@
 //! The backend servers of a deployment, as their heartbeats tell of them.
 //!
 //! Records merge in any order to the same result, so VMs can pass them on in any way: a later
-//! lifetime replaces an earlier one, and within a lifetime a server only goes from ready to draining
+//! incarnation replaces an earlier one, and within a incarnation a server only goes from ready to draining
 //! to gone.
 
 use std::collections::BTreeMap;
@@ -30,9 +30,9 @@
 pub struct ServerRecord {
     /// Its id; kept over a restart at times.
     pub id: ServerId,
-    /// Start of its lifetime, in Unix milliseconds of its own clock.
+    /// Start of its incarnation, in Unix milliseconds of its own clock.
     pub born: u64,
-    /// Number of its last heartbeat in this lifetime.
+    /// Number of its last heartbeat in this incarnation.
     pub sequence: u64,
     /// Service that it offers.
     pub service: ServiceName,
@@ -42,14 +42,14 @@
     pub zone: ZoneName,
     /// Requests that it serves at once.
     pub slots: u32,
-    /// How far its life is; never goes back within a lifetime.
+    /// How far its life is; never goes back within a incarnation.
     pub stage: ServerStage,
 }
 
 /// What a merge changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Merged {
-    /// A server, a lifetime, an address or a stage that was not known.
+    /// A server, a incarnation, an address or a stage that was not known.
     Changed,
     /// Only that it is alive.
     Refreshed,
@@ -81,7 +81,7 @@
         merged
     }
 
-    /// Takes in that a server says it leaves, with the start of its lifetime where it tells that.
+    /// Takes in that a server says it leaves, with the start of its incarnation where it tells that.
     pub fn leave(&mut self, now: Moment, id: &ServerId, born: Option<u64>) -> Merged {
         let Some(known) = self.servers.get_mut(id) else {
             return Merged::Stale;
--- a/core/tests/integration/directory.rs
+++ b/core/tests/integration/directory.rs
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn a_new_lifetime_under_the_same_id_takes_work_again() {
+fn a_new_incarnation_under_the_same_id_takes_work_again() {
     let now = Moment::default();
     let mut directory = Directory::default();
     directory.merge(now, record("s", 5, 7, 1, ServerStage::Draining));
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn the_later_lifetime_has_an_address_in_whatever_order_the_news_comes() {
+fn the_later_incarnation_has_an_address_in_whatever_order_the_news_comes() {
     let now = Moment::default();
     let old = record("old", 5, 1, 1, ServerStage::Ready);
     let new = record("new", 9, 1, 1, ServerStage::Ready);
@@ -75,7 +75,7 @@
         Just(ServerStage::Gone)
     ];
     (0..2_u64, 0..4_u64, stages).prop_map(|(born, sequence, stage)| {
-        // One address a lifetime: a server does not move while it lives.
+        // One address a incarnation: a server does not move while it lives.
         record("s", born, sequence, 1, stage)
     })
 }
--- a/node/src/controller/calls.rs
+++ b/node/src/controller/calls.rs
@@ -66,7 +66,7 @@
         self.add_call(now, CallKind::Read { confirmed, reply }, CALL_TIME);
     }
 
-    /// Takes in how a proposal or a confirmation went.
+    /// Takes in how a proposal or a check of the lead went.
     pub(super) fn take_proposed(&mut self, id: u64, result: WireProposed) {
         let Some(call) = self.calls.waiting.get_mut(&id) else {
             return;
--- a/node/src/controller/input.rs
+++ b/node/src/controller/input.rs
@@ -24,7 +24,7 @@
     Read(Reply<Arc<[u8]>>),
     /// A backend server tells that it is alive.
     Heartbeat(ServerRecord, Reply<()>),
-    /// A backend server leaves; with the start of its lifetime where it tells that.
+    /// A backend server leaves; with the start of its incarnation where it tells that.
     Leave(ServerId, Option<u64>, Reply<()>),
     /// The process is about to stop.
     Stop,
