--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -1,7 +1,7 @@
 //! The backend servers of a deployment, as their heartbeats tell of them.
 //!
 //! Records merge in any order to the same result, so VMs can pass them on in any way: a later
-//! incarnation replaces an earlier one, and within a incarnation a server only goes from ready to draining
+//! incarnation replaces an earlier one, and within an incarnation a server only goes from ready to draining
 //! to gone.
 
 use std::collections::BTreeMap;
@@ -42,14 +42,14 @@
     pub zone: ZoneName,
     /// Requests that it serves at once.
     pub slots: u32,
-    /// How far its life is; never goes back within a incarnation.
+    /// How far its life is; never goes back within an incarnation.
     pub stage: ServerStage,
 }
 
 /// What a merge changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Merged {
-    /// A server, a incarnation, an address or a stage that was not known.
+    /// A server, an incarnation, an address or a stage that was not known.
     Changed,
     /// Only that it is alive.
     Refreshed,
