--- a/core/tests/integration/directory.rs
+++ b/core/tests/integration/directory.rs
@@ -75,7 +75,7 @@
         Just(ServerStage::Gone)
     ];
     (0..2_u64, 0..4_u64, stages).prop_map(|(born, sequence, stage)| {
-        // One address a incarnation: a server does not move while it lives.
+        // One address an incarnation: a server does not move while it lives.
         record("s", born, sequence, 1, stage)
     })
 }
