feature: keep shorts to servers that are open to them, and draw between servers nearly as good

By the logs of all entry VMs the late ones joined engines that already had 12 to 17 answers for 12 slots, while others had fewer than 9: 62 entry VMs hear of each other's placements some ten milliseconds late, and each of them took the same engine for the best one. Ruled out: long reads beside them (3 in 100 of the late ones), processor time (0.02 of 0.12 cores). Change: the servers open to shorts follow from the answers known in the zone, in one order for all its entry VMs; between them the emptier one with a random part; one slot is kept for what was not heard of yet.

--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -8,8 +8,11 @@
 pub mod judging;
 pub mod ledger;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use fastrand::Rng;
+
 use self::ledger::{EngineLoad, Ledger, Share};
 use crate::directory::ServerRecord;
 use crate::engine_model::{EngineProfile, as_float};
@@ -36,12 +39,19 @@
 const HELD_SPARE: u64 = 64;
 /// Longest time to read a prompt that counts as short, in milliseconds.
 const SHORT_READ: f64 = 60.0;
-/// Part of an engine's slots up to which further short prompts make it more attractive.
-const TOGETHER_PART: f64 = 0.5;
-/// Value lost by a short prompt that has an engine to itself.
+/// Part of their slots that the engines open to short prompts fill before another one is opened.
+const OPEN_PART: f64 = 0.65;
+/// Value lost by a short prompt on an engine that is not open to them.
 const SPREAD_COST: f64 = 0.25;
-/// Value lost where an engine has twice as many short prompts as it should.
-const CROWD_COST: f64 = 0.2;
+/// Value lost by a short prompt where all slots are taken; it grows with the square of their part.
+const FILL_COST: f64 = 0.5;
+/// Most by which a draw moves the cost of a short prompt's engine; the price of three shorts there.
+///
+/// Entry VMs hear of each other's placements some ten milliseconds late. Without a draw all of them
+/// take the same engine for the best one at the same moment.
+const DRAW_COST: f64 = 0.1;
+/// Slots of an engine that are taken to be filled by placements not heard of yet.
+const UNHEARD_SLOTS: usize = 1;
 /// Time that a request waits for each one before it where all slots are taken, in milliseconds.
 const SLOT_WAIT: f64 = 250.0;
 
@@ -60,6 +70,8 @@
     pub pause: Duration,
     /// Time left until the caller gives up.
     pub left: Duration,
+    /// A random number of its own, which decides between engines that are nearly as good.
+    pub draw: u64,
 }
 
 /// A server that may be chosen.
@@ -155,9 +167,15 @@
         let total = |p: &Priced<'_>| {
             let first = p.ready + p.pass;
             let own = own_cost(ask, first) + candidates[p.candidate].penalty;
-            p.harm + own + self.lead_cost(ask, p.server) + self.spread_cost(ask, p.server)
+            p.harm + own + self.lead_cost(ask, p.server)
+        };
+        let open = self.is_short(ask).then(|| self.open_servers(candidates));
+        let mut draws = Rng::with_seed(ask.draw);
+        let mut among_shorts = |p: &Priced<'_>| {
+            let cost = |open| self.short_cost(p.server, open) + draws.f64() * DRAW_COST;
+            open.as_ref().map_or(0.0, cost)
         };
-        let costs = priced.iter().map(|p| (total(p), p));
+        let costs = priced.iter().map(|p| (total(p) + among_shorts(p), p));
         let (cost, chosen) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         let placement = Placement {
             lead: chosen.server.id.clone(),
@@ -257,7 +275,8 @@
         let in_pass = self.profile.read_in_pass(tokens, part);
         let pass = self.profile.pass_time(load.writers() + 1, load.context());
         let backlog = load.backlog(self.now);
-        let over = load.len().saturating_sub(self.profile.slots as usize - 1);
+        let taken = load.len() + UNHEARD_SLOTS;
+        let over = (taken + 1).saturating_sub(self.profile.slots as usize);
         let ready = pass / 2.0 + backlog + part + as_float(over as u64) * SLOT_WAIT;
         let ahead = if parts > 1 { part } else { in_pass };
         let harm = self.harm(load, in_pass, ahead, pass);
@@ -316,22 +335,47 @@
         usable.saturating_sub(used)
     }
 
-    /// Returns the value that long prompts lose where short ones are spread over many engines.
+    /// Returns the servers that short prompts are kept to for now.
     ///
     /// Shorts hardly disturb each other; kept together, they leave engines on which a long prompt can
-    /// be read without a pause for anybody.
-    fn spread_cost(&self, ask: &PromptAsk, server: &ServerRecord) -> f64 {
-        if self.profile.read_time(ask.prompt) > SHORT_READ {
-            return 0.0;
-        }
-        let together = f64::from(self.profile.slots) * TOGETHER_PART;
-        let others = self.ledger.load(&server.id).map_or(0, EngineLoad::len);
-        let missing = (together - as_float(others as u64)) / together;
-        if missing >= 0.0 {
-            missing * SPREAD_COST
+    /// be read without a pause for anybody. The same servers come first for all entry VMs of a zone, so
+    /// that a burst is spread over all that are open and not sent to a single one.
+    fn open_servers<'c>(&self, candidates: &[Candidate<'c>]) -> BTreeSet<&'c ServerId> {
+        let mut own: Vec<_> = candidates
+            .iter()
+            .filter(|candidate| candidate.server.zone == *self.zone)
+            .map(|candidate| &candidate.server.id)
+            .collect();
+        own.sort_unstable();
+        let answers: usize = own.iter().map(|server| self.answers(server)).sum();
+        let filled = f64::from(self.profile.slots) * OPEN_PART;
+        let mut room = 0.0;
+        let needed = as_float(answers as u64 + 1);
+        let open = own.into_iter().take_while(|_| {
+            let needs_more = room < needed;
+            room += filled;
+            needs_more
+        });
+        open.collect()
+    }
+
+    /// Returns the value lost where a short prompt joins the answers of a server.
+    fn short_cost(&self, server: &ServerRecord, open: &BTreeSet<&ServerId>) -> f64 {
+        let taken = as_float(self.answers(&server.id) as u64) / f64::from(self.profile.slots);
+        let spread = if open.contains(&server.id) {
+            0.0
         } else {
-            -missing * CROWD_COST
-        }
+            SPREAD_COST
+        };
+        taken * taken * FILL_COST + spread
+    }
+
+    fn answers(&self, server: &ServerId) -> usize {
+        self.ledger.load(server).map_or(0, EngineLoad::len)
+    }
+
+    fn is_short(&self, ask: &PromptAsk) -> bool {
+        self.profile.read_time(ask.prompt) <= SHORT_READ
     }
 
     fn cross_cost(&self, server: &ServerRecord) -> f64 {
--- a/node/src/gateway/choosing.rs
+++ b/node/src/gateway/choosing.rs
@@ -167,5 +167,6 @@
         objective: call.route.objective,
         pause,
         left: call.left(now),
+        draw: call.draw,
     }
 }
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -62,6 +62,8 @@
     pub(super) tokens: Option<TokenCounts>,
     /// The last event that the caller has, where it resumes a stream.
     pub(super) last_event: Option<u64>,
+    /// Decides between servers that are nearly as good.
+    pub(super) draw: u64,
 }
 
 /// What goes to one server.
@@ -153,6 +155,7 @@
         manifest: deployment.number.0,
         began,
         deadline: began + time,
+        draw: fastrand::u64(..),
     })
 }
 
