--- a/node/src/gateway/choosing.rs
+++ b/node/src/gateway/choosing.rs
@@ -10,6 +10,7 @@
 use merlinrudder_core::placing::judging::Verdict;
 use merlinrudder_core::placing::ledger::PlacedPrompt;
 use merlinrudder_core::placing::{Placement, PromptAsk};
+use merlinrudder_core::time::Moment;
 use merlinrudder_platform::headers;
 
 use super::request::CallerRequest;
@@ -26,7 +27,9 @@
     pub(super) helpers: Vec<Holder>,
     /// Tokens of memory that each helper sets aside; 0 for none.
     pub(super) held: u64,
-    /// Predicted time to the first event.
+    /// When they were chosen.
+    pub(super) at: Moment,
+    /// Predicted time from then to the first event.
     pub(super) predicted: Option<Duration>,
     pub(super) placement: Option<OwnPlacement>,
     _call: Option<CallGuard>,
@@ -81,6 +84,7 @@
         address,
         helpers: Vec::new(),
         held: 0,
+        at: gateway.now(),
         predicted: None,
         placement: None,
         _call: Some(guard),
@@ -143,6 +147,7 @@
         address: lead.address,
         helpers,
         held: placement.held,
+        at: gateway.now(),
         predicted: Some(placement.first),
         placement: Some(own),
         _call: None,
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -46,6 +46,7 @@
     let passing = Passing {
         gateway: Rc::clone(gateway),
         last: call.last_event,
+        placed: PlacedOn::new(&call, &opened),
         call,
         attempts,
         sender,
@@ -53,19 +54,33 @@
         first: None,
         longest: Duration::ZERO,
         resumed: 0,
-        placed: placed_on(&opened),
     };
     spawn_local(passing.run(opened));
     answer
 }
 
-fn placed_on(opened: &Opened) -> (ServerId, usize, Option<Duration>) {
-    let chosen = &opened.chosen;
-    (
-        chosen.server.clone(),
-        chosen.helpers.len(),
-        chosen.predicted,
-    )
+/// Where a stream was placed last, for its log line.
+struct PlacedOn {
+    /// Engine that writes.
+    server: ServerId,
+    /// Number of engines that help it.
+    helpers: usize,
+    /// Time from the request to the placement.
+    waited: Duration,
+    /// Predicted time from the placement to the first event.
+    predicted: Option<Duration>,
+}
+
+impl PlacedOn {
+    fn new(call: &CallerRequest, opened: &Opened) -> Self {
+        let chosen = &opened.chosen;
+        Self {
+            server: chosen.server.clone(),
+            helpers: chosen.helpers.len(),
+            waited: chosen.at.since(call.began),
+            predicted: chosen.predicted,
+        }
+    }
 }
 
 /// How passing on the events of one engine ended.
@@ -95,8 +110,7 @@
     /// Longest time between two events.
     longest: Duration,
     resumed: u32,
-    /// Engine that writes, engines that help it, and the predicted time to the first event.
-    placed: (ServerId, usize, Option<Duration>),
+    placed: PlacedOn,
 }
 
 impl Passing {
@@ -144,7 +158,7 @@
             let next = self.attempts.open(&self.gateway, &self.call, self.last);
             match next.await {
                 Ok(next) if next.head.status.is_success() => {
-                    self.placed = placed_on(&next);
+                    self.placed = PlacedOn::new(&self.call, &next);
                     opened = next;
                 }
                 _ => return ended,
@@ -250,8 +264,9 @@
         info!(self.gateway.log, "Stream ended"; "request" => self.call.id_text(),
             "route" => &*self.call.route.name, "outcome" => outcome, "events" => self.events,
             "prompt" => self.call.tokens.map(|tokens| tokens.prompt),
-            "server" => %self.placed.0, "helpers" => self.placed.1,
-            "predicted_ms" => self.placed.2.map(|predicted| predicted.as_millis()),
+            "server" => %self.placed.server, "helpers" => self.placed.helpers,
+            "placed_ms" => self.placed.waited.as_millis(),
+            "predicted_ms" => self.placed.predicted.map(|predicted| predicted.as_millis()),
             "first_ms" => self.first.map(|first| first.as_millis()),
             "longest_ms" => self.longest.as_millis(), "resumed" => self.resumed,
             "took_ms" => self.gateway.now().since(self.call.began).as_millis(),
