--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -46,12 +46,14 @@
 /// Value lost by a short prompt on an engine that is not open to them.
 const SPREAD_COST: f64 = 0.25;
 /// Value lost by a short prompt where all slots are taken; it grows with the square of their part.
-const FILL_COST: f64 = 0.5;
-/// Most by which a draw moves the cost of a short prompt's engine; the price of three shorts there.
+///
+/// Less than `SPREAD_COST`, so that open servers fill before another one is touched.
+const FILL_COST: f64 = 0.2;
+/// Answers by which a draw may make a server look fuller to a short prompt.
 ///
 /// Entry VMs hear of each other's placements some ten milliseconds late. Without a draw all of them
 /// take the same engine for the best one at the same moment.
-const DRAW_COST: f64 = 0.1;
+const DRAWN_ANSWERS: f64 = 2.5;
 /// Slots of an engine that are taken to be filled by placements not heard of yet.
 const UNHEARD_SLOTS: usize = 1;
 /// Time that a request waits for each one before it where all slots are taken, in milliseconds.
@@ -171,10 +173,13 @@
             let own = own_cost(ask, first) + candidates[p.candidate].penalty;
             p.harm + own + self.lead_cost(ask, p.server)
         };
-        let open = self.is_short(ask).then(|| self.open_servers(candidates));
+        let open = self
+            .is_short(ask.prompt)
+            .then(|| self.open_servers(candidates));
         let mut draws = Rng::with_seed(ask.draw);
         let mut among_shorts = |p: &Priced<'_>| {
-            let cost = |open| self.short_cost(p.server, open) + draws.f64() * DRAW_COST;
+            let drawn = draws.f64() * DRAWN_ANSWERS;
+            let cost = |open| self.short_cost(p.server, open, drawn);
             open.as_ref().map_or(0.0, cost)
         };
         let costs = priced.iter().map(|p| (total(p) + among_shorts(p), p));
@@ -347,10 +352,10 @@
             .map(|candidate| &candidate.server.id)
             .collect();
         own.sort_unstable();
-        let answers: usize = own.iter().map(|server| self.answers(server)).sum();
+        let shorts: usize = own.iter().map(|server| self.shorts(server)).sum();
         let filled = f64::from(self.profile.slots) * OPEN_PART;
         let mut room = 0.0;
-        let needed = as_float(answers as u64 + 1);
+        let needed = as_float(shorts as u64 + 1);
         let open = own.into_iter().take_while(|_| {
             let needs_more = room < needed;
             room += filled;
@@ -359,9 +364,10 @@
         open.collect()
     }
 
-    /// Returns the value lost where a short prompt joins the answers of a server.
-    fn short_cost(&self, server: &ServerRecord, open: &BTreeSet<&ServerId>) -> f64 {
-        let taken = as_float(self.answers(&server.id) as u64) / f64::from(self.profile.slots);
+    /// Returns the value lost where a short prompt joins the answers of a server, and `drawn` more.
+    fn short_cost(&self, server: &ServerRecord, open: &BTreeSet<&ServerId>, drawn: f64) -> f64 {
+        let answers = self.ledger.load(&server.id).map_or(0, EngineLoad::len);
+        let taken = (as_float(answers as u64) + drawn) / f64::from(self.profile.slots);
         let spread = if open.contains(&server.id) {
             0.0
         } else {
@@ -370,12 +376,17 @@
         taken * taken * FILL_COST + spread
     }
 
-    fn answers(&self, server: &ServerId) -> usize {
-        self.ledger.load(server).map_or(0, EngineLoad::len)
+    /// Returns the number of short prompts that a server answers.
+    fn shorts(&self, server: &ServerId) -> usize {
+        let shares = self.ledger.load(server).map(EngineLoad::shares);
+        let shorts = shares.into_iter().flatten();
+        shorts
+            .filter(|share| share.leads && self.is_short(share.prompt))
+            .count()
     }
 
-    fn is_short(&self, ask: &PromptAsk) -> bool {
-        self.profile.read_time(ask.prompt) <= SHORT_READ
+    fn is_short(&self, prompt: u64) -> bool {
+        self.profile.read_time(prompt) <= SHORT_READ
     }
 
     fn cross_cost(&self, server: &ServerRecord) -> f64 {
