--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -33,8 +33,6 @@
 const CROSS_COST: f64 = 0.004;
 /// Value lost for each helper: another engine that can fail.
 const HELPER_COST: f64 = 0.01;
-/// Weight of a delay at an engine that only helps to read a prompt: its other parts may be later.
-const HELPED_PART: f64 = 0.5;
 /// One part in so many of the memory is not promised, for answers longer than expected.
 const MEMORY_SPARE: u64 = 25;
 /// Tokens set aside beyond an even part of the prompt, since engines count memory in blocks.
@@ -317,7 +315,7 @@
 
     /// Returns how much likelier a waiting prompt is late where another read joins it.
     fn first_lost(&self, share: &Share, ready: f64, ahead: f64) -> f64 {
-        let part = if share.leads { 1.0 } else { HELPED_PART };
+        let part = if share.leads { 1.0 } else { share.helped_part };
         let waited = as_float(duration_millis(self.now.since(share.asked)));
         let bound = millis(share.objective);
         (lateness(waited + ready + ahead, bound) - lateness(waited + ready, bound)) * part
--- a/core/src/placing/ledger.rs
+++ b/core/src/placing/ledger.rs
@@ -61,6 +61,9 @@
     pub objective: Duration,
     /// Longest pause that is on time.
     pub pause: Duration,
+    /// Weight of a delay here where the engine only helps: one engine of several is likely to delay
+    /// them all, and is counted once for all of them.
+    pub helped_part: f64,
     /// Time to read the part, in milliseconds.
     part: f64,
     /// Most of it that one pass holds, in milliseconds.
@@ -197,6 +200,7 @@
                 asked: placed.asked,
                 objective: placed.objective,
                 pause: placed.pause,
+                helped_part: 1.0 / as_float(parts as u64),
                 part,
                 in_pass,
             };
