--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -52,6 +52,8 @@
 /// Entry VMs hear of each other's placements some ten milliseconds late. Without a draw all of them
 /// take the same engine for the best one at the same moment.
 const DRAWN_ANSWERS: f64 = 2.5;
+/// Shortest pause after which callers leave, as the platform tells of them.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
 /// Slots of an engine that are taken to be filled by placements not heard of yet.
 const UNHEARD_SLOTS: usize = 1;
 /// Time that a request waits for each one before it where all slots are taken, in milliseconds.
@@ -308,17 +310,18 @@
                 } else {
                     pause_lost(share, before, after)
                 };
-                lost * (1.0 - LATE_PART) * prompt_value(share.prompt)
+                lost * prompt_value(share.prompt)
             })
             .sum()
     }
 
-    /// Returns how much likelier a waiting prompt is late where another read joins it.
+    /// Returns the part of its value that a waiting prompt loses where another read joins it.
     fn first_lost(&self, share: &Share, ready: f64, ahead: f64) -> f64 {
         let part = if share.leads { 1.0 } else { share.helped_part };
         let waited = as_float(duration_millis(self.now.since(share.asked)));
         let bound = millis(share.objective);
-        (lateness(waited + ready + ahead, bound) - lateness(waited + ready, bound)) * part
+        let later = lateness(waited + ready + ahead, bound) - lateness(waited + ready, bound);
+        later * (1.0 - LATE_PART) * part
     }
 
     /// Returns the value lost where this engine writes the answer.
@@ -405,9 +408,16 @@
     value * (late + lost) + first * MILLI_COST
 }
 
+/// Returns the part of its value that an answer loses where its next pause grows.
+///
+/// After a longer pause still the caller leaves, and the rest of the value is lost as well.
 fn pause_lost(share: &Share, before: f64, after: f64) -> f64 {
-    let bound = millis(share.pause);
-    lateness(after, bound) - lateness(before, bound)
+    let later = |bound: Duration| {
+        let bound = millis(bound);
+        lateness(after, bound) - lateness(before, bound)
+    };
+    let patience = (share.objective * 4).max(share.pause * 8).max(MIN_PATIENCE);
+    later(share.pause) * (1.0 - LATE_PART) + later(patience) * LATE_PART
 }
 
 fn cheaper(
