--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -40,7 +40,7 @@
 /// Longest time to read a prompt that counts as short, in milliseconds.
 const SHORT_READ: f64 = 60.0;
 /// Part of their slots that the engines open to short prompts fill before another one is opened.
-const OPEN_PART: f64 = 0.65;
+const OPEN_PART: f64 = 0.8;
 /// Value lost by a short prompt on an engine that is not open to them.
 const SPREAD_COST: f64 = 0.25;
 /// Value lost by a short prompt where all slots are taken; it grows with the square of their part.
