--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -40,7 +40,7 @@
 /// Longest time to read a prompt that counts as short, in milliseconds.
 const SHORT_READ: f64 = 60.0;
 /// Part of their slots that the engines open to short prompts fill before another one is opened.
-const OPEN_PART: f64 = 0.8;
+const OPEN_PART: f64 = 0.75;
 /// Value lost by a short prompt on an engine that is not open to them.
 const SPREAD_COST: f64 = 0.25;
 /// Value lost by a short prompt where all slots are taken; it grows with the square of their part.
@@ -51,7 +51,7 @@
 ///
 /// Entry VMs hear of each other's placements some ten milliseconds late. Without a draw all of them
 /// take the same engine for the best one at the same moment.
-const DRAWN_ANSWERS: f64 = 2.5;
+const DRAWN_ANSWERS: f64 = 2.0;
 /// Shortest pause after which callers leave, as the platform tells of them.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
 /// Slots of an engine that are taken to be filled by placements not heard of yet.
