bug: ask one VM at a time for a manifest, and let the largest prompts through again

Ruled out: the log's own replication (25 MB by sizes and followers). Change: who is asked for a manifest is decided in core, one at a time, own zone first. The bound for prompts that waited is again half of their whole value; pauses after which callers leave still count.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod held;
 pub mod manifest;
+pub mod manifest_pull;
 pub mod membership;
 pub mod names;
 pub mod outcome;
--- a/core/src/placing.rs
+++ b/core/src/placing.rs
@@ -178,8 +178,8 @@
             .then(|| self.open_servers(candidates));
         let mut draws = Rng::with_seed(ask.draw);
         let mut among_shorts = |p: &Priced<'_>| {
-            let drawn = draws.f64() * DRAWN_ANSWERS;
-            let cost = |open| self.short_cost(p.server, open, drawn);
+            let unheard = draws.f64() * DRAWN_ANSWERS;
+            let cost = |open| self.short_cost(p.server, open, unheard);
             open.as_ref().map_or(0.0, cost)
         };
         let costs = priced.iter().map(|p| (total(p) + among_shorts(p), p));
@@ -365,10 +365,10 @@
         open.collect()
     }
 
-    /// Returns the value lost where a short prompt joins the answers of a server, and `drawn` more.
-    fn short_cost(&self, server: &ServerRecord, open: &BTreeSet<&ServerId>, drawn: f64) -> f64 {
+    /// Returns the value lost where a short prompt joins the answers of a server, and `unheard` more.
+    fn short_cost(&self, server: &ServerRecord, open: &BTreeSet<&ServerId>, unheard: f64) -> f64 {
         let answers = self.ledger.load(&server.id).map_or(0, EngineLoad::len);
-        let taken = (as_float(answers as u64) + drawn) / f64::from(self.profile.slots);
+        let taken = (as_float(answers as u64) + unheard) / f64::from(self.profile.slots);
         let spread = if open.contains(&server.id) {
             0.0
         } else {
--- a/core/src/placing/judging.rs
+++ b/core/src/placing/judging.rs
@@ -17,7 +17,9 @@
 const BUSY_SECOND: f64 = 6.0;
 /// Part of its time that a prompt may wait for a burst to end.
 const MAX_WAIT_PART: f64 = 0.45;
-/// Part of what a prompt still gains that others may lose by it once it has waited.
+/// Part of its value that others may lose by a prompt once it has waited.
+///
+/// More than a late answer gains by itself: long jobs are to finish, also the largest of them.
 const KEPT_PART: f64 = 0.5;
 
 /// What to do with a prompt.
@@ -57,7 +59,7 @@
     if waited < (waited + millis(ask.left)) * MAX_WAIT_PART {
         return Verdict::Wait;
     }
-    if placement.harm < gain * KEPT_PART {
+    if placement.harm < value * KEPT_PART {
         Verdict::Place
     } else {
         Verdict::Refuse
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod events;
 mod fleets;
 mod log_fuzz;
+mod manifest_pull;
 mod membership;
 mod placing;
 mod placing_load;
--- a/node/src/gateway/informed.rs
+++ b/node/src/gateway/informed.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use merlinrudder_core::directory::{Merged, ServerRecord};
+use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::VmId;
 use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
@@ -18,8 +19,8 @@
 use super::state::Gateway;
 use crate::links::LinkEvent;
 
-/// Time that a control VM of another zone is left aside, so that the own zone's sends the manifest.
-const FAR_PULL_WAIT: Duration = Duration::from_millis(150);
+/// Time after which another zone may be asked for a manifest.
+const PULL_AGAIN: Duration = Duration::from_millis(160);
 
 /// Takes in what happens on links until the process ends.
 pub(super) async fn run(gateway: Rc<Gateway>, mut events: UnboundedReceiver<LinkEvent>) {
@@ -43,6 +44,7 @@
 fn link_down(gateway: &Rc<Gateway>, vm: &VmId) {
     let now = gateway.now();
     let informed = gateway.links.peers().iter().any(|peer| peer.control);
+    gateway.pull.borrow_mut().lost(vm);
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.informed = informed;
     fleet.entry_lost(now, vm);
@@ -63,9 +65,13 @@
             }
         }
         MeshMessage::Newest { number, current } => {
-            spawn_local(pull(Rc::clone(gateway), from, number, current));
+            take_newest(gateway, &from, number, current);
+        }
+        MeshMessage::Manifest { number, bytes, .. } => {
+            gateway.pull.borrow_mut().arrived();
+            adopt(gateway, number, &bytes);
+            pull(gateway);
         }
-        MeshMessage::Manifest { number, bytes, .. } => adopt(gateway, number, &bytes),
         MeshMessage::Placements(placements) => sharing::take(gateway, &from, placements),
         other => debug!(gateway.log, "Dropped a message"; "from" => %from, "message" => ?other),
     }
@@ -84,27 +90,44 @@
     deployment.as_ref().map_or(0, |d| d.number.0)
 }
 
-/// Asks for a newer manifest; one that is told by a zone further away may come by itself.
-async fn pull(gateway: Rc<Gateway>, from: VmId, newest: u64, current: bool) {
-    if newest > number(&gateway) {
-        let peers = gateway.links.peers();
-        let near = peers
-            .iter()
-            .any(|peer| peer.vm_id() == from && peer.zone == gateway.zone.as_str());
-        if !near {
-            sleep(FAR_PULL_WAIT).await;
+/// Takes in the newest manifest's number that a control VM has, and asks for it where it is newer.
+fn take_newest(gateway: &Rc<Gateway>, from: &VmId, newest: u64, current: bool) {
+    let have = number(gateway);
+    if newest <= have {
+        if current && newest > 0 && !gateway.current.replace(true) {
+            info!(gateway.log, "Up to date"; "number" => have, "by" => %from);
         }
+        return;
     }
-    let have = number(&gateway);
-    if newest > have {
-        gateway
-            .links
-            .send(&from, &MeshMessage::PullManifest { have });
-    } else if current && newest > 0 && !gateway.current.replace(true) {
-        info!(gateway.log, "Up to date"; "number" => have, "by" => %from);
+    let peers = gateway.links.peers();
+    let near = peers
+        .iter()
+        .any(|peer| peer.vm_id() == *from && peer.zone == gateway.zone.as_str());
+    let now = gateway.now();
+    let newest = ManifestNumber(newest);
+    gateway.pull.borrow_mut().told(now, from, newest, near);
+    pull(gateway);
+    spawn_local(pull_later(Rc::clone(gateway)));
+}
+
+/// Asks the next VM for a newer manifest, where one is to be asked.
+fn pull(gateway: &Gateway) {
+    let have = number(gateway);
+    let next = gateway
+        .pull
+        .borrow_mut()
+        .next(gateway.now(), ManifestNumber(have));
+    if let Some(vm) = next {
+        gateway.links.send(&vm, &MeshMessage::PullManifest { have });
     }
 }
 
+/// Asks another zone, where the own one had nothing meanwhile.
+async fn pull_later(gateway: Rc<Gateway>) {
+    sleep(PULL_AGAIN).await;
+    pull(&gateway);
+}
+
 /// Puts a manifest in force, where it is newer.
 fn adopt(gateway: &Gateway, newest: u64, bytes: &[u8]) {
     if newest <= number(gateway) {
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::fleet::Fleet;
+use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::{ServiceName, VmId, ZoneName};
 use merlinrudder_core::retry::{RetryLimits, RetryWindow};
 use merlinrudder_core::time::Moment;
@@ -28,6 +29,8 @@
     pub(super) links: Links,
     /// The deployment in force; its number never falls. `None` until one is known.
     pub(super) deployment: RefCell<Option<Arc<Deployment>>>,
+    /// Whom to ask for a newer deployment.
+    pub(super) pull: RefCell<ManifestPull>,
     pub(super) fleet: RefCell<Fleet>,
     pub(super) pool: Pool,
     pub(super) outbox: RefCell<Outbox>,
@@ -52,6 +55,7 @@
             clock: Clock::start(),
             links,
             deployment: RefCell::new(None),
+            pull: RefCell::default(),
             fleet: RefCell::new(Fleet::new(zone)),
             pool: Pool::default(),
             outbox: RefCell::default(),
