bug: wait for the own zone's copy of a manifest, and place late prompts that gain more than they cost

Change: 400 ms for the own zone; a prompt that has waited is placed where others lose less than it gains, and may wait for two thirds of its time, so that it sees the end of a burst.

--- a/core/src/manifest_pull.rs
+++ b/core/src/manifest_pull.rs
@@ -11,7 +11,9 @@
 use crate::time::Moment;
 
 /// Time for which control VMs of other zones are left aside, so that one of the own zone gets it.
-const NEAR_TIME: Duration = Duration::from_millis(150);
+///
+/// A follower learns with the second heartbeat of its leader that a manifest is committed.
+const NEAR_TIME: Duration = Duration::from_millis(400);
 /// Time after which another VM is asked; a large manifest takes a tenth of it on a slow link.
 const ANSWER_TIME: Duration = Duration::from_millis(600);
 
--- a/core/src/placing/judging.rs
+++ b/core/src/placing/judging.rs
@@ -15,13 +15,8 @@
 const WAIT_READ: f64 = 120.0;
 /// Value that a second of an engine's time is worth to others where all engines have prompts to read.
 const BUSY_SECOND: f64 = 6.0;
-/// Part of its time that a prompt may wait for a burst to end.
-const MAX_WAIT_PART: f64 = 0.45;
-/// Part of its value that others may lose by a prompt once it has waited.
-///
-/// More than a late answer gains by itself: long jobs are to finish, also the largest of them.
-const KEPT_PART: f64 = 0.5;
-
+/// Part of its time that a prompt may wait for a burst to end; the rest is for reading and writing.
+const MAX_WAIT_PART: f64 = 0.65;
 /// What to do with a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -59,7 +54,7 @@
     if waited < (waited + millis(ask.left)) * MAX_WAIT_PART {
         return Verdict::Wait;
     }
-    if placement.harm < value * KEPT_PART {
+    if placement.harm < gain {
         Verdict::Place
     } else {
         Verdict::Refuse
--- a/node/src/gateway/informed.rs
+++ b/node/src/gateway/informed.rs
@@ -20,7 +20,7 @@
 use crate::links::LinkEvent;
 
 /// Time after which another zone may be asked for a manifest.
-const PULL_AGAIN: Duration = Duration::from_millis(160);
+const PULL_AGAIN: Duration = Duration::from_millis(410);
 
 /// Takes in what happens on links until the process ends.
 pub(super) async fn run(gateway: Rc<Gateway>, mut events: UnboundedReceiver<LinkEvent>) {
