--- a/core/src/placing/judging.rs
+++ b/core/src/placing/judging.rs
@@ -15,8 +15,8 @@
 const WAIT_READ: f64 = 120.0;
 /// Value that a second of an engine's time is worth to others where all engines have prompts to read.
 const BUSY_SECOND: f64 = 6.0;
-/// Part of its time that a prompt may wait for a burst to end; the rest is for reading and writing.
-const MAX_WAIT_PART: f64 = 0.65;
+/// Part of its time that a prompt may wait for a burst to end; the rest is for another try or another VM.
+const MAX_WAIT_PART: f64 = 0.45;
 /// What to do with a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
--- a/node/src/gateway/informed.rs
+++ b/node/src/gateway/informed.rs
@@ -28,7 +28,7 @@
         match event {
             LinkEvent::Up(peer) => link_up(&gateway, &peer),
             LinkEvent::Down(vm) => link_down(&gateway, &vm),
-            LinkEvent::Message(from, message) => take(&gateway, from, message),
+            LinkEvent::Message(from, message) => take(&gateway, &from, message),
         }
     }
 }
@@ -50,7 +50,7 @@
     fleet.entry_lost(now, vm);
 }
 
-fn take(gateway: &Rc<Gateway>, from: VmId, message: MeshMessage) {
+fn take(gateway: &Rc<Gateway>, from: &VmId, message: MeshMessage) {
     match message {
         MeshMessage::Servers(servers) => {
             let now = gateway.now();
@@ -65,14 +65,14 @@
             }
         }
         MeshMessage::Newest { number, current } => {
-            take_newest(gateway, &from, number, current);
+            take_newest(gateway, from, number, current);
         }
         MeshMessage::Manifest { number, bytes, .. } => {
             gateway.pull.borrow_mut().arrived();
             adopt(gateway, number, &bytes);
             pull(gateway);
         }
-        MeshMessage::Placements(placements) => sharing::take(gateway, &from, placements),
+        MeshMessage::Placements(placements) => sharing::take(gateway, from, placements),
         other => debug!(gateway.log, "Dropped a message"; "from" => %from, "message" => ?other),
     }
 }
