feature: a randomized soak of the platform's roles as processes

What it does: three control VMs and three entry VMs as processes, four stand-ins behind a loopback proxy each; by a seed, processes are killed, paused, asked to stop and started again, all control VMs at once too, a disk is lost, connections to servers are delayed, reset, silenced or cut one way, servers lose answers or break off. While it runs it checks that streams are whole and in order, answers belong to their request, nothing is denied, requests end in their time, confirmed versions are read and never refused; afterwards that calls that may run once ran once, that "not run" was true, and that everything serves again. `merlinctl soak` plays seeds; a test plays seed 1 for 12 s. The harness of the platform tests moved to the stand-ins (nodes, exchange), where both use it. Not injected: clocks (the system uses steady time only, and paused processes cover its suspension), full and slow disks (the machine offers no way from outside), impairments between the VMs other than pauses.

--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -8,6 +8,7 @@
 pub mod replay;
 mod report;
 mod slopes;
+mod soak;
 
 use std::path::PathBuf;
 
@@ -35,6 +36,7 @@
         "replay" => replay::run(sub),
         "report" => report::run(sub),
         "slopes" => slopes::run(sub),
+        "soak" => soak::run(sub),
         "demo" => demo::run(),
         other => bail!("the command {other} is unknown"),
     }
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -22,6 +22,7 @@
         .subcommand(replay())
         .subcommand(report())
         .subcommand(slopes())
+        .subcommand(soak())
         .subcommand(demo())
 }
 
@@ -47,6 +48,21 @@
         )
 }
 
+fn soak() -> Command {
+    Command::new("soak")
+        .about("Let faults happen to processes of the platform's roles, and check what must hold")
+        .arg(option("seed", "NUMBER", "First seed").default_value("1"))
+        .arg(
+            option(
+                "seeds",
+                "NUMBER",
+                "How many seeds to play, one after the other",
+            )
+            .default_value("1"),
+        )
+        .arg(option("seconds", "NUMBER", "Time of faults for each seed").default_value("20"))
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Check a manifest whole, without publishing it")
--- /dev/null
+++ b/fakes/src/soak/faults.rs
@@ -0,0 +1,201 @@
+//! The faults of a soak: what happens to which process or connection, in series and overlapping.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use fastrand::Rng;
+use nix::sys::signal::Signal;
+
+use super::{SoakOptions, World};
+use crate::nodes::CONTROLS;
+use crate::platform::Fault;
+use crate::proxy::Impairment;
+
+/// Time between two faults, in milliseconds.
+const GAP_MS: std::ops::Range<u64> = 150..1_200;
+/// How long a fault lasts, in milliseconds.
+const LENGTH_MS: std::ops::Range<u64> = 200..3_000;
+/// Time after a fault of a control VM in which no disk is lost: one loss at a time is promised.
+const REPAIR_TIME: Duration = Duration::from_secs(6);
+/// Longest time in which a process that was asked to stop must have ended, with its grace of 8 s.
+const STOP_TIME: Duration = Duration::from_secs(15);
+const LOOK: Duration = Duration::from_millis(50);
+/// Requests at one backend server that meet an injected fault.
+const SPOILED_REQUESTS: usize = 6;
+
+/// What can happen.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    KillEntry,
+    PauseEntry,
+    StopEntry,
+    KillControl,
+    PauseControl,
+    StopControl,
+    KillAllControls,
+    LoseDisk,
+    Impair(Impairment),
+    Spoil(Fault),
+}
+
+const SILENCE: Duration = Duration::from_millis(700);
+
+const KINDS: [Kind; 15] = [
+    Kind::KillEntry,
+    Kind::PauseEntry,
+    Kind::StopEntry,
+    Kind::KillControl,
+    Kind::PauseControl,
+    Kind::StopControl,
+    Kind::KillAllControls,
+    Kind::LoseDisk,
+    Kind::Impair(Impairment::Delay(Duration::from_millis(80))),
+    Kind::Impair(Impairment::Reset),
+    Kind::Impair(Impairment::Silent),
+    Kind::Impair(Impairment::OneWay),
+    Kind::Spoil(Fault::BreakAfter(4)),
+    Kind::Spoil(Fault::LoseAnswer),
+    Kind::Spoil(Fault::SilentAfter(3, SILENCE)),
+];
+
+/// Which nodes have a fault now, so that no two faults use the same process.
+struct Busy {
+    nodes: Vec<AtomicBool>,
+}
+
+impl Busy {
+    /// Takes a node for a fault; returns false where it has one.
+    fn take(&self, node: usize) -> bool {
+        !self.nodes[node].swap(true, Ordering::AcqRel)
+    }
+
+    fn leave(&self, node: usize) {
+        self.nodes[node].store(false, Ordering::Release);
+    }
+
+    fn any_control(&self) -> bool {
+        let mut controls = self.nodes[..CONTROLS].iter();
+        controls.any(|busy| busy.load(Ordering::Acquire))
+    }
+}
+
+/// Lets faults happen until the time is over and all of them have ended.
+pub(super) fn inject(world: &World, options: SoakOptions) -> Result<()> {
+    let mut rng = Rng::with_seed(options.seed);
+    let nodes = (0..world.nodes.len()).map(|_| AtomicBool::new(false));
+    let busy = Busy {
+        nodes: nodes.collect(),
+    };
+    let start = Instant::now();
+    let mut control_fault = Instant::now();
+    thread::scope(|scope| {
+        let mut running = Vec::new();
+        while start.elapsed() < options.time {
+            thread::sleep(Duration::from_millis(rng.u64(GAP_MS)));
+            let kind = KINDS[rng.usize(..KINDS.len())];
+            let length = Duration::from_millis(rng.u64(LENGTH_MS));
+            let (entry, control) = (
+                rng.usize(CONTROLS..world.nodes.len()),
+                rng.usize(..CONTROLS),
+            );
+            let backend = rng.usize(..world.backends.len());
+            let targets = match kind {
+                Kind::KillEntry | Kind::PauseEntry | Kind::StopEntry => vec![entry],
+                Kind::KillControl | Kind::PauseControl | Kind::StopControl | Kind::LoseDisk => {
+                    vec![control]
+                }
+                Kind::KillAllControls => (0..CONTROLS).collect(),
+                Kind::Impair(_) | Kind::Spoil(_) => Vec::new(),
+            };
+            let touches_controls = targets.iter().any(|target| *target < CONTROLS);
+            let early = matches!(kind, Kind::LoseDisk) && control_fault.elapsed() < REPAIR_TIME;
+            if touches_controls && (busy.any_control() || early) {
+                continue;
+            }
+            if !targets.iter().all(|target| busy.take(*target)) {
+                continue;
+            }
+            if touches_controls {
+                control_fault = Instant::now() + length;
+            }
+            world.faults.fetch_add(1, Ordering::Relaxed);
+            let busy = &busy;
+            running.push(scope.spawn(move || {
+                let happened = happen(world, kind, &targets, backend, length);
+                for target in targets {
+                    busy.leave(target);
+                }
+                happened
+            }));
+        }
+        for fault in running {
+            match fault.join() {
+                Ok(happened) => happened?,
+                Err(_) => anyhow::bail!("a fault could not be injected"),
+            }
+        }
+        Ok(())
+    })
+}
+
+fn happen(
+    world: &World,
+    kind: Kind,
+    targets: &[usize],
+    backend: usize,
+    length: Duration,
+) -> Result<()> {
+    for target in targets {
+        world.disturb(*target);
+    }
+    match kind {
+        Kind::KillEntry | Kind::KillControl | Kind::KillAllControls | Kind::LoseDisk => {
+            for target in targets {
+                world.nodes.kill(*target)?;
+            }
+            if matches!(kind, Kind::LoseDisk) {
+                world.nodes.lose_disk(targets[0])?;
+            }
+            thread::sleep(length);
+            for target in targets {
+                world.nodes.start(*target, false)?;
+            }
+        }
+        Kind::PauseEntry | Kind::PauseControl => {
+            world.nodes.signal(targets[0], Signal::SIGSTOP)?;
+            thread::sleep(length);
+            world.nodes.signal(targets[0], Signal::SIGCONT)?;
+        }
+        Kind::StopEntry | Kind::StopControl => stop(world, targets[0])?,
+        Kind::Impair(impairment) => {
+            let (_, proxy) = &world.backends[backend];
+            proxy.impair(impairment);
+            thread::sleep(length);
+            proxy.impair(Impairment::None);
+        }
+        Kind::Spoil(fault) => {
+            let (server, _) = &world.backends[backend];
+            server.set_faults(&[fault; SPOILED_REQUESTS]);
+        }
+    }
+    for target in targets {
+        world.disturb(*target);
+    }
+    Ok(())
+}
+
+/// Asks a process to stop, waits for its end, and starts it again.
+fn stop(world: &World, node: usize) -> Result<()> {
+    world.nodes.signal(node, Signal::SIGTERM)?;
+    let asked = Instant::now();
+    while !world.nodes.has_ended(node) {
+        if asked.elapsed() > STOP_TIME {
+            world.broke(format!("node {node} was asked to stop and did not end"));
+            world.nodes.kill(node)?;
+        }
+        thread::sleep(LOOK);
+    }
+    world.nodes.start(node, false)
+}
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -4,4 +4,5 @@
 mod mesh;
 mod platform;
 mod settings;
+mod soak;
 mod util;
