--- a/core/tests/integration/util.rs
+++ b/core/tests/integration/util.rs
@@ -1,23 +1,29 @@
 //! A few replicas of the control log over a bad network, with disks that forget.
 
-use std::collections::{BTreeMap, VecDeque};
+mod codec;
+mod oracle;
+
+use std::collections::VecDeque;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use fastrand::Rng;
-use merlinrudder_core::claims::{ClaimAnswer, ClaimKey};
+use merlinrudder_core::claims::ClaimKey;
 use merlinrudder_core::consensus::log::{Log, recover};
 use merlinrudder_core::consensus::message::{
-    Entry, HardState, Index, Message, Payload, Record, ReplicaId, Term,
+    Entry, HardState, Message, Payload, Record, ReplicaId,
 };
 use merlinrudder_core::consensus::{Consensus, Output};
-use merlinrudder_core::control::{Answer, Command, ControlState, PublishedManifest};
+use merlinrudder_core::control::{Command, ControlState, PublishedManifest};
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::{CustomerName, ServiceName, VmId};
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{ContentDigest, RequestId};
 
+use self::codec::{decode, decode_command, encode_command};
+use self::oracle::Oracle;
+
 /// Time of one step.
 const STEP_MS: u64 = 10;
 /// Time between two introductions of a replica with a new disk.
@@ -90,19 +96,6 @@
     message: Message,
 }
 
-/// What must hold, looked at after every step.
-#[derive(Default)]
-struct Oracle {
-    /// Entry applied at each position, by whichever replica was first.
-    applied: BTreeMap<Index, Entry>,
-    /// Leader of each term.
-    leaders: BTreeMap<Term, ReplicaId>,
-    /// Bytes accepted under each number.
-    accepted: BTreeMap<u64, Arc<[u8]>>,
-    /// Owner that won each claim.
-    claimed: BTreeMap<ClaimKey, RequestId>,
-}
-
 pub struct Sim {
     hosts: Vec<Host>,
     packets: Vec<Packet>,
@@ -596,84 +589,6 @@
     }
 }
 
-impl Oracle {
-    fn check_answer(&mut self, command: &Command, answer: &Answer) -> Result<(), String> {
-        match (command, answer) {
-            (Command::Publish(published), Answer::Accepted(_)) => {
-                let number = published.number.0;
-                let known = self
-                    .accepted
-                    .entry(number)
-                    .or_insert_with(|| Arc::clone(&published.bytes));
-                if *known != published.bytes {
-                    return Err(format!("number {number} was accepted with two contents"));
-                }
-            }
-            (Command::Claim { key, owner, .. }, Answer::Claim(ClaimAnswer::Won)) => {
-                let known = self.claimed.entry(key.clone()).or_insert(*owner);
-                if known != owner {
-                    return Err(format!("two requests won the claim {}", key.key));
-                }
-            }
-            _ => {}
-        }
-        Ok(())
-    }
-}
-
-fn decode(snapshots: &[ControlState], data: &[u8]) -> ControlState {
-    let Ok(name) = <[u8; 8]>::try_from(data) else {
-        return ControlState::default();
-    };
-    let name = usize::try_from(u64::from_le_bytes(name)).expect("a snapshot's name");
-    snapshots[name].clone()
-}
-
-/// The tests' own codec: a kind, then what it needs.
-fn encode_command(command: &Command) -> Arc<[u8]> {
-    match command {
-        Command::Publish(published) => {
-            let mut bytes = vec![0];
-            bytes.extend_from_slice(&published.bytes);
-            Arc::from(bytes)
-        }
-        Command::Claim {
-            key, owner, now, ..
-        } => {
-            let mut bytes = vec![1];
-            bytes.extend_from_slice(&owner.0.to_le_bytes());
-            bytes.extend_from_slice(&now.as_millis().to_le_bytes());
-            bytes.extend_from_slice(key.key.as_bytes());
-            Arc::from(bytes)
-        }
-        _ => unreachable!("the fuzzing proposes only publishes and claims"),
-    }
-}
-
-fn decode_command(bytes: &[u8]) -> Command {
-    if bytes[0] == 0 {
-        let number = ManifestNumber(u64::from(bytes[1]));
-        return Command::Publish(PublishedManifest {
-            number,
-            bytes: Arc::from(&bytes[1..]),
-        });
-    }
-    let owner = RequestId(u128::from_le_bytes(
-        bytes[1..17].try_into().expect("an owner"),
-    ));
-    let now = u64::from_le_bytes(bytes[17..25].try_into().expect("a time"));
-    Command::Claim {
-        key: ClaimKey {
-            customer: CustomerName::from("customer"),
-            service: ServiceName::from("service"),
-            key: Arc::from(std::str::from_utf8(&bytes[25..]).expect("a key")),
-        },
-        owner,
-        content: ContentDigest([0; 32]),
-        now: Moment::from_millis(now),
-    }
-}
-
 /// One second of steps.
 pub fn second() -> Event {
     Event::Run(u16::try_from(Duration::from_secs(1).as_millis()).expect("small") / 10)
--- /dev/null
+++ b/core/tests/integration/util/codec.rs
@@ -0,0 +1,63 @@
+//! The codec of the replicas' simulation: commands as bytes, snapshots by their number.
+
+use std::sync::Arc;
+
+use merlinrudder_core::claims::ClaimKey;
+use merlinrudder_core::control::{Command, ControlState, PublishedManifest};
+use merlinrudder_core::manifest::ManifestNumber;
+use merlinrudder_core::names::{CustomerName, ServiceName};
+use merlinrudder_core::time::Moment;
+use merlinrudder_core::units::{ContentDigest, RequestId};
+
+pub fn decode(snapshots: &[ControlState], data: &[u8]) -> ControlState {
+    let Ok(name) = <[u8; 8]>::try_from(data) else {
+        return ControlState::default();
+    };
+    let name = usize::try_from(u64::from_le_bytes(name)).expect("a snapshot's name");
+    snapshots[name].clone()
+}
+
+/// The tests' own codec: a kind, then what it needs.
+pub fn encode_command(command: &Command) -> Arc<[u8]> {
+    match command {
+        Command::Publish(published) => {
+            let mut bytes = vec![0];
+            bytes.extend_from_slice(&published.bytes);
+            Arc::from(bytes)
+        }
+        Command::Claim {
+            key, owner, now, ..
+        } => {
+            let mut bytes = vec![1];
+            bytes.extend_from_slice(&owner.0.to_le_bytes());
+            bytes.extend_from_slice(&now.as_millis().to_le_bytes());
+            bytes.extend_from_slice(key.key.as_bytes());
+            Arc::from(bytes)
+        }
+        _ => unreachable!("the fuzzing proposes only publishes and claims"),
+    }
+}
+
+pub fn decode_command(bytes: &[u8]) -> Command {
+    if bytes[0] == 0 {
+        let number = ManifestNumber(u64::from(bytes[1]));
+        return Command::Publish(PublishedManifest {
+            number,
+            bytes: Arc::from(&bytes[1..]),
+        });
+    }
+    let owner = RequestId(u128::from_le_bytes(
+        bytes[1..17].try_into().expect("an owner"),
+    ));
+    let now = u64::from_le_bytes(bytes[17..25].try_into().expect("a time"));
+    Command::Claim {
+        key: ClaimKey {
+            customer: CustomerName::from("customer"),
+            service: ServiceName::from("service"),
+            key: Arc::from(std::str::from_utf8(&bytes[25..]).expect("a key")),
+        },
+        owner,
+        content: ContentDigest([0; 32]),
+        now: Moment::from_millis(now),
+    }
+}
