feature: read in the soak where a process has just resumed

Reads that the leader does not confirm it did not see: the operator seldom reads in the moment after a pause. Change: a control VM that has just resumed is read at once.

--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use nix::sys::signal::Signal;
 
-use super::{SoakOptions, World};
+use super::{SoakOptions, World, traffic};
 use crate::nodes::CONTROLS;
 use crate::platform::Fault;
 use crate::proxy::Impairment;
@@ -167,6 +167,10 @@
             world.nodes.signal(targets[0], Signal::SIGSTOP)?;
             thread::sleep(length);
             world.nodes.signal(targets[0], Signal::SIGCONT)?;
+            // What it knows is the oldest now.
+            if targets[0] < CONTROLS {
+                traffic::check_read(world, targets[0]);
+            }
         }
         Kind::StopEntry | Kind::StopControl => stop(world, targets[0])?,
         Kind::Impair(impairment) => {
--- a/fakes/src/soak/traffic.rs
+++ b/fakes/src/soak/traffic.rs
@@ -62,7 +62,6 @@
     let mut rng = Rng::with_seed(seed ^ 1);
     let mut version = 2;
     while !world.is_over() {
-        let before = world.confirmed.load(Ordering::Relaxed);
         let at = rng.usize(..CONTROLS);
         if world.nodes.put(at, &document(version)) == 200 {
             world.confirmed.store(version, Ordering::Relaxed);
@@ -70,17 +69,22 @@
             repeat(world, rng.usize(..CONTROLS), version);
             version += rng.u64(1..4);
         }
-        let at = rng.usize(..CONTROLS);
-        let read = world.nodes.read_version(at);
-        if let Some(read) = read.filter(|read| *read < before) {
-            world.broke(format!(
-                "control VM {at} read version {read} after {before} was confirmed"
-            ));
-        }
+        check_read(world, rng.usize(..CONTROLS));
         thread::sleep(OPERATOR_PERIOD);
     }
 }
 
+/// Reads at a control VM: what it answers, if anything, is not older than what was confirmed before.
+pub(super) fn check_read(world: &World, at: usize) {
+    let before = world.confirmed.load(Ordering::Relaxed);
+    let read = world.nodes.read_version(at);
+    if let Some(read) = read.filter(|read| *read < before) {
+        world.broke(format!(
+            "control VM {at} read version {read} after {before} was confirmed"
+        ));
+    }
+}
+
 /// Sends a confirmed version again, which is never refused.
 fn repeat(world: &World, at: usize, version: u64) {
     let status = world.nodes.put(at, &document(version));
