--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -81,6 +81,42 @@
     }
 }
 
+/// A fault that was drawn: what happens, to whom, and for how long.
+struct Drawn {
+    kind: Kind,
+    /// Nodes that it happens to.
+    targets: Vec<usize>,
+    backend: usize,
+    length: Duration,
+}
+
+impl Drawn {
+    fn draw(rng: &mut Rng, world: &World) -> Self {
+        let kind = KINDS[rng.usize(..KINDS.len())];
+        let length = Duration::from_millis(rng.u64(LENGTH_MS));
+        let entry = rng.usize(CONTROLS..world.nodes.len());
+        let control = rng.usize(..CONTROLS);
+        let targets = match kind {
+            Kind::KillEntry | Kind::PauseEntry | Kind::StopEntry => vec![entry],
+            Kind::KillControl | Kind::PauseControl | Kind::StopControl | Kind::LoseDisk => {
+                vec![control]
+            }
+            Kind::KillAllControls => (0..CONTROLS).collect(),
+            Kind::Impair(_) | Kind::Spoil(_) => Vec::new(),
+        };
+        Self {
+            kind,
+            targets,
+            backend: rng.usize(..world.backends.len()),
+            length,
+        }
+    }
+
+    fn touches_controls(&self) -> bool {
+        self.targets.iter().any(|target| *target < CONTROLS)
+    }
+}
+
 /// Lets faults happen until the time is over and all of them have ended.
 pub(super) fn inject(world: &World, options: SoakOptions) -> Result<()> {
     let mut rng = Rng::with_seed(options.seed);
@@ -89,42 +125,29 @@
         nodes: nodes.collect(),
     };
     let start = Instant::now();
-    let mut control_fault = Instant::now();
+    // When the last fault of a control VM was over.
+    let mut controls_well = Instant::now();
     thread::scope(|scope| {
         let mut running = Vec::new();
         while start.elapsed() < options.time {
             thread::sleep(Duration::from_millis(rng.u64(GAP_MS)));
-            let kind = KINDS[rng.usize(..KINDS.len())];
-            let length = Duration::from_millis(rng.u64(LENGTH_MS));
-            let (entry, control) = (
-                rng.usize(CONTROLS..world.nodes.len()),
-                rng.usize(..CONTROLS),
-            );
-            let backend = rng.usize(..world.backends.len());
-            let targets = match kind {
-                Kind::KillEntry | Kind::PauseEntry | Kind::StopEntry => vec![entry],
-                Kind::KillControl | Kind::PauseControl | Kind::StopControl | Kind::LoseDisk => {
-                    vec![control]
+            let drawn = Drawn::draw(&mut rng, world);
+            if drawn.touches_controls() {
+                let early =
+                    matches!(drawn.kind, Kind::LoseDisk) && controls_well.elapsed() < REPAIR_TIME;
+                if early || busy.any_control() {
+                    continue;
                 }
-                Kind::KillAllControls => (0..CONTROLS).collect(),
-                Kind::Impair(_) | Kind::Spoil(_) => Vec::new(),
-            };
-            let touches_controls = targets.iter().any(|target| *target < CONTROLS);
-            let early = matches!(kind, Kind::LoseDisk) && control_fault.elapsed() < REPAIR_TIME;
-            if touches_controls && (busy.any_control() || early) {
-                continue;
+                controls_well = Instant::now() + drawn.length;
             }
-            if !targets.iter().all(|target| busy.take(*target)) {
+            if !drawn.targets.iter().all(|target| busy.take(*target)) {
                 continue;
             }
-            if touches_controls {
-                control_fault = Instant::now() + length;
-            }
             world.faults.fetch_add(1, Ordering::Relaxed);
             let busy = &busy;
             running.push(scope.spawn(move || {
-                let happened = happen(world, kind, &targets, backend, length);
-                for target in targets {
+                let happened = happen(world, &drawn);
+                for target in drawn.targets {
                     busy.leave(target);
                 }
                 happened
@@ -140,32 +163,32 @@
     })
 }
 
-fn happen(
-    world: &World,
-    kind: Kind,
-    targets: &[usize],
-    backend: usize,
-    length: Duration,
-) -> Result<()> {
+fn happen(world: &World, drawn: &Drawn) -> Result<()> {
+    let Drawn {
+        kind,
+        targets,
+        backend,
+        length,
+    } = drawn;
     for target in targets {
         world.disturb(*target);
     }
-    match kind {
+    match *kind {
         Kind::KillEntry | Kind::KillControl | Kind::KillAllControls | Kind::LoseDisk => {
             for target in targets {
                 world.nodes.kill(*target)?;
             }
-            if matches!(kind, Kind::LoseDisk) {
+            if matches!(*kind, Kind::LoseDisk) {
                 world.nodes.lose_disk(targets[0])?;
             }
-            thread::sleep(length);
+            thread::sleep(*length);
             for target in targets {
                 world.nodes.start(*target, false)?;
             }
         }
         Kind::PauseEntry | Kind::PauseControl => {
             world.nodes.signal(targets[0], Signal::SIGSTOP)?;
-            thread::sleep(length);
+            thread::sleep(*length);
             world.nodes.signal(targets[0], Signal::SIGCONT)?;
             // What it knows is the oldest now.
             if targets[0] < CONTROLS {
@@ -174,13 +197,13 @@
         }
         Kind::StopEntry | Kind::StopControl => stop(world, targets[0])?,
         Kind::Impair(impairment) => {
-            let (_, proxy) = &world.backends[backend];
+            let (_, proxy) = &world.backends[*backend];
             proxy.impair(impairment);
-            thread::sleep(length);
+            thread::sleep(*length);
             proxy.impair(Impairment::None);
         }
         Kind::Spoil(fault) => {
-            let (server, _) = &world.backends[backend];
+            let (server, _) = &world.backends[*backend];
             server.set_faults(&[fault; SPOILED_REQUESTS]);
         }
     }
