feature: log requests that leave without an outcome, and why a stream was not resumed

The logs could not tell whether the retry budget, the limit of the route or the lack of a server ended a stream, nor where a request was when its process ended.

Each admitted request is registered until its outcome is logged; what is dropped before that, by its caller or by the exit of the process, gets a line with the phase it was in. A stream that is not resumed logs the reason. No decision changes.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod ingress;
 mod link_events;
+mod open_requests;
 mod placement_sync;
 mod refusal;
 mod request;
@@ -121,6 +122,7 @@
             }
             sleep(STOP_POLL_INTERVAL).await;
         }
+        gateway.open_requests.log_all(gateway.now(), &gateway.log);
         info!(gateway.log, "Stopped"; "connections" => gateway.connections.get());
     }
 }
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -11,6 +11,7 @@
 
 use super::crash_watch::{self, Permission};
 use super::exchange::{Failure, UpstreamResponse, attempt};
+use super::open_requests::Phase;
 use super::placement_sync;
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
@@ -25,6 +26,19 @@
 /// Mean wait before engines are selected again for a long prompt without capacity.
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Why no other attempt may follow one that may have run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RetryDenial {
+    /// The request may run at most once.
+    AtMostOnce,
+    /// The deadline of the request has passed.
+    Deadline,
+    /// The route allows no further attempts.
+    AttemptLimit,
+    /// The retry budget of the service is spent.
+    Budget,
+}
+
 /// Attempts made for one request so far.
 #[derive(Debug)]
 pub(super) struct Attempts {
@@ -73,6 +87,7 @@
             if call.time_left(gateway.now()).is_zero() {
                 return Err(self.refusal(RefusalReason::DeadlinePassed));
             }
+            call.guard.enter(Phase::Selection);
             match self.permission(gateway, call) {
                 Permission::Send => {}
                 Permission::SendOnTrial => self.on_trial = true,
@@ -116,15 +131,27 @@
 
     /// Counts a failed attempt that may have run, and spends a retry if allowed.
     ///
-    /// Returns whether another attempt may follow.
-    pub(super) fn try_retry(&mut self, gateway: &Gateway, call: &CallerRequest) -> bool {
-        let idempotent = call.route.kind.is_idempotent();
-        let in_time = !call.time_left(gateway.now()).is_zero();
+    /// # Errors
+    /// Returns why no other attempt may follow.
+    pub(super) fn try_retry(
+        &mut self,
+        gateway: &Gateway,
+        call: &CallerRequest,
+    ) -> Result<(), RetryDenial> {
         self.may_have_run += 1;
-        idempotent
-            && in_time
-            && self.may_have_run < call.route.max_attempts
-            && gateway.spend_retry(&call.service)
+        if !call.route.kind.is_idempotent() {
+            return Err(RetryDenial::AtMostOnce);
+        }
+        if call.time_left(gateway.now()).is_zero() {
+            return Err(RetryDenial::Deadline);
+        }
+        if self.may_have_run >= call.route.max_attempts {
+            return Err(RetryDenial::AttemptLimit);
+        }
+        if !gateway.spend_retry(&call.service) {
+            return Err(RetryDenial::Budget);
+        }
+        Ok(())
     }
 
     /// Checks whether another attempt may follow `failure`, and counts the retry.
@@ -138,7 +165,7 @@
         failure: Failure,
     ) -> Result<(), Refusal> {
         if failure.run_state() == RunState::MayHaveRun {
-            if self.try_retry(gateway, call) {
+            if self.try_retry(gateway, call).is_ok() {
                 metrics::count_retry(RetryReason::IdempotentBroken);
                 return Ok(());
             }
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -15,6 +15,7 @@
 use super::body::ResponseBody;
 use super::crash_watch;
 use super::exchange::{UpstreamResponse, forwarded_response, return_to_pool};
+use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
 use super::state::Gateway;
@@ -53,7 +54,7 @@
             .record_outcome(now, &server, server_outcome);
         if !succeeded {
             attempts.excluded.push(server.clone());
-            if attempts.try_retry(gateway, &call) {
+            if attempts.try_retry(gateway, &call).is_ok() {
                 metrics::count_retry(RetryReason::IdempotentBroken);
                 crash_watch::await_evidence(gateway, &call).await;
                 continue;
@@ -71,6 +72,7 @@
             "route" => &*call.route.name, "server" => %server, "status" => head.status.as_u16(),
             "took_ms" => gateway.now().since(call.received_at).as_millis(),
             "manifest" => call.manifest_number);
+        call.guard.end();
         metrics::count_outcome(call.service.as_str(), "complete");
         return forwarded_response(&head, ResponseBody::buffered(body));
     }
@@ -87,6 +89,7 @@
         "run" => refusal.run.as_str(),
         "after_ms" => gateway.now().since(call.received_at).as_millis(),
         "manifest" => call.manifest_number);
+    call.guard.end();
     metrics::count_outcome(call.service.as_str(), "given_up");
     refusal::response(refusal)
 }
@@ -97,6 +100,7 @@
     call: &CallerRequest,
     upstream_response: UpstreamResponse,
 ) -> Option<(Parts, Bytes)> {
+    call.guard.enter(Phase::Body);
     let time_left = call.time_left(gateway.now());
     let body = Limited::new(upstream_response.body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     let body = timeout(time_left, body).await.ok()?.ok()?;
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use super::crash_watch::{self, RunGuard};
+use super::open_requests::Phase;
 use super::request::{CallerRequest, ServerHeaders, text_header};
 use super::reservation::Reservation;
 use super::selection::SelectedServers;
@@ -95,6 +96,7 @@
     last_event: Option<u64>,
     retry_allowed: bool,
 ) -> Result<UpstreamResponse, Failure> {
+    call.guard.enter(Phase::Reservation);
     let reservation = reserve_helper_memory(gateway, &selected).await?;
     let reservation_id = reservation.as_ref().map(|r| r.id.as_str());
     let helpers = selected.helpers.iter();
@@ -123,6 +125,7 @@
         time_left
     };
     let run = RunGuard::new(gateway, call, selected.incarnation());
+    call.guard.enter(Phase::Head);
     let sent = timeout(wait, connection.send(request)).await;
     let response = match sent {
         Err(_elapsed) if wait == time_left => Err(Failure::Overdue),
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -22,6 +22,7 @@
 use merlinrudder_platform::headers::{self, TokenCounts};
 use tokio::time::{sleep, timeout};
 
+use super::open_requests::OpenRequestGuard;
 use super::refusal::{DEFAULT_RETRY_AFTER, retryable};
 use super::state::Gateway;
 
@@ -68,6 +69,8 @@
     pub(super) last_event: Option<u64>,
     /// Random number that decides between servers of nearly equal cost.
     pub(super) tie_breaker: u64,
+    /// Logs the request if it is dropped without an outcome.
+    pub(super) guard: OpenRequestGuard,
 }
 
 /// The part of a request that is the same for each attempt of its caller.
@@ -118,7 +121,7 @@
 
     /// Returns the attempt id for logs; `unreadable` if it is not visible ASCII.
     pub(super) fn attempt_id_text(&self) -> &str {
-        self.attempt_id.to_str().unwrap_or("unreadable")
+        text(&self.attempt_id)
     }
 
     /// Builds the request to forward, with the time left at `now`.
@@ -157,7 +160,7 @@
 /// # Errors
 /// Returns the refusal for the caller; the request has not run in any of these cases.
 pub(super) async fn admit(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Result<CallerRequest, Refusal> {
     let received_at = gateway.now();
@@ -186,6 +189,7 @@
         body,
         digest: OnceCell::new(),
     };
+    let guard = OpenRequestGuard::new(gateway, text(&attempt_id), received_at);
     Ok(CallerRequest {
         attempt_id,
         method: head.method,
@@ -200,6 +204,7 @@
         received_at,
         deadline: received_at + time_limit,
         tie_breaker: fastrand::u64(..),
+        guard,
     })
 }
 
@@ -296,6 +301,11 @@
     }
 }
 
+/// Returns a header value for logs; `unreadable` if it is not visible ASCII.
+fn text(value: &HeaderValue) -> &str {
+    value.to_str().unwrap_or("unreadable")
+}
+
 /// Returns a header's value if it is visible ASCII.
 pub(super) fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -17,6 +17,7 @@
 
 use super::GatewayConfig;
 use super::crash_watch::CrashWatch;
+use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
 use super::upstream::ConnectionPool;
 use crate::clock::Clock;
@@ -38,6 +39,8 @@
     pub(super) manifest_pull: RefCell<ManifestPull>,
     /// Known backend servers with their load and health.
     pub(super) fleet: RefCell<Fleet>,
+    /// Admitted requests whose outcome is not known yet.
+    pub(super) open_requests: OpenRequests,
     /// Idle connections to backend servers.
     pub(super) pool: ConnectionPool,
     /// Placements made here, and changes not yet sent to the other entry VMs.
@@ -74,6 +77,7 @@
             deployment: RefCell::new(None),
             manifest_pull: RefCell::default(),
             fleet: RefCell::new(Fleet::new(zone)),
+            open_requests: OpenRequests::default(),
             pool: ConnectionPool::default(),
             outbox: RefCell::default(),
             crashes: RefCell::default(),
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -22,6 +22,7 @@
 use super::buffered;
 use super::crash_watch;
 use super::exchange::{UpstreamResponse, forwarded_response, return_to_pool};
+use super::open_requests::Phase;
 use super::placement_sync;
 use super::request::CallerRequest;
 use super::state::Gateway;
@@ -166,7 +167,9 @@
                 "content" => %self.call.content.digest(), "server" => %server, "born" => incarnation.born,
                 "reason" => reason, "events" => self.event_count);
             self.attempts.excluded.push(server);
-            if !self.attempts.try_retry(&self.gateway, &self.call) {
+            if let Err(denial) = self.attempts.try_retry(&self.gateway, &self.call) {
+                info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
+                    "denial" => ?denial);
                 return end;
             }
             metrics::count_retry(RetryReason::StreamResumed);
@@ -180,7 +183,16 @@
                     self.last_placement = PlacementInfo::new(&self.call, &next);
                     upstream_response = next;
                 }
-                _ => return end,
+                Ok(next) => {
+                    info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
+                        "server" => %next.selected.server, "status" => next.head.status.as_u16());
+                    return end;
+                }
+                Err(refusal) => {
+                    info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
+                        "refusal" => refusal.reason.code());
+                    return end;
+                }
             }
         }
     }
@@ -195,6 +207,7 @@
             _reservation,
             ..
         } = upstream_response;
+        self.call.guard.enter(Phase::Body);
         let mut splitter = EventSplitter::default();
         let mut last_received = self.gateway.now();
         loop {
@@ -286,6 +299,7 @@
             StreamEnd::CallerGone => "caller_gone",
             StreamEnd::Overdue => "overdue",
         };
+        self.call.guard.end();
         metrics::count_outcome(self.call.service.as_str(), outcome);
         info!(self.gateway.log, "Stream ended"; "request" => self.call.attempt_id_text(),
             "route" => &*self.call.route.name, "outcome" => outcome, "events" => self.event_count,
