other: show that a sound server's silence costs callers their answers

Three tests with real processes, each failing on this commit and listed as known red: a stream at its only server, which is silent for 2.5 s and goes on, is cut after 1.6 s; of 60 streams at two servers that are silent at once 21 are cut, as the retry budget is spent; a call that its only server answers after 1.3 s gets 502 after 0.9 s.

--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -8,5 +8,6 @@
 mod platform;
 mod retry_budget;
 mod settings;
+mod silent_servers;
 mod soak;
 mod util;
