--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod http_server;
 mod mesh;
+mod planned_stop;
 mod platform;
 mod retry_budget;
 mod settings;
--- /dev/null
+++ b/node/tests/integration/planned_stop.rs
@@ -0,0 +1,80 @@
+//! What callers are told while their entry VM stops.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use merlinrudder_fakes::backend::{BackendFault, FakeBackend};
+use merlinrudder_fakes::http_client::{HttpResponse, send_request};
+use merlinrudder_fakes::nodes::{Nodes, sample_configuration, wait_for};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::deployment::{publish, start_deployment};
+
+/// Time between two events of a fake backend server's stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the stop signal within which a waiting request must have its answer.
+const STOP_LIMIT: Duration = Duration::from_secs(4);
+
+/// Sends a stream whose prompt takes an engine of `publish_engine` seconds to read.
+fn send_prompt(callers: SocketAddr, attempt: &str) -> HttpResponse {
+    let headers = format!(
+        "X-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Deadline-Ms: 20000\r\n\
+         X-Merlinrudder-Token-Count: 100000,400\r\nAuthorization: Bearer k1\r\n"
+    );
+    send_request(callers, "POST /stream/x", &headers, "body")
+}
+
+/// Publishes a configuration whose service has engines with a performance model.
+fn publish_engine(nodes: &Nodes) {
+    let mut configuration = sample_configuration(6);
+    configuration["routes"][0]["timeout-ms"] = json!(20_000);
+    configuration["services"][0]["engine"] = json!({
+        "slots": 16, "kv-capacity": 232_000, "stride": 43, "models": [{"name": "m"}],
+        "step_ms": 1.02, "per_seq_ms": 0.002, "context_per_k": 0.004, "read_per_s": 50_000.0,
+        "pairs_per_m": 0.138, "chunk": 2048, "report_lag_ms": 200.0,
+        "usual": {"prompt": 12_331, "answer": 1303}, "hop-ms": 0.075,
+    });
+    publish(nodes, &configuration);
+}
+
+#[test]
+fn a_request_that_waits_for_an_engine_is_refused_before_its_vm_exits() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake server listens");
+    let nodes = start_deployment(1, &[&server]);
+    publish_engine(&nodes);
+    wait_for("configuration in force", || {
+        send_prompt(nodes.callers_address(3), "d0").status == 200
+    });
+    server.set_faults(&[BackendFault::StallAfter(0, Duration::from_secs(3)); 8]);
+    let callers = nodes.callers_address(3);
+    let prompts: Vec<_> = (0..6)
+        .map(|n| {
+            thread::spawn(move || {
+                let response = send_prompt(callers, &format!("d{n}-waiting"));
+                (response, Instant::now())
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    let reached = server.executions().len() - 1;
+    assert!(reached < 6, "no request waits");
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    let signaled_at = Instant::now();
+    let mut refused = 0;
+    for prompt in prompts {
+        let (response, ended_at) = prompt.join().expect("caller thread finishes");
+        if response.status == 200 {
+            assert!(response.is_whole_stream(), "{response:?}");
+            continue;
+        }
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.head.contains("retry-after"), "{response:?}");
+        assert!(ended_at < signaled_at + STOP_LIMIT, "refused late");
+        refused += 1;
+    }
+    assert!(refused > 0, "no request waited when the VM stopped");
+}
