bug: leave a silent server only for one that has answered

Callers saw streams cut in the middle, and calls answered with 502, although the server was sound and would have gone on after a second or so of silence.

Cause: after the stall timeout (and the hang timeout before a response head) the first server was given up at once. Only then were the retry budget and the choice of a server asked, and a refusal there ended the request. Of 44 streams that ended so, all had the reason silent, all but one had not been resumed.

Change: silence starts a hedge. The retry is granted, a server selected and its response begun (for a stream, its first bytes) while the first attempt goes on; whichever delivers first serves the caller, and the other is cancelled. Without a server or a retry the first one is waited for until the deadline, and the hedge is tried again every 200 ms. A hedge counts as an attempt of the route only if it may have run; contents that may crash servers are not hedged, requests that may run once neither. If the first server breaks off, the hedge that is under way goes on.

New: a stream goes on at the server that speaks first.

--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -121,6 +121,8 @@
         StreamResumed = "stream_resumed",
         /// An idempotent call broke off before its whole answer arrived.
         IdempotentBroken = "idempotent_broken",
+        /// A server was silent, and a hedge was sent to another one.
+        ServerSilent = "server_silent",
         /// Another VM became the dispatcher, and the request was submitted again.
         DispatcherChanged = "dispatcher_changed",
         /// An idempotency claim was sent again because no answer arrived.
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -8,6 +8,7 @@
 mod buffered;
 mod crash_watch;
 mod exchange;
+mod hedge;
 mod ingress;
 mod link_events;
 mod open_requests;
@@ -18,6 +19,7 @@
 mod selection;
 mod state;
 mod stream;
+mod stream_source;
 mod upstream;
 
 use std::net::SocketAddr;
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -1,5 +1,6 @@
 //! Retry loop of one request: selects servers, attempts, and decides on further attempts.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,15 +8,16 @@
 use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::crash_watch::{self, Permission};
-use super::exchange::{Failure, UpstreamResponse, attempt};
+use super::exchange::{Failure, Progress, UpstreamResponse, attempt, hang_timeout};
+use super::hedge::{self, HEDGE_INTERVAL, HedgeFailure};
 use super::open_requests::Phase;
 use super::placement_sync;
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
-use super::selection::{Selection, select_servers};
+use super::selection::{SelectedServers, Selection, select_servers};
 use super::state::Gateway;
 use crate::metrics;
 
@@ -106,12 +108,11 @@
                 Selection::Refuse => return Err(self.refusal(RefusalReason::QueueFull)),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
-            let incarnation = selected.incarnation();
-            let failure =
-                match attempt(gateway, call, selected, last_event, self.allows_retry(call)).await {
-                    Ok(upstream_response) => return Ok(upstream_response),
-                    Err(failure) => failure,
-                };
+            let result = self.attempt_hedged(gateway, call, selected, last_event);
+            let (incarnation, failure) = match result.await {
+                Ok(upstream_response) => return Ok(upstream_response),
+                Err(failed) => failed,
+            };
             self.record_failure(gateway, call, &incarnation, failure);
             self.authorize_retry(gateway, call, failure)?;
             crash_watch::await_evidence(gateway, call).await;
@@ -121,11 +122,114 @@
         }
     }
 
+    /// Makes one attempt, and a hedge at another server for as long as the first one is silent.
+    ///
+    /// Returns the response whose head arrives first, or the failure of the last attempt that was
+    /// left; other failures are counted.
+    async fn attempt_hedged(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &CallerRequest,
+        selected: SelectedServers,
+        last_event: Option<u64>,
+    ) -> Result<UpstreamResponse, (Incarnation, Failure)> {
+        let incarnation = selected.incarnation();
+        let mut silence = hang_timeout(call, &selected);
+        let progress = Progress::default();
+        let mut first = pin!(attempt(gateway, call, selected, last_event, &progress));
+        while self.allows_hedge(call) {
+            if let Ok(result) = timeout(silence, first.as_mut()).await {
+                return result.map_err(|failure| (incarnation, failure));
+            }
+            silence = HEDGE_INTERVAL;
+            let excluded = self.excluded_with(&incarnation.server);
+            let hedge_progress = Progress::default();
+            let mut hedge = pin!(hedge::open(
+                gateway,
+                call,
+                &excluded,
+                last_event,
+                &hedge_progress
+            ));
+            let hedged = tokio::select! {
+                biased;
+                result = first.as_mut() => {
+                    if !hedge_progress.sent.get() {
+                        return result.map_err(|failure| (incarnation, failure));
+                    }
+                    if let Err(failure) = result {
+                        self.record_parallel_failure(gateway, call, &incarnation, failure);
+                        return hedge.await.map_err(|failed| match failed {
+                            HedgeFailure::Failed(server, failure) => (server, failure),
+                            HedgeFailure::NotSent => (incarnation, failure),
+                        });
+                    }
+                    self.count_parallel(RunState::MayHaveRun);
+                    return result.map_err(|failure| (incarnation, failure));
+                }
+                hedged = hedge.as_mut() => hedged,
+            };
+            match hedged {
+                Ok(response) => {
+                    progress.give_up();
+                    self.record_parallel_failure(gateway, call, &incarnation, Failure::Overtaken);
+                    return Ok(response);
+                }
+                Err(failed) => self.record_hedge_failure(gateway, call, failed),
+            }
+        }
+        first.await.map_err(|failure| (incarnation, failure))
+    }
+
+    /// Whether a hedge may be sent beside the attempt in progress.
+    pub(super) fn allows_hedge(&self, call: &CallerRequest) -> bool {
+        self.allows_retry(call) && self.not_run < MAX_NOT_RUN_FAILURES
+    }
+
+    /// Returns the servers that a hedge beside an attempt at `server` must not be sent to.
+    pub(super) fn excluded_with(&self, server: &ServerId) -> Vec<ServerId> {
+        let mut excluded = self.excluded.clone();
+        excluded.push(server.clone());
+        excluded
+    }
+
+    /// Counts a hedge that failed while the first attempt goes on.
+    pub(super) fn record_hedge_failure(
+        &mut self,
+        gateway: &Gateway,
+        call: &CallerRequest,
+        failed: HedgeFailure,
+    ) {
+        if let HedgeFailure::Failed(incarnation, failure) = failed {
+            self.record_parallel_failure(gateway, call, &incarnation, failure);
+        }
+    }
+
+    /// Counts an attempt that failed while another one goes on.
+    fn record_parallel_failure(
+        &mut self,
+        gateway: &Gateway,
+        call: &CallerRequest,
+        incarnation: &Incarnation,
+        failure: Failure,
+    ) {
+        self.record_failure(gateway, call, incarnation, failure);
+        self.count_parallel(failure.run_state());
+    }
+
+    /// Counts an attempt that ended or was dropped while another one goes on.
+    pub(super) fn count_parallel(&mut self, run: RunState) {
+        if run == RunState::NotRun {
+            self.not_run += 1;
+        } else {
+            self.may_have_run += 1;
+        }
+    }
+
     /// Whether another attempt may follow the one in progress.
     ///
-    /// Assumes that the one in progress may have run the request. An attempt that no other may
-    /// follow has no hang or stall timeout: it waits for a silent server until the deadline.
-    pub(super) fn allows_retry(&self, call: &CallerRequest) -> bool {
+    /// Assumes that the one in progress may have run the request.
+    fn allows_retry(&self, call: &CallerRequest) -> bool {
         call.route.kind.is_idempotent() && self.may_have_run + 1 < call.route.max_attempts
     }
 
--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -195,7 +195,8 @@
     }
 }
 
-fn is_suspect(gateway: &Gateway, call: &CallerRequest) -> bool {
+/// Whether the content of a request has crashed servers and was not cleared since.
+pub(super) fn is_suspect(gateway: &Gateway, call: &CallerRequest) -> bool {
     let watch = gateway.crashes.borrow();
     let history = &watch.exchange.history;
     !history.is_empty() && history.is_suspect(&call.content.digest())
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt at a request: connects, sends it and checks the response head.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
 use super::state::Gateway;
 use super::upstream::{Connection, SendFailure};
 
-/// Lower limit of the hang timeout, which bounds the wait for a response head.
+/// Lower limit of the hang timeout, after which a missing response head is hedged.
 const MIN_HANG_TIMEOUT: Duration = Duration::from_millis(900);
 /// Engine priorities by upper bound of the prefill time, in milliseconds; shorter goes first.
 ///
@@ -57,8 +58,8 @@
     NoMemory,
     /// The connection broke, or the response does not belong to this request.
     Broken,
-    /// No response head arrived within the hang timeout.
-    Hung,
+    /// Another server answered while this one was silent.
+    Overtaken,
     /// The deadline of the request passed.
     Overdue,
 }
@@ -68,7 +69,7 @@
     pub(super) const fn run_state(self) -> RunState {
         match self {
             Self::Unreachable | Self::Refused | Self::Replaced | Self::NoMemory => RunState::NotRun,
-            Self::Broken | Self::Hung | Self::Overdue => RunState::MayHaveRun,
+            Self::Broken | Self::Overtaken | Self::Overdue => RunState::MayHaveRun,
         }
     }
 
@@ -79,22 +80,40 @@
         match self {
             Self::Unreachable => Some(ServerOutcome::Unreachable),
             Self::Refused => Some(ServerOutcome::Full),
-            Self::Replaced | Self::Broken | Self::Hung => Some(ServerOutcome::Failed),
+            Self::Replaced | Self::Broken | Self::Overtaken => Some(ServerOutcome::Failed),
             Self::NoMemory | Self::Overdue => None,
         }
     }
 }
 
+/// How far an attempt has come, for one that is dropped before its end.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Whether the request may have reached a server.
+    pub(super) sent: Cell<bool>,
+    /// The run at the server until the response head arrives.
+    run: RefCell<Option<RunGuard>>,
+}
+
+impl Progress {
+    /// Ends the run of an attempt that is dropped because its server was silent.
+    pub(super) fn give_up(&self) {
+        if let Some(run) = self.run.take() {
+            run.broke();
+        }
+    }
+}
+
 /// Makes one attempt and returns the response once its head has arrived.
 ///
-/// `last_event` overrides the caller's own Last-Event-ID. With `retry_allowed`, a silent server
-/// fails the attempt after the hang timeout; otherwise it is waited for until the deadline.
+/// `last_event` overrides the caller's own Last-Event-ID. A silent server is waited for until the
+/// deadline.
 pub(super) async fn attempt(
     gateway: &Rc<Gateway>,
     call: &CallerRequest,
     selected: SelectedServers,
     last_event: Option<u64>,
-    retry_allowed: bool,
+    progress: &Progress,
 ) -> Result<UpstreamResponse, Failure> {
     call.guard.enter(Phase::Reservation);
     let reservation = reserve_helper_memory(gateway, &selected).await?;
@@ -119,17 +138,14 @@
     let now = gateway.now();
     let request = call.upstream_request(now, &server_headers);
     let time_left = call.time_left(now);
-    let wait = if retry_allowed {
-        hang_timeout(call, &selected).min(time_left)
-    } else {
-        time_left
-    };
     let run = RunGuard::new(gateway, call, selected.incarnation());
+    progress.run.replace(Some(run));
+    progress.sent.set(true);
     call.guard.enter(Phase::Head);
-    let sent = timeout(wait, connection.send(request)).await;
+    let sent = timeout(time_left, connection.send(request)).await;
+    let run = progress.run.take();
     let response = match sent {
-        Err(_elapsed) if wait == time_left => Err(Failure::Overdue),
-        Err(_elapsed) => Err(Failure::Hung),
+        Err(_elapsed) => Err(Failure::Overdue),
         Ok(Err(failure)) => {
             debug!(gateway.log, "Failed to send request"; "request" => call.attempt_id_text(),
                 "server" => %selected.server, "error" => ?failure);
@@ -147,7 +163,7 @@
     let (head, body) = match checked {
         Ok(parts) => parts,
         Err(failure) => {
-            if matches!(failure, Failure::Broken | Failure::Hung) {
+            if let Some(run) = run.filter(|_| failure == Failure::Broken) {
                 run.broke();
             }
             return Err(failure);
@@ -161,7 +177,7 @@
         head,
         body,
         connection,
-        run: Some(run),
+        run,
     })
 }
 
@@ -196,8 +212,8 @@
     priority.map_or(9, |(_, priority)| *priority)
 }
 
-/// Returns the time without a response head after which a server counts as hung.
-fn hang_timeout(call: &CallerRequest, selected: &SelectedServers) -> Duration {
+/// Returns the time without a response head after which a hedge is sent to another server.
+pub(super) fn hang_timeout(call: &CallerRequest, selected: &SelectedServers) -> Duration {
     let expected = selected.predicted_wait.unwrap_or_default() * 2;
     MIN_HANG_TIMEOUT.max(expected + call.route.objective * 2)
 }
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -1,17 +1,16 @@
 //! Streaming responses: forwards whole events as they arrive, each once and in order.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
 use merlinrudder_core::deployment::CallKind;
-use merlinrudder_core::events::{Event, EventSplitter};
+use merlinrudder_core::events::Event;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::ServerId;
-use merlinrudder_core::outcome::RetryReason;
+use merlinrudder_core::outcome::{RetryReason, RunState};
 use slog::info;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -21,21 +20,20 @@
 use super::body::{ChunkSender, ResponseBody, TruncatedResponse};
 use super::buffered;
 use super::crash_watch;
-use super::exchange::{UpstreamResponse, forwarded_response, return_to_pool};
+use super::exchange::{Progress, UpstreamResponse, forwarded_response, return_to_pool};
+use super::hedge::HEDGE_INTERVAL;
 use super::open_requests::Phase;
 use super::placement_sync;
 use super::request::CallerRequest;
 use super::state::Gateway;
+use super::stream_source::{SourceEnd, StreamEnd, StreamSource, open_hedge};
 use crate::metrics;
 
 /// Events buffered for a caller that reads slowly.
 const EVENT_BUFFER_CAPACITY: usize = 16;
-/// Lower limit of the stall timeout, which bounds the silence between two events.
+/// Lower limit of the stall timeout, after which silence between two events is hedged.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1600);
 
-/// Reason logged for a stream whose engine sent nothing within the stall timeout.
-const SILENT_REASON: &str = "silent";
-
 /// Returns the head of a stream and spawns a task that forwards its events.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
     let mut attempts = Attempts::new();
@@ -49,7 +47,7 @@
         gateway: Rc::clone(gateway),
         last_event: call.last_event,
         last_placement: PlacementInfo::new(&call, &upstream_response),
-        call,
+        call: Rc::new(call),
         attempts,
         sender,
         event_count: 0,
@@ -57,7 +55,7 @@
         longest_gap: Duration::ZERO,
         resumptions: 0,
     };
-    spawn_local(forwarder.run(upstream_response));
+    spawn_local(forwarder.run(StreamSource::new(upstream_response)));
     response
 }
 
@@ -85,23 +83,10 @@
     }
 }
 
-/// How forwarding the events of one engine ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum StreamEnd {
-    /// The engine ended the response after a whole event.
-    Complete,
-    /// The engine's response was cut, malformed or silent; holds the reason to log.
-    Broken(&'static str),
-    /// The caller closed its connection.
-    CallerGone,
-    /// The deadline of the request passed.
-    Overdue,
-}
-
 /// Forwards one stream to its caller, across the engines that it resumes on.
 struct StreamForwarder {
     gateway: Rc<Gateway>,
-    call: CallerRequest,
+    call: Rc<CallerRequest>,
     attempts: Attempts,
     sender: ChunkSender,
     /// Number of the last event that was forwarded, or that the caller already had.
@@ -119,14 +104,14 @@
 
 impl StreamForwarder {
     /// Forwards the stream to its end, and logs how it ended.
-    async fn run(mut self, upstream_response: UpstreamResponse) {
+    async fn run(mut self, source: StreamSource) {
         let sender = self.sender.clone();
         // When the caller disconnects, the request at the engine is cancelled at once, even while
         // the engine is silent.
         tokio::select! {
             biased;
             () = sender.closed() => self.log_end(StreamEnd::CallerGone),
-            end = self.forward_all(upstream_response) => {
+            end = self.forward_all(source) => {
                 if end != StreamEnd::Complete {
                     // Cuts the connection, so that the response does not look complete.
                     let _gone = self.sender.send(Err(TruncatedResponse)).await;
@@ -136,92 +121,130 @@
         }
     }
 
-    /// Forwards events, and resumes on another engine when one breaks off.
-    async fn forward_all(&mut self, mut upstream_response: UpstreamResponse) -> StreamEnd {
+    /// Forwards events, and resumes on another engine when one breaks off or is overtaken.
+    async fn forward_all(&mut self, mut source: StreamSource) -> StreamEnd {
         loop {
-            let incarnation = upstream_response.selected.incarnation();
-            let server = incarnation.server.clone();
-            let run = upstream_response.run.take();
-            let status = upstream_response.head.status;
-            let end = self.forward_from_server(upstream_response).await;
-            match (end, run) {
-                (StreamEnd::Broken(_), Some(run)) => run.broke(),
-                (StreamEnd::Complete, _) if !status.is_server_error() => {
-                    crash_watch::record_completed(&self.gateway, &self.call);
+            let end = match self.forward_from(&mut source).await {
+                SourceEnd::Overtaken(next) => {
+                    self.take_over(&mut source, *next);
+                    continue;
                 }
-                _ => {}
-            }
-            let server_outcome = match end {
-                // A long prefill delays all responses of an engine, so silence is not a failure.
-                StreamEnd::Broken(SILENT_REASON) => None,
-                StreamEnd::Broken(_) => Some(ServerOutcome::Failed),
-                _ => Some(ServerOutcome::Succeeded),
+                SourceEnd::Ended(end) => end,
             };
-            if let Some(server_outcome) = server_outcome {
-                placement_sync::record_request_outcome(&self.gateway, &server, server_outcome);
+            self.record_source_end(&mut source, end);
+            let upstream = source.upstream;
+            match end {
+                StreamEnd::Broken(_) => {}
+                StreamEnd::Complete => {
+                    let headers = &upstream.head.headers;
+                    return_to_pool(&self.gateway, upstream.connection, headers);
+                    return end;
+                }
+                StreamEnd::CallerGone | StreamEnd::Overdue => return end,
             }
-            let StreamEnd::Broken(reason) = end else {
-                return end;
+            self.attempts
+                .excluded
+                .push(upstream.selected.server.clone());
+            drop(upstream);
+            source = match self.resume().await {
+                Some(next) => next,
+                None => return end,
             };
-            info!(self.gateway.log, "Stream interrupted"; "request" => self.call.attempt_id_text(),
-                "content" => %self.call.content.digest(), "server" => %server, "born" => incarnation.born,
-                "reason" => reason, "events" => self.event_count);
-            self.attempts.excluded.push(server);
-            if let Err(denial) = self.attempts.try_retry(&self.gateway, &self.call) {
-                info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
-                    "denial" => ?denial);
-                return end;
+        }
+    }
+
+    /// Goes on with the hedge that overtook a silent engine, whose request is cancelled.
+    fn take_over(&mut self, source: &mut StreamSource, next: StreamSource) {
+        info!(self.gateway.log, "Stream goes on with a hedge"; "request" => self.call.attempt_id_text(),
+            "silent" => %source.upstream.selected.server, "events" => self.event_count,
+            "server" => %next.upstream.selected.server);
+        // A long prefill delays all responses of an engine, so silence is not a failure.
+        if let Some(run) = source.upstream.run.take() {
+            run.broke();
+        }
+        let server = source.upstream.selected.server.clone();
+        self.attempts.excluded.push(server);
+        self.attempts.count_parallel(RunState::MayHaveRun);
+        self.resumed_on(&next);
+        *source = next;
+    }
+
+    /// Records how the response of an engine ended, for its health and for the crash history.
+    fn record_source_end(&self, source: &mut StreamSource, end: StreamEnd) {
+        if let StreamEnd::Broken(reason) = end {
+            self.log_interruption(source, reason);
+        }
+        let upstream = &mut source.upstream;
+        match (end, upstream.run.take()) {
+            (StreamEnd::Broken(_), Some(run)) => run.broke(),
+            (StreamEnd::Complete, _) if !upstream.head.status.is_server_error() => {
+                crash_watch::record_completed(&self.gateway, &self.call);
             }
-            metrics::count_retry(RetryReason::StreamResumed);
-            crash_watch::await_evidence(&self.gateway, &self.call).await;
-            self.resumptions += 1;
-            let next = self
-                .attempts
-                .run_until_response(&self.gateway, &self.call, self.last_event);
-            match next.await {
-                Ok(next) if next.head.status.is_success() => {
-                    self.last_placement = PlacementInfo::new(&self.call, &next);
-                    upstream_response = next;
-                }
-                Ok(next) => {
-                    info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
-                        "server" => %next.selected.server, "status" => next.head.status.as_u16());
-                    return end;
-                }
-                Err(refusal) => {
-                    info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
-                        "refusal" => refusal.reason.code());
-                    return end;
-                }
+            _ => {}
+        }
+        let outcome = match end {
+            StreamEnd::Broken(_) => ServerOutcome::Failed,
+            _ => ServerOutcome::Succeeded,
+        };
+        let server = &upstream.selected.server;
+        placement_sync::record_request_outcome(&self.gateway, server, outcome);
+    }
+
+    /// Selects another engine for a stream whose engine broke off; `None` if there is none.
+    async fn resume(&mut self) -> Option<StreamSource> {
+        if let Err(denial) = self.attempts.try_retry(&self.gateway, &self.call) {
+            info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
+                "denial" => ?denial);
+            return None;
+        }
+        metrics::count_retry(RetryReason::StreamResumed);
+        crash_watch::await_evidence(&self.gateway, &self.call).await;
+        let next = self
+            .attempts
+            .run_until_response(&self.gateway, &self.call, self.last_event);
+        let next = match next.await {
+            Ok(next) => next,
+            Err(refusal) => {
+                info!(self.gateway.log, "Stream not resumed"; "refusal" => refusal.reason.code(),
+                    "request" => self.call.attempt_id_text());
+                return None;
             }
+        };
+        if !next.head.status.is_success() {
+            info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
+                "server" => %next.selected.server, "status" => next.head.status.as_u16());
+            return None;
         }
+        let source = StreamSource::new(next);
+        self.resumed_on(&source);
+        Some(source)
+    }
+
+    /// Records that the stream goes on with another engine.
+    fn resumed_on(&mut self, source: &StreamSource) {
+        self.resumptions += 1;
+        self.last_placement = PlacementInfo::new(&self.call, &source.upstream);
     }
 
-    /// Forwards the events of one engine until its response ends or breaks.
-    async fn forward_from_server(&mut self, upstream_response: UpstreamResponse) -> StreamEnd {
-        let UpstreamResponse {
-            selected,
-            head,
-            mut body,
-            connection,
-            _reservation,
-            ..
-        } = upstream_response;
+    fn log_interruption(&self, source: &StreamSource, reason: &str) {
+        let selected = &source.upstream.selected;
+        info!(self.gateway.log, "Stream interrupted"; "request" => self.call.attempt_id_text(),
+            "content" => %self.call.content.digest(), "server" => %selected.server,
+            "born" => selected.born, "reason" => reason, "events" => self.event_count);
+    }
+
+    /// Forwards the events of one engine until its response ends, breaks or is overtaken.
+    async fn forward_from(&mut self, source: &mut StreamSource) -> SourceEnd {
         self.call.guard.enter(Phase::Body);
-        let mut splitter = EventSplitter::default();
         let mut last_received = self.gateway.now();
         loop {
-            let bytes = match self.next_bytes(&mut body).await {
+            let bytes = match self.next_bytes(source).await {
                 Ok(Some(bytes)) => bytes,
-                Ok(None) if splitter.is_partial() => return StreamEnd::Broken("ended in an event"),
-                Ok(None) => {
-                    return_to_pool(&self.gateway, connection, &head.headers);
-                    return StreamEnd::Complete;
-                }
+                Ok(None) => return SourceEnd::Ended(StreamEnd::Complete),
                 Err(end) => return end,
             };
-            for event in splitter.push(&bytes) {
-                if let Some(placement) = &selected.placement
+            for event in source.splitter.push(&bytes) {
+                if let Some(placement) = &source.upstream.selected.placement
                     && self.ttft.is_none()
                 {
                     placement.record_first_event();
@@ -232,7 +255,7 @@
                 }
                 last_received = now;
                 if let Err(end) = self.forward_event(event).await {
-                    return end;
+                    return SourceEnd::Ended(end);
                 }
             }
         }
@@ -261,23 +284,82 @@
         sent.map_err(|_closed| StreamEnd::CallerGone)
     }
 
-    /// Waits for the next bytes; `None` at the end of the engine's response.
-    async fn next_bytes(&self, body: &mut Incoming) -> Result<Option<Bytes>, StreamEnd> {
-        let time_left = self.call.time_left(self.gateway.now());
-        if time_left.is_zero() {
-            return Err(StreamEnd::Overdue);
+    /// Waits for the next bytes, and sends a hedge while the engine is silent.
+    ///
+    /// Returns `None` at the end of the engine's response.
+    async fn next_bytes(&mut self, source: &mut StreamSource) -> Result<Option<Bytes>, SourceEnd> {
+        let mut silence = self.stall_timeout();
+        loop {
+            let time_left = self.call.time_left(self.gateway.now());
+            if time_left.is_zero() {
+                return Err(SourceEnd::Ended(StreamEnd::Overdue));
+            }
+            if let Ok(received) = timeout(silence.min(time_left), source.next_bytes()).await {
+                return received.map_err(SourceEnd::Ended);
+            }
+            if silence < time_left
+                && let Some(received) = self.race_hedge(source).await
+            {
+                return received;
+            }
+            silence = match self.stall_timeout() {
+                Duration::MAX => Duration::MAX,
+                _ => HEDGE_INTERVAL,
+            };
         }
-        let wait = time_left.min(self.stall_timeout());
-        match timeout(wait, body.frame()).await {
-            Err(_elapsed) if wait == time_left => Err(StreamEnd::Overdue),
-            Err(_elapsed) => Err(StreamEnd::Broken(SILENT_REASON)),
-            Ok(None) => Ok(None),
-            Ok(Some(Err(_error))) => Err(StreamEnd::Broken("cut")),
-            Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+    }
+
+    /// Waits for a silent engine or for a hedge at another one, whichever delivers bytes first.
+    ///
+    /// Returns `None` if the hedge failed and the engine is still silent.
+    async fn race_hedge(
+        &mut self,
+        source: &mut StreamSource,
+    ) -> Option<Result<Option<Bytes>, SourceEnd>> {
+        let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
+        let excluded = self
+            .attempts
+            .excluded_with(&source.upstream.selected.server);
+        let progress = Progress::default();
+        let mut hedge = pin!(open_hedge(
+            &gateway,
+            &call,
+            &excluded,
+            self.last_event,
+            &progress
+        ));
+        let received = tokio::select! {
+            biased;
+            received = source.next_bytes() => received,
+            hedged = hedge.as_mut() => return match hedged {
+                Ok(next) => Some(Err(SourceEnd::Overtaken(Box::new(next)))),
+                Err(failed) => {
+                    self.attempts.record_hedge_failure(&gateway, &call, failed);
+                    None
+                }
+            },
+        };
+        if !progress.sent.get() {
+            return Some(received.map_err(SourceEnd::Ended));
+        }
+        let Err(end) = received else {
+            self.attempts.count_parallel(RunState::MayHaveRun);
+            return Some(received.map_err(SourceEnd::Ended));
+        };
+        // The engine broke off, so the hedge is the only attempt that is left.
+        match hedge.await {
+            Ok(next) => {
+                self.record_source_end(source, end);
+                Some(Err(SourceEnd::Overtaken(Box::new(next))))
+            }
+            Err(failed) => {
+                self.attempts.record_hedge_failure(&gateway, &call, failed);
+                Some(Err(SourceEnd::Ended(end)))
+            }
         }
     }
 
-    /// Returns the longest silence between two events before the engine counts as hung.
+    /// Returns the silence between two events after which a hedge is sent to another engine.
     ///
     /// It is unlimited before the first event, and where no attempt could resume the stream.
     fn stall_timeout(&self) -> Duration {
@@ -285,7 +367,7 @@
             CallKind::Stream {
                 resumable: true,
                 pause,
-            } if self.ttft.is_some() && self.attempts.allows_retry(&self.call) => {
+            } if self.ttft.is_some() && self.attempts.allows_hedge(&self.call) => {
                 MIN_STALL_TIMEOUT.max(pause * 3)
             }
             _ => Duration::MAX,
--- a/node/tests/integration/silent_servers.rs
+++ b/node/tests/integration/silent_servers.rs
@@ -1,7 +1,7 @@
 //! Backend servers that fall silent for a while, although they are sound.
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use merlinrudder_fakes::backend::{BackendFault, FakeBackend};
 use merlinrudder_fakes::http_client::send_customer_request;
@@ -55,6 +55,27 @@
     assert_eq!(cut.count(), 0, "streams cut of {STREAMS}");
 }
 
+#[test]
+fn a_stream_goes_on_at_the_server_that_speaks_first() {
+    let servers = [start_backend("i-1"), start_backend("i-2")];
+    let nodes = start_deployment(1, &[&servers[0], &servers[1]]);
+    for (silence, limit) in [(SILENCE, 3500), (SILENCE * 4, 5500)] {
+        // The server of a hedge is silent as well in the first round, but not in the second.
+        let first_only = usize::from(silence > SILENCE);
+        for server in &servers[first_only..] {
+            server.set_faults(&[BackendFault::StallAfter(5, silence)]);
+        }
+        for number in 0..2 {
+            let start = Instant::now();
+            let attempt = format!("f{first_only}-{number}");
+            let callers = nodes.callers_address(3);
+            let response = send_customer_request(callers, "POST /stream/x", &attempt);
+            assert!(response.is_whole_stream(), "{response:?}");
+            assert!(start.elapsed() < Duration::from_millis(limit), "{attempt}");
+        }
+    }
+}
+
 #[test]
 fn a_server_that_answers_late_costs_no_call_its_answer_when_there_is_no_other() {
     let server = start_backend("i-1");
