bug: answer each request that was read before a stopping VM exits

Callers saw their connection closed without an answer 6 s after they had sent a whole request to a VM that was being stopped.

Cause: nobody owned the promise that each request read completely gets an answer or a refusal.

Change: a planned stop has stages. From the third on (2.7 s after the signal) a request that would wait is refused as not run, at once; 0.6 s before the stop timeout each request without a response head is refused (502 if a server may have it, 503 otherwise) and each stream is cut and logged, and their callers get 0.2 s to read it. The end of the drain is an instant now, not a number of polls, which came 0.1 s late.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -34,9 +34,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use self::state::Gateway;
+use self::state::{Gateway, StopStage};
 use crate::links::Links;
 
 /// Time that a stopping VM reports unready before it refuses requests.
@@ -45,8 +45,10 @@
 /// traffic after two failed probes, so after two seconds at the latest. The time stays below three
 /// seconds: a request accepted later than that would have to finish before the stop timeout.
 const UNREADY_PERIOD: Duration = Duration::from_millis(2700);
-/// Time before the stop timeout at which the process exits in any case.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the stop timeout at which requests without an answer are refused or cut.
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
+/// Longest time for these last answers to reach their callers.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Time between two checks for open connections during a stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -107,24 +109,27 @@
 
     /// Stops gracefully: reports unready, then closes idle connections and drains busy ones.
     ///
-    /// Returns once all connections are closed, or `STOP_MARGIN` before the stop timeout.
+    /// Returns once all connections are closed, or shortly before the stop timeout. Each request that
+    /// was read completely has its answer or its refusal by then.
     pub async fn stop(self) {
         let gateway = &self.gateway;
         info!(gateway.log, "Stopping"; "connections" => gateway.connections.get());
-        gateway.stopping.set(true);
+        gateway.enter_stage(StopStage::Unready);
+        let started = Instant::now();
         sleep(UNREADY_PERIOD).await;
-        gateway.shutdown_connections();
-        let drain_time = self
-            .stop_timeout
-            .saturating_sub(UNREADY_PERIOD + STOP_MARGIN);
-        let polls = drain_time.as_millis() / STOP_POLL_INTERVAL.as_millis();
-        for _ in 0..polls {
-            if gateway.connections.get() == 0 {
-                break;
-            }
-            sleep(STOP_POLL_INTERVAL).await;
-        }
+        gateway.enter_stage(StopStage::Draining);
+        let exit_at = started + self.stop_timeout.saturating_sub(EXIT_MARGIN);
+        self.drain_until(exit_at).await;
+        gateway.enter_stage(StopStage::Exiting);
+        self.drain_until(exit_at + LAST_ANSWER_TIME).await;
         gateway.open_requests.log_all(gateway.now(), &gateway.log);
         info!(gateway.log, "Stopped"; "connections" => gateway.connections.get());
     }
+
+    /// Waits until no connection is open, but not longer than until `end`.
+    async fn drain_until(&self, end: Instant) {
+        while self.gateway.connections.get() > 0 && Instant::now() < end {
+            sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
 }
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -18,7 +18,7 @@
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
 use super::selection::{SelectedServers, Selection, select_servers};
-use super::state::Gateway;
+use super::state::{Gateway, StopStage};
 use crate::metrics;
 
 /// Failed attempts that did not run the request, after which it is refused.
@@ -93,6 +93,9 @@
             match self.permission(gateway, call) {
                 Permission::Send => {}
                 Permission::SendOnTrial => self.on_trial = true,
+                Permission::Wait if gateway.has_reached(StopStage::Draining) => {
+                    return Err(self.refusal(RefusalReason::Stopping));
+                }
                 Permission::Wait => {
                     sleep(PLACEMENT_RETRY_INTERVAL).await;
                     continue;
@@ -101,6 +104,9 @@
             }
             let selected = match select_servers(gateway, call, &self.excluded) {
                 Selection::Selected(selected) => selected,
+                Selection::Wait if gateway.has_reached(StopStage::Draining) => {
+                    return Err(self.refusal(RefusalReason::Stopping));
+                }
                 Selection::Wait => {
                     sleep(PLACEMENT_RETRY_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
                     continue;
--- a/node/src/gateway/ingress.rs
+++ b/node/src/gateway/ingress.rs
@@ -1,6 +1,7 @@
 //! HTTP servers for callers and for the readiness probes of the load balancer.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 
 use hyper::body::Incoming;
@@ -10,27 +11,28 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use merlinrudder_core::deployment::CallKind;
-use merlinrudder_core::outcome::RefusalReason;
+use merlinrudder_core::outcome::{Refusal, RefusalReason, RunState};
 use merlinrudder_platform::calls::READY_PATH;
 use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 use super::body::ResponseBody;
-use super::state::{ConnectionGuard, Gateway};
+use super::open_requests::OpenRequest;
+use super::request::CallerRequest;
+use super::state::{ConnectionGuard, Gateway, StopStage};
 use super::{buffered, refusal, request, stream};
 use crate::constants::ACCEPT_RETRY_DELAY;
 use crate::sockets;
 
-/// Accepts caller connections until `shutdown_connections` is called.
+/// Accepts caller connections until a planned stop drains them.
 ///
 /// The listener closes then, so the operating system refuses later connections.
 pub(super) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
-    let mut shutdown = gateway.subscribe_shutdown();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _shutdown = shutdown.wait_for(|shutdown| *shutdown) => return,
+            () = gateway.stage_reached(StopStage::Draining) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -74,7 +76,7 @@
     drop(connection.await);
 }
 
-/// Serves a caller connection; after `shutdown_connections` it ends with the request in progress.
+/// Serves a caller connection; in a planned stop it ends with the request in progress.
 async fn serve_caller_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     let _guard = ConnectionGuard::new(&gateway);
     if let Err(error) = sockets::set_tcp_options(&stream) {
@@ -90,11 +92,10 @@
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut shutdown = gateway.subscribe_shutdown();
+    let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _shutdown = shutdown.wait_for(|shutdown| *shutdown) => {
+        () = gateway.stage_reached(StopStage::Draining) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -113,24 +114,51 @@
 async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
     let mut response = match request::admit(gateway, request).await {
         // A request accepted now might not finish before the process has to exit.
-        Ok(call) if *gateway.subscribe_shutdown().borrow() => {
+        Ok(call) if gateway.has_reached(StopStage::Draining) => {
             buffered::refuse_request(gateway, &call, &refusal::retryable(RefusalReason::Stopping))
         }
-        Ok(call) => {
-            gateway.count_request(&call.service);
-            match call.route.kind {
-                CallKind::Stream { .. } => stream::serve(gateway, call).await,
-                CallKind::Idempotent | CallKind::AtMostOnce => buffered::serve(gateway, call).await,
-            }
-        }
+        Ok(call) => serve_until_exit(gateway, call).await,
         Err(refusal) => {
             info!(gateway.log, "Request refused"; "reason" => refusal.reason.code());
             refusal::response(&refusal)
         }
     };
-    if gateway.stopping.get() {
+    if gateway.has_reached(StopStage::Unready) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
     response
 }
+
+/// Serves a request; if the process exits before there is a response head, it is refused.
+async fn serve_until_exit(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
+    gateway.count_request(&call.service);
+    let open = Rc::clone(&call.guard.request);
+    let mut serving = pin!(serve(gateway, call));
+    tokio::select! {
+        biased;
+        response = serving.as_mut() => response,
+        () = gateway.stage_reached(StopStage::Exiting) => refuse_at_exit(gateway, &open),
+    }
+}
+
+async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
+    match call.route.kind {
+        CallKind::Stream { .. } => stream::serve(gateway, call).await,
+        CallKind::Idempotent | CallKind::AtMostOnce => buffered::serve(gateway, call).await,
+    }
+}
+
+/// Refuses a request that has no response head when the process exits.
+fn refuse_at_exit(gateway: &Gateway, open: &OpenRequest) -> Response<ResponseBody> {
+    let run = open.run_state();
+    gateway.open_requests.end(open);
+    info!(gateway.log, "Request refused at exit"; "request" => &open.attempt_id,
+        "run" => run.as_str(),
+        "after_ms" => gateway.now().since(open.received_at).as_millis());
+    refusal::response(&Refusal {
+        reason: RefusalReason::Stopping,
+        run,
+        retry_after: (run == RunState::NotRun).then_some(refusal::DEFAULT_RETRY_AFTER),
+    })
+}
--- a/node/src/gateway/open_requests.rs
+++ b/node/src/gateway/open_requests.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use merlinrudder_core::outcome::RunState;
 use merlinrudder_core::time::Moment;
 use slog::{Logger, warn};
 
@@ -24,20 +25,48 @@
 
 /// An admitted request whose outcome is not known yet.
 #[derive(Debug)]
-struct OpenRequest {
-    attempt_id: String,
-    received_at: Moment,
-    phase: Phase,
+pub(super) struct OpenRequest {
+    number: u64,
+    pub(super) attempt_id: String,
+    pub(super) received_at: Moment,
+    phase: Cell<Phase>,
+    /// Whether any attempt may have reached a server; never reset.
+    sent: Cell<bool>,
+}
+
+impl OpenRequest {
+    /// Records what the request waits for next.
+    pub(super) fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        if phase == Phase::Head {
+            self.sent.set(true);
+        }
+    }
+
+    /// Whether a server may have run the request.
+    pub(super) fn run_state(&self) -> RunState {
+        if self.sent.get() {
+            RunState::MayHaveRun
+        } else {
+            RunState::NotRun
+        }
+    }
 }
 
 /// All admitted requests of an entry VM whose outcome is not known yet.
 #[derive(Debug, Default)]
 pub(super) struct OpenRequests {
-    by_number: RefCell<BTreeMap<u64, OpenRequest>>,
+    by_number: RefCell<BTreeMap<u64, Rc<OpenRequest>>>,
     last_number: Cell<u64>,
 }
 
 impl OpenRequests {
+    /// Records that the outcome of a request was logged; returns whether it had none before.
+    pub(super) fn end(&self, request: &OpenRequest) -> bool {
+        let mut requests = self.by_number.borrow_mut();
+        requests.remove(&request.number).is_some()
+    }
+
     /// Logs each request that the end of the process cuts off.
     pub(super) fn log_all(&self, now: Moment, log: &Logger) {
         for request in self.by_number.borrow().values() {
@@ -52,7 +81,7 @@
 #[derive(Debug)]
 pub(super) struct OpenRequestGuard {
     gateway: Rc<Gateway>,
-    number: u64,
+    pub(super) request: Rc<OpenRequest>,
 }
 
 impl OpenRequestGuard {
@@ -61,45 +90,44 @@
         let requests = &gateway.open_requests;
         let number = requests.last_number.get() + 1;
         requests.last_number.set(number);
-        let request = OpenRequest {
+        let request = Rc::new(OpenRequest {
+            number,
             attempt_id: attempt_id.to_owned(),
             received_at,
-            phase: Phase::Selection,
-        };
-        requests.by_number.borrow_mut().insert(number, request);
+            phase: Cell::new(Phase::Selection),
+            sent: Cell::new(false),
+        });
+        let mut by_number = requests.by_number.borrow_mut();
+        by_number.insert(number, Rc::clone(&request));
         Self {
             gateway: Rc::clone(gateway),
-            number,
+            request,
         }
     }
 
     /// Records what the request waits for next.
     pub(super) fn enter(&self, phase: Phase) {
-        let mut requests = self.gateway.open_requests.by_number.borrow_mut();
-        if let Some(request) = requests.get_mut(&self.number) {
-            request.phase = phase;
-        }
+        self.request.enter(phase);
     }
 
     /// Records that the outcome of the request was logged.
     pub(super) fn end(&self) {
-        let mut requests = self.gateway.open_requests.by_number.borrow_mut();
-        requests.remove(&self.number);
+        self.gateway.open_requests.end(&self.request);
     }
 }
 
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
         let gateway = &self.gateway;
-        let mut requests = gateway.open_requests.by_number.borrow_mut();
-        if let Some(request) = requests.remove(&self.number) {
-            log_dropped(&request, gateway.now(), "caller disconnected", &gateway.log);
+        if gateway.open_requests.end(&self.request) {
+            let cause = "caller disconnected";
+            log_dropped(&self.request, gateway.now(), cause, &gateway.log);
         }
     }
 }
 
 fn log_dropped(request: &OpenRequest, now: Moment, cause: &str, log: &Logger) {
     warn!(log, "Request dropped"; "request" => &request.attempt_id, "cause" => cause,
-        "phase" => ?request.phase,
+        "phase" => ?request.phase.get(),
         "after_ms" => now.since(request.received_at).as_millis());
 }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -24,6 +24,19 @@
 use crate::links::Links;
 use crate::metrics;
 
+/// Stages of a planned stop, in their order.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum StopStage {
+    /// No stop was requested.
+    Running,
+    /// Readiness probes fail; requests are still accepted.
+    Unready,
+    /// New requests and those that wait for a server are refused; connections close after theirs.
+    Draining,
+    /// Requests without an answer are refused or cut, as the process exits.
+    Exiting,
+}
+
 /// State of an entry VM, shared by its tasks on one thread.
 #[derive(Debug)]
 pub(super) struct Gateway {
@@ -56,12 +69,10 @@
     ///
     /// Set by a control VM in contact with the leader, and never reset.
     pub(super) manifest_confirmed: Cell<bool>,
-    /// Set once the process was asked to stop; readiness probes fail from then on.
-    pub(super) stopping: Cell<bool>,
     /// Number of open caller connections.
     pub(super) connections: Cell<usize>,
-    /// Set when no new connections and requests are accepted any more.
-    shutdown: watch::Sender<bool>,
+    /// How far a planned stop has come; never goes back.
+    stop_stage: watch::Sender<StopStage>,
     pub(super) log: Logger,
 }
 
@@ -85,9 +96,8 @@
             retry_windows: RefCell::default(),
             retry_limits: config.retry_limits,
             manifest_confirmed: Cell::new(false),
-            stopping: Cell::new(false),
             connections: Cell::new(0),
-            shutdown: watch::Sender::new(false),
+            stop_stage: watch::Sender::new(StopStage::Running),
             log: log.new(o!("part" => "gateway")),
         }
     }
@@ -109,7 +119,7 @@
         let deployment = self.deployment();
         let has_servers =
             |deployment: &Arc<Deployment>| self.fleet.borrow().has_ready_server(deployment);
-        !self.stopping.get()
+        !self.has_reached(StopStage::Unready)
             && self.manifest_confirmed.get()
             && deployment.as_ref().is_some_and(has_servers)
     }
@@ -137,14 +147,21 @@
         granted
     }
 
-    /// Stops accepting callers and closes each connection after its request in progress.
-    pub(super) fn shutdown_connections(&self) {
-        self.shutdown.send_replace(true);
+    /// Begins a stage of the planned stop.
+    pub(super) fn enter_stage(&self, stage: StopStage) {
+        self.stop_stage.send_replace(stage);
+    }
+
+    /// Whether a stage of a planned stop has begun.
+    pub(super) fn has_reached(&self, stage: StopStage) -> bool {
+        *self.stop_stage.borrow() >= stage
     }
 
-    /// Returns a receiver that becomes true when caller connections should close.
-    pub(super) fn subscribe_shutdown(&self) -> watch::Receiver<bool> {
-        self.shutdown.subscribe()
+    /// Waits until a stage of a planned stop begins.
+    pub(super) async fn stage_reached(&self, stage: StopStage) {
+        let mut stages = self.stop_stage.subscribe();
+        // The sender lives as long as this gateway, so waiting does not fail.
+        drop(stages.wait_for(|current| *current >= stage).await);
     }
 }
 
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -25,7 +25,7 @@
 use super::open_requests::Phase;
 use super::placement_sync;
 use super::request::CallerRequest;
-use super::state::Gateway;
+use super::state::{Gateway, StopStage};
 use super::stream_source::{SourceEnd, StreamEnd, StreamSource, open_hedge};
 use crate::metrics;
 
@@ -105,22 +105,27 @@
 impl StreamForwarder {
     /// Forwards the stream to its end, and logs how it ended.
     async fn run(mut self, source: StreamSource) {
-        let sender = self.sender.clone();
+        let (sender, gateway) = (self.sender.clone(), Rc::clone(&self.gateway));
         // When the caller disconnects, the request at the engine is cancelled at once, even while
         // the engine is silent.
         tokio::select! {
             biased;
             () = sender.closed() => self.log_end(StreamEnd::CallerGone),
-            end = self.forward_all(source) => {
-                if end != StreamEnd::Complete {
-                    // Cuts the connection, so that the response does not look complete.
-                    let _gone = self.sender.send(Err(TruncatedResponse)).await;
-                }
-                self.log_end(end);
-            }
+            () = gateway.stage_reached(StopStage::Exiting) => self.cut(StreamEnd::Stopping).await,
+            end = self.forward_all(source) => match end {
+                StreamEnd::Complete => self.log_end(end),
+                _ => self.cut(end).await,
+            },
         }
     }
 
+    /// Logs the end of an incomplete stream, and cuts the connection to its caller.
+    async fn cut(&self, end: StreamEnd) {
+        self.log_end(end);
+        // Without the error the response would look complete.
+        let _gone = self.sender.send(Err(TruncatedResponse)).await;
+    }
+
     /// Forwards events, and resumes on another engine when one breaks off or is overtaken.
     async fn forward_all(&mut self, mut source: StreamSource) -> StreamEnd {
         loop {
@@ -140,7 +145,7 @@
                     return_to_pool(&self.gateway, upstream.connection, headers);
                     return end;
                 }
-                StreamEnd::CallerGone | StreamEnd::Overdue => return end,
+                StreamEnd::CallerGone | StreamEnd::Overdue | StreamEnd::Stopping => return end,
             }
             self.attempts
                 .excluded
@@ -380,6 +385,7 @@
             StreamEnd::Broken(_) => "broken",
             StreamEnd::CallerGone => "caller_gone",
             StreamEnd::Overdue => "overdue",
+            StreamEnd::Stopping => "stopping",
         };
         self.call.guard.end();
         metrics::count_outcome(self.call.service.as_str(), outcome);
--- a/node/src/gateway/stream_source.rs
+++ b/node/src/gateway/stream_source.rs
@@ -24,6 +24,8 @@
     CallerGone,
     /// The deadline of the request passed.
     Overdue,
+    /// The process exits.
+    Stopping,
 }
 
 /// Why no further bytes of a source are forwarded.
--- a/node/tests/integration/planned_stop.rs
+++ b/node/tests/integration/planned_stop.rs
@@ -14,6 +14,8 @@
 
 /// Time between two events of a fake backend server's stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which a published configuration is in force at all VMs.
+const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time from the stop signal within which a waiting request must have its answer.
 const STOP_LIMIT: Duration = Duration::from_secs(4);
 
@@ -78,3 +80,25 @@
     }
     assert!(refused > 0, "no request waited when the VM stopped");
 }
+
+#[test]
+fn a_call_at_a_silent_server_is_told_before_its_vm_exits_that_it_may_have_run() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake server listens");
+    let nodes = start_deployment(1, &[&server]);
+    let mut configuration = sample_configuration(6);
+    configuration["routes"][1]["timeout-ms"] = json!(20_000);
+    publish(&nodes, &configuration);
+    thread::sleep(APPLY_TIME);
+    server.set_faults(&[BackendFault::StallAfter(0, Duration::from_secs(9))]);
+    let callers = nodes.callers_address(3);
+    let headers = "X-Merlinrudder-Attempt-Id: e1\r\nX-Merlinrudder-Deadline-Ms: 20000\r\n\
+         Authorization: Bearer k1\r\n";
+    let call = thread::spawn(move || send_request(callers, "POST /file/x", headers, "body"));
+    wait_for("running call", || server.executions().len() == 1);
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    let response = call.join().expect("caller thread finishes");
+    assert_eq!(response.status, 502, "{response:?}");
+    wait_for("end of the process", || nodes.has_ended(3));
+}
