feature: fake backend server that crashes at a part of a prompt, without framing, under new ids

Change: a request whose prompt has the part `CRASHING_PART` anywhere but last crashes the server 60 ms after its arrival, after the head, a whole event or half an event (`CrashPoint`). Answers can go without length and chunks (per server, or `BackendFault::Unframed`); a server can return under a new id (`current_id`, used by heartbeats); `BackendFault::StallBeforeHead` delays streams and plain calls. `Execution` has the parts of the prompt. A request that is under way at a crash cannot end the next lifetime. The client sends further headers and reads answers without framing. Requests and answers of the stand-in are modules of their own.

--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -1,16 +1,22 @@
 //! A fake backend server of the hosting platform: numbered event streams and plain responses.
 //!
 //! It serves each HTTP/1.1 connection on its own thread and logs the requests that it executed. On
-//! demand it disconnects, stalls, refuses or crashes.
+//! demand it disconnects, stalls, refuses, crashes or returns under a new id.
 
+mod answer;
 mod listener;
+mod request;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use answer::{Answer, Framing};
+pub use request::Execution;
+use request::RequestHead;
+
 /// Events of a complete stream, with ids from 1.
 pub const STREAM_EVENTS: u64 = 12;
 
@@ -24,6 +30,10 @@
     DisconnectAfter(u64),
     /// The stream pauses for this long after the event with this id; other responses are delayed.
     StallAfter(u64, Duration),
+    /// Nothing is sent for this long, not even the head.
+    StallBeforeHead(Duration),
+    /// The response has neither a length nor chunks, and ends with its connection.
+    Unframed,
     /// The request is executed, and the connection closes without a response.
     DropResponse,
     /// The request is refused with 503, marked as not executed.
@@ -33,28 +43,34 @@
 /// Part of a path that crashes each server that runs the request.
 pub const CRASHING_PATH: &str = "/crash";
 
-/// First start that a fake backend server names, in Unix milliseconds.
-const FIRST_BORN: u64 = 5;
+/// Id of a part of a prompt that crashes each server that answers it, unless it is the last part.
+pub const CRASHING_PART: &str = "deadbeef";
+
+/// Time from the arrival of a request with a crashing part to the begin of its answer.
+const READ_TIME: Duration = Duration::from_millis(60);
 
-/// One executed request, as its headers describe it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Execution {
-    /// Attempt id that the caller chose.
-    pub attempt: String,
-    /// Customer that the entry VM named.
-    pub customer: String,
-    /// Time until the request's deadline, in milliseconds; 0 if not given.
-    pub remaining_ms: u64,
-    /// Path and query of the request.
-    pub target: String,
-    /// When the server began to run it.
-    pub started: Instant,
+/// How much of an answer is sent before a crashing part crashes the server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CrashPoint {
+    /// The head.
+    #[default]
+    AfterHead,
+    /// The head, and for streams a whole event.
+    AfterEvent,
+    /// The head, and for streams half an event.
+    WithinEvent,
 }
 
+/// Body of each response that is not a stream.
+const PLAIN_BODY: &str = "whole";
+
+/// First start that a fake backend server names, in Unix milliseconds.
+const FIRST_BORN: u64 = 5;
+
 /// Handle of a running fake backend server; clones share its state.
 #[derive(Clone, Debug)]
 pub struct FakeBackend {
-    /// Id under which heartbeats register it; requests for another id get 421.
+    /// Id of the first lifetime, and of all unless `set_new_ids` changes that.
     pub id: String,
     /// Address at which it accepts connections.
     pub address: SocketAddr,
@@ -70,6 +86,13 @@
     event_interval: Duration,
     /// Start of the current lifetime; increases with each crash.
     born: u64,
+    /// When the server crashed, oldest first.
+    crash_times: Vec<Instant>,
+    crash_point: CrashPoint,
+    /// Whether all responses are sent as `BackendFault::Unframed` does.
+    unframed: bool,
+    /// Whether each lifetime after the first has an id of its own.
+    new_ids: bool,
     /// End of the downtime after a crash; `None` while the server runs.
     down_until: Option<Instant>,
     /// Connections of the current lifetime.
@@ -106,6 +129,32 @@
         self.lock_state().downtime = downtime;
     }
 
+    /// Sets how much of an answer is sent before a crashing part crashes the server.
+    pub fn set_crash_point(&self, crash_point: CrashPoint) {
+        self.lock_state().crash_point = crash_point;
+    }
+
+    /// Sets whether responses have neither a length nor chunks; they have one of both at first.
+    pub fn set_unframed(&self, unframed: bool) {
+        self.lock_state().unframed = unframed;
+    }
+
+    /// Sets whether the server returns from a crash under a new id; it keeps its id at first.
+    pub fn set_new_ids(&self, new_ids: bool) {
+        self.lock_state().new_ids = new_ids;
+    }
+
+    /// Returns the id of the current lifetime; requests for another id get 421.
+    #[must_use]
+    pub fn current_id(&self) -> String {
+        let state = self.lock_state();
+        if state.new_ids && state.born > FIRST_BORN {
+            format!("{}-{}", self.id, state.born)
+        } else {
+            self.id.clone()
+        }
+    }
+
     /// Returns the start of the current lifetime, or `None` while the server is down.
     #[must_use]
     pub fn born(&self) -> Option<u64> {
@@ -119,13 +168,26 @@
         self.lock_state().born - FIRST_BORN
     }
 
+    /// Returns when the server crashed, oldest first.
+    #[must_use]
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.lock_state().crash_times.clone()
+    }
+
     /// Ends the current lifetime: closes the listener and all connections without an answer.
     pub fn crash(&self) {
+        let born = self.lock_state().born;
+        self.end_lifetime(born);
+    }
+
+    /// Crashes the server unless the lifetime that started at `born` has ended already.
+    fn end_lifetime(&self, born: u64) {
         let mut state = self.lock_state();
-        if state.down_until.is_some() {
+        if state.down_until.is_some() || state.born != born {
             return;
         }
         state.born += 1;
+        state.crash_times.push(Instant::now());
         state.down_until = Some(Instant::now() + state.downtime);
         let connections = state.connections.drain(..);
         for connection in connections.filter_map(|connection| connection.upgrade()) {
@@ -155,12 +217,23 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn next_fault(&self) -> BackendFault {
+        let mut state = self.lock_state();
+        if state.faults.is_empty() {
+            BackendFault::None
+        } else {
+            state.faults.remove(0)
+        }
+    }
+
     /// Serves the requests of one connection until it closes or a fault ends it.
-    fn serve(&self, mut writer: &TcpStream) -> std::io::Result<()> {
+    ///
+    /// `born` is the start of the lifetime that accepted the connection.
+    fn serve(&self, mut writer: &TcpStream, born: u64) -> std::io::Result<()> {
         let mut reader = BufReader::new(writer);
         while let Some(head) = RequestHead::read(&mut reader)? {
-            if head.header("x-merlinrudder-target-instance") != self.id {
-                let id = &self.id;
+            let id = self.current_id();
+            if head.header("x-merlinrudder-target-instance") != id {
                 write!(
                     writer,
                     "HTTP/1.1 421 Misdirected Request\r\n\
@@ -168,14 +241,7 @@
                 )?;
                 continue;
             }
-            let fault = {
-                let mut state = self.lock_state();
-                if state.faults.is_empty() {
-                    BackendFault::None
-                } else {
-                    state.faults.remove(0)
-                }
-            };
+            let fault = self.next_fault();
             if fault == BackendFault::Refuse {
                 self.lock_state().refusals += 1;
                 write!(
@@ -185,123 +251,96 @@
                 )?;
                 continue;
             }
-            self.lock_state().executions.push(head.execution());
+            let execution = head.execution();
+            let has_crashing_part = execution.has_crashing_part();
+            self.lock_state().executions.push(execution);
             if head.target.contains(CRASHING_PATH) {
-                self.crash();
+                self.end_lifetime(born);
                 return Ok(());
             }
+            let framing = self.framing(&head, fault);
+            if has_crashing_part {
+                let sent = self.begin_answer(writer, &head, framing);
+                self.end_lifetime(born);
+                return sent;
+            }
             match fault {
                 BackendFault::DropResponse => return Ok(()),
-                _ if head.is_stream => self.send_stream(&mut writer, &head, fault)?,
-                BackendFault::StallAfter(_, delay) => {
-                    thread::sleep(delay);
-                    send_response(&mut writer, &head, "whole")?;
-                }
-                _ => send_response(&mut writer, &head, "whole")?,
+                BackendFault::StallBeforeHead(delay) => thread::sleep(delay),
+                BackendFault::StallAfter(_, delay) if !head.is_stream => thread::sleep(delay),
+                _ => {}
             }
-            if let BackendFault::DisconnectAfter(_) = fault {
+            if head.is_stream {
+                self.send_stream(writer, &head, fault, framing)?;
+            } else {
+                let mut answer = Answer::begin(writer, &head, framing)?;
+                answer.write(PLAIN_BODY)?;
+                answer.end()?;
+            }
+            if framing == Framing::Close || matches!(fault, BackendFault::DisconnectAfter(_)) {
                 return Ok(());
             }
         }
         Ok(())
     }
 
+    fn framing(&self, head: &RequestHead, fault: BackendFault) -> Framing {
+        if fault == BackendFault::Unframed || self.lock_state().unframed {
+            Framing::Close
+        } else if head.is_stream {
+            Framing::Chunks
+        } else {
+            Framing::Length(PLAIN_BODY.len())
+        }
+    }
+
+    /// Sends as much of an answer as the crash point allows.
+    fn begin_answer(
+        &self,
+        writer: &TcpStream,
+        head: &RequestHead,
+        framing: Framing,
+    ) -> std::io::Result<()> {
+        thread::sleep(READ_TIME);
+        let mut answer = Answer::begin(writer, head, framing)?;
+        if !head.is_stream {
+            return Ok(());
+        }
+        let event = event_text(head.first_event());
+        let crash_point = self.lock_state().crash_point;
+        match crash_point {
+            CrashPoint::AfterHead => Ok(()),
+            CrashPoint::AfterEvent => answer.write(&event),
+            CrashPoint::WithinEvent => answer.write(&event[..event.len() / 2]),
+        }
+    }
+
     /// Streams the events after the id in `Last-Event-ID`, or all of them.
     fn send_stream(
         &self,
-        writer: &mut &TcpStream,
+        writer: &TcpStream,
         head: &RequestHead,
         fault: BackendFault,
+        framing: Framing,
     ) -> std::io::Result<()> {
-        let attempt = head.header("x-merlinrudder-attempt-id");
-        write!(
-            writer,
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-             X-Merlinrudder-Attempt-Id: {attempt}\r\n\
-             X-Merlinrudder-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )?;
-        let first = head.header("last-event-id").parse().unwrap_or(0) + 1;
+        let mut answer = Answer::begin(writer, head, framing)?;
         let event_interval = self.lock_state().event_interval;
-        for id in first..=STREAM_EVENTS {
-            let event = format!("id: {id}\ndata: token {id}\n\n");
+        for id in head.first_event()..=STREAM_EVENTS {
+            let event = event_text(id);
             match fault {
                 BackendFault::DisconnectAfter(last) if id > last => {
-                    return write_chunk(writer, &event[..event.len() / 2]);
+                    return answer.write(&event[..event.len() / 2]);
                 }
                 BackendFault::StallAfter(last, silence) if id == last + 1 => thread::sleep(silence),
                 _ => {}
             }
-            write_chunk(writer, &event)?;
+            answer.write(&event)?;
             thread::sleep(event_interval);
         }
-        writer.write_all(b"0\r\n\r\n")
+        answer.end()
     }
 }
 
-/// The head of a request, with lower-case header names; its body is discarded.
-struct RequestHead {
-    headers: Vec<(String, String)>,
-    /// Path and query.
-    target: String,
-    is_stream: bool,
-}
-
-impl RequestHead {
-    /// Reads the next request; returns `None` if the connection has closed.
-    fn read(reader: &mut BufReader<&TcpStream>) -> std::io::Result<Option<Self>> {
-        let mut line = String::new();
-        if reader.read_line(&mut line)? == 0 {
-            return Ok(None);
-        }
-        let mut head = Self {
-            headers: Vec::new(),
-            target: line.split(' ').nth(1).unwrap_or_default().to_owned(),
-            is_stream: line.contains("/stream/"),
-        };
-        loop {
-            let mut line = String::new();
-            reader.read_line(&mut line)?;
-            let Some((name, value)) = line.trim().split_once(':') else {
-                break;
-            };
-            let header = (name.to_ascii_lowercase(), value.trim().to_owned());
-            head.headers.push(header);
-        }
-        let length = head.header("content-length").parse().unwrap_or(0);
-        std::io::copy(&mut reader.take(length), &mut std::io::sink())?;
-        Ok(Some(head))
-    }
-
-    /// Returns the value of a header, or an empty string; `name` is in lower case.
-    fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(header, _)| header == name);
-        found.map_or("", |(_, value)| value)
-    }
-
-    fn execution(&self) -> Execution {
-        Execution {
-            attempt: self.header("x-merlinrudder-attempt-id").to_owned(),
-            customer: self.header("x-merlinrudder-tenant").to_owned(),
-            remaining_ms: self
-                .header("x-merlinrudder-deadline-ms")
-                .parse()
-                .unwrap_or(0),
-            target: self.target.clone(),
-            started: Instant::now(),
-        }
-    }
-}
-
-fn send_response(writer: &mut &TcpStream, head: &RequestHead, body: &str) -> std::io::Result<()> {
-    let attempt = head.header("x-merlinrudder-attempt-id");
-    let length = body.len();
-    write!(
-        writer,
-        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\n\
-         X-Merlinrudder-Response-Seal: seal\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-}
-
-fn write_chunk(writer: &mut &TcpStream, text: &str) -> std::io::Result<()> {
-    write!(writer, "{:x}\r\n{text}\r\n", text.len())
+fn event_text(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
 }
--- a/fakes/src/backend/listener.rs
+++ b/fakes/src/backend/listener.rs
@@ -44,11 +44,12 @@
         }
         state.connections.retain(|kept| kept.strong_count() > 0);
         state.connections.push(Arc::downgrade(&connection));
+        let born = state.born;
         drop(state);
         let backend = self.clone();
         thread::spawn(move || {
             // I/O errors mean that the peer has disconnected.
-            drop(backend.serve(&connection));
+            drop(backend.serve(&connection, born));
         });
     }
 
--- a/fakes/src/http_client.rs
+++ b/fakes/src/http_client.rs
@@ -76,12 +76,22 @@
     attempt_id: &str,
     key: &str,
 ) -> HttpResponse {
-    send_request(
-        address,
-        method_path,
-        &caller_headers(attempt_id, key),
-        "body",
-    )
+    send_request_with_headers(address, method_path, attempt_id, key, "")
+}
+
+/// Sends a request with an API key, a 10 s deadline and further headers.
+///
+/// Each line of `headers` ends with `\r\n`.
+#[must_use]
+pub fn send_request_with_headers(
+    address: SocketAddr,
+    method_path: &str,
+    attempt_id: &str,
+    key: &str,
+    headers: &str,
+) -> HttpResponse {
+    let headers = caller_headers(attempt_id, key) + headers;
+    send_request(address, method_path, &headers, "body")
 }
 
 /// Returns the headers of a caller's request with a 10 s deadline.
@@ -156,6 +166,13 @@
             .head
             .lines()
             .find_map(|line| line.strip_prefix("content-length:"));
+        if length.is_none() && response.head.contains("connection: close") {
+            let mut bytes = Vec::new();
+            // Without framing, an answer that was cut short looks complete.
+            response.whole = self.reader.read_to_end(&mut bytes).is_ok();
+            response.body = String::from_utf8_lossy(&bytes).into_owned();
+            return Ok(response);
+        }
         let length = length
             .and_then(|length| length.trim().parse().ok())
             .unwrap_or(0);
--- a/fakes/src/soak/traffic.rs
+++ b/fakes/src/soak/traffic.rs
@@ -55,11 +55,13 @@
     while !harness.is_stopped() {
         sequence += 1;
         for backend in &harness.backends {
+            // Read before the start: a crash in between leaves no start.
+            let id = backend.server.current_id();
             let Some(born) = backend.server.born() else {
                 continue;
             };
             let heartbeat = Heartbeat {
-                id: &backend.server.id,
+                id: &id,
                 address: backend.address(),
                 sequence,
                 born,
--- a/node/tests/integration/deployment.rs
+++ b/node/tests/integration/deployment.rs
@@ -106,11 +106,13 @@
 
 /// Sends a heartbeat to the first control VM that accepts it; returns whether one did.
 fn send_heartbeat(nodes: &Nodes, backend: &FakeBackend, sequence: u64) -> bool {
+    // Read before the start: a crash in between leaves no start.
+    let id = backend.current_id();
     let Some(born) = backend.born() else {
         return false;
     };
     let heartbeat = Heartbeat {
-        id: &backend.id,
+        id: &id,
         address: backend.address,
         sequence,
         born,
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the server: settings, mesh certificates, HTTP ports, platform roles and a soak.
 
+mod backend_server;
 mod crash_quarantine;
 mod crashing_requests;
 mod deployment;
