bug: show that requests with a part that crashes servers keep reaching them

Crashes are counted for path, customer and body; requests that share only one part of their prompts are never the same, so nothing stops them.

Change: tests with three control VMs, three entry VMs and twelve servers that return under new ids 2 s after a crash. Twenty requests a second carry the part and forty sound ones share its caller and its first part, no two alike, for 10 s after the fifth crash: crash within an event, after the head, and after an event without framing (which looks like the end of the answer).

--- a/node/tests/integration/deployment.rs
+++ b/node/tests/integration/deployment.rs
@@ -38,22 +38,29 @@
 
 /// Runs `test` with a deployment whose servers start again after each crash.
 pub fn with_restarting_servers(test: impl FnOnce(&Nodes, &[FakeBackend])) {
-    let servers: Vec<_> = (0..SERVERS)
-        .map(|number| {
-            let id = format!("i-{number}");
-            let server = FakeBackend::bind(&id, EVENT_INTERVAL).expect("fake server listens");
-            server.set_downtime(DOWNTIME);
-            server
-        })
-        .collect();
+    let servers = restarting_servers(SERVERS, DOWNTIME);
+    with_servers(&servers, |nodes| test(nodes, &servers));
+}
+
+/// Returns backend servers that start again after each crash.
+pub fn restarting_servers(count: usize, downtime: Duration) -> Vec<FakeBackend> {
+    let servers = (0..count).map(|number| {
+        let id = format!("i-{number}");
+        let server = FakeBackend::bind(&id, EVENT_INTERVAL).expect("fake server listens");
+        server.set_downtime(downtime);
+        server
+    });
+    servers.collect()
+}
+
+/// Runs `test` with a deployment to which `servers` send heartbeats while they run.
+pub fn with_servers(servers: &[FakeBackend], test: impl FnOnce(&Nodes)) {
     let nodes = start_deployment(ENTRY_VMS, &servers.iter().collect::<Vec<_>>());
     let stopped = AtomicBool::new(false);
     thread::scope(|scope| {
-        scope.spawn(|| send_heartbeats(&nodes, &servers, &stopped));
+        scope.spawn(|| send_heartbeats(&nodes, servers, &stopped));
         // The heartbeats end also when the test panics.
-        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
-            test(&nodes, &servers);
-        }));
+        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| test(&nodes)));
         stopped.store(true, Ordering::Relaxed);
         if let Err(panic) = outcome {
             std::panic::resume_unwind(panic);
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod backend_server;
 mod crash_quarantine;
+mod crashing_parts;
 mod crashing_requests;
 mod deployment;
 mod http_server;
