--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the server: settings, mesh certificates, HTTP ports, platform roles and a soak.
 
+mod backend_server;
 mod crash_quarantine;
+mod crashing_parts;
 mod crashing_requests;
 mod deployment;
 mod http_server;
