feature: decide which prompt parts crash servers

Cause: crashes were counted for whole requests only.

Change: a part is a suspect in the same table, told apart by a marker in its digest. Its crashes count by distinct moments. The part that explains most crashes is to blame for them, from three moments on; others count only what is left. Parts that cannot be told apart are tried one run at a time, and quarantined from five moments on. What a quarantined part explains counts against no request. A part keeps its first and last 16 crashes, so that a crash in a trial is noticed also after crashes of many servers.

--- a/core/src/crash_history.rs
+++ b/core/src/crash_history.rs
@@ -8,33 +8,26 @@
 //! servers at the same moment, as of a rack or a zone, do not count at first. If another content that
 //! crashes repeatedly ran beside it, it is tried again at once, a single run at a time. A run that
 //! completes at about the time of a crash, or later, clears its content.
+//!
+//! Parts of prompts are suspects as well, in the same table. They are told apart by their digests
+//! and judged by rules of their own; what a quarantined part explains counts against no content.
+
+mod contents;
+mod parts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use contents::{Evidence, QUARANTINE_CRASHES};
+use parts::{BlamedPart, blamed_parts, crash_moments, is_candidate};
+
 use crate::directory::Incarnation;
 use crate::time::Moment;
 use crate::units::ContentDigest;
 
-/// Crashes after which a content is quarantined.
-const QUARANTINE_CRASHES: usize = 3;
-/// Crashes after which another content may be to blame for those that it shares.
-const RIVAL_CRASHES: usize = 2;
-/// Quarantines of a content that shares crashes with such another one, from `QUARANTINE_CRASHES` on.
-///
-/// After as many further crashes the content is quarantined like any other.
-const CONTESTED_QUARANTINES: [Duration; 2] = [Duration::ZERO, Duration::from_mins(1)];
 /// Difference of two VMs' times below which one run counts as begun after another's end.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(50);
-/// Largest time between two crashes of a widespread failure, as different VMs see them.
-const WIDESPREAD_SPAN: Duration = Duration::from_millis(150);
-/// Crashes from which on a content is to blame also for those within widespread failures.
-const CERTAIN_CRASHES: usize = 6;
-/// Minimum number of other servers that crash at the same moment in a widespread failure.
-const MIN_WIDESPREAD: usize = 3;
-/// Divisor for their share of the known servers: 1 in 4.
-const WIDESPREAD_DIVISOR: usize = 4;
-/// Duration of an uncontested quarantine after `QUARANTINE_CRASHES` crashes.
+/// Duration of the first uncontested quarantine.
 const FIRST_QUARANTINE: Duration = Duration::from_hours(1);
 /// Factor by which each further crash extends the quarantine.
 const QUARANTINE_FACTOR: u32 = 4;
@@ -44,10 +37,12 @@
 const SUSPICION_LIFETIME: Duration = Duration::from_hours(1);
 /// Time after which a content is forgotten in any case.
 const RECORD_LIFETIME: Duration = Duration::from_hours(48);
-/// Maximum number of contents kept; beyond it, those with the fewest crashes are dropped first.
+/// Maximum number of contents and parts kept; beyond it, the least suspect are dropped first.
 pub const MAX_CONTENTS: usize = 4096;
 /// Maximum number of crashes kept for one content.
 const MAX_CRASHES: usize = 16;
+/// Maximum number of crashes kept for one part: the first and the last ones, half of them each.
+pub const MAX_PART_CRASHES: usize = 32;
 
 /// A run of a request that ended with the server's lifetime.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,7 +60,7 @@
 /// Report of a crashed run, as VMs exchange it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CrashReport {
-    /// Digest of the request's content.
+    /// Digest of the request's content, or of a part of its prompt.
     pub content: ContentDigest,
     /// Lifetime of the server that crashed.
     pub incarnation: Incarnation,
@@ -73,7 +68,7 @@
     pub run: CrashedRun,
 }
 
-/// Whether a content may be sent to backend servers.
+/// Whether a content or part may be sent to backend servers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashVerdict {
     /// It may be sent.
@@ -84,10 +79,10 @@
     OnTrial,
 }
 
-/// A content in quarantine, for operators.
+/// A content or part in quarantine, for operators.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QuarantinedContent {
-    /// Digest of the content.
+    /// Digest of the content or part.
     pub content: ContentDigest,
     /// Crashes that count against it.
     pub crashes: usize,
@@ -95,13 +90,15 @@
     pub until: Moment,
 }
 
-/// Crashed runs of one content, at most one per server lifetime.
+/// Crashed runs of one content or part, at most one per server lifetime.
 type Runs = BTreeMap<Incarnation, CrashedRun>;
 
-/// Crashed runs of all contents known to a VM.
+/// Crashed runs of all contents and parts known to a VM.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CrashHistory {
-    /// At most `MAX_CONTENTS` contents, each with 1 to `MAX_CRASHES` runs.
+    /// At most `MAX_CONTENTS` contents and parts, each with at least one run.
+    ///
+    /// A content has at most `MAX_CRASHES` runs, a part `MAX_PART_CRASHES`.
     contents: BTreeMap<ContentDigest, Runs>,
 }
 
@@ -180,27 +177,42 @@
         known.is_some_and(|known| known.cleared || !report.run.cleared)
     }
 
-    /// Returns the contents in quarantine at `now`.
+    /// Returns the contents and parts in quarantine at `now`.
     #[must_use]
     pub fn quarantined(&self, now: Moment) -> Vec<QuarantinedContent> {
-        let quarantined = self.contents.iter().filter_map(|(content, runs)| {
-            let until = self.quarantined_until(content)?;
-            (now < until).then(|| QuarantinedContent {
+        let blamed = blamed_parts(&self.contents);
+        let parts = blamed.iter().map(|part| QuarantinedContent {
+            content: part.part,
+            crashes: part.moments.len(),
+            until: part.quarantined_until(),
+        });
+        let evidence = self.evidence(&blamed);
+        let contents = evidence.contents().filter_map(|(content, runs)| {
+            Some(QuarantinedContent {
                 content: *content,
                 crashes: sequential_crashes(runs.values()),
-                until,
+                until: evidence.quarantined_until(content, runs)?,
             })
         });
-        quarantined.collect()
+        let mut quarantined: Vec<_> = parts.chain(contents).collect();
+        quarantined.retain(|entry| now < entry.until);
+        quarantined.sort_by_key(|entry| entry.content);
+        quarantined
     }
 
-    /// Forgets contents whose crashes were too long ago.
+    /// Forgets contents and parts whose crashes were too long ago.
     pub fn expire(&mut self, now: Moment) {
-        self.contents.retain(|_, runs| {
-            let lifetime = if sequential_crashes(runs.values()) < QUARANTINE_CRASHES {
-                SUSPICION_LIFETIME
+        let blamed = self.blamed();
+        self.contents.retain(|suspect, runs| {
+            let is_proven = if suspect.is_prompt_part() {
+                blamed.contains(suspect)
             } else {
+                sequential_crashes(runs.values()) >= QUARANTINE_CRASHES
+            };
+            let lifetime = if is_proven {
                 RECORD_LIFETIME
+            } else {
+                SUSPICION_LIFETIME
             };
             now.since(last_crash(runs)) < lifetime
         });
@@ -208,12 +220,8 @@
 
     fn merge_run(&mut self, report: &CrashReport) -> bool {
         let runs = self.contents.entry(report.content).or_default();
-        let has_room = runs.len() < MAX_CRASHES;
         let Some(known) = runs.get_mut(&report.incarnation) else {
-            if has_room {
-                runs.insert(report.incarnation.clone(), report.run);
-            }
-            return has_room;
+            return insert_run(runs, report);
         };
         let newly_cleared = report.run.cleared && !known.cleared;
         known.started = known.started.min(report.run.started);
@@ -223,95 +231,88 @@
         newly_cleared
     }
 
-    /// Drops the content with the fewest crashes, and of those the one with the oldest crash.
+    /// Drops the least suspect content or part, and of those the one with the oldest crash.
     fn drop_weakest(&mut self) {
-        let strength = |runs: &Runs| {
-            let crashes = sequential_crashes(runs.values()).min(QUARANTINE_CRASHES);
-            (crashes, last_crash(runs))
+        let blamed = self.blamed();
+        let strength = |suspect: &ContentDigest, runs: &Runs| {
+            let strength = if !suspect.is_prompt_part() {
+                sequential_crashes(runs.values()).min(QUARANTINE_CRASHES)
+            } else if blamed.contains(suspect) {
+                QUARANTINE_CRASHES
+            } else {
+                crash_moments(runs).len().min(QUARANTINE_CRASHES - 1)
+            };
+            (strength, last_crash(runs))
         };
         let weakest = self
             .contents
             .iter()
-            .min_by_key(|(content, runs)| (strength(runs), **content));
-        if let Some(content) = weakest.map(|(content, _)| *content) {
-            self.contents.remove(&content);
+            .min_by_key(|(suspect, runs)| (strength(suspect, runs), **suspect));
+        if let Some(suspect) = weakest.map(|(suspect, _)| *suspect) {
+            self.contents.remove(&suspect);
         }
     }
 
-    /// Returns the end of a content's quarantine, also if it has passed.
-    fn quarantined_until(&self, content: &ContentDigest) -> Option<Moment> {
-        let runs = self.contents.get(content)?;
-        let further = self.counted_crashes(runs).checked_sub(QUARANTINE_CRASHES)?;
-        let contested = CONTESTED_QUARANTINES
-            .get(further)
-            .filter(|_| self.is_contested(content, runs));
-        let duration = contested.copied().unwrap_or_else(|| {
-            let exponent = u32::try_from(further).unwrap_or(u32::MAX);
-            let factor = QUARANTINE_FACTOR.saturating_pow(exponent);
-            FIRST_QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE)
-        });
-        Some(last_crash(runs) + duration)
-    }
-
-    /// Counts the crashes of a content that may have caused them.
+    /// Returns the end of a suspect's quarantine, also if it has passed.
     ///
-    /// Runs that began after the crash do not count, nor do widespread failures at first.
-    fn counted_crashes(&self, runs: &Runs) -> usize {
-        let crashes = sequential_crashes(runs.values());
-        if crashes < QUARANTINE_CRASHES {
-            return crashes;
+    /// The other suspects are looked at only if its own crashes suffice for a quarantine.
+    fn quarantined_until(&self, suspect: &ContentDigest) -> Option<Moment> {
+        let runs = self.contents.get(suspect)?;
+        if suspect.is_prompt_part() {
+            let blamed = is_candidate(runs).then(|| blamed_parts(&self.contents))?;
+            let blamed = blamed.iter().find(|part| part.part == *suspect)?;
+            return Some(blamed.quarantined_until());
         }
-        let in_time = runs.iter().filter(|(incarnation, run)| {
-            let crashed_at = self.crashed_at(incarnation).unwrap_or(run.ended);
-            run.started <= crashed_at + CLOCK_TOLERANCE
-        });
-        let in_time: Vec<_> = in_time.map(|(_, run)| run).collect();
-        let crashes = sequential_crashes(in_time.iter().copied());
-        if crashes >= CERTAIN_CRASHES {
-            return crashes;
+        if sequential_crashes(runs.values()) < QUARANTINE_CRASHES {
+            return None;
         }
-        let isolated = in_time.into_iter();
-        sequential_crashes(isolated.filter(|run| !self.is_widespread(runs, run)))
+        let blamed = blamed_parts(&self.contents);
+        self.evidence(&blamed).quarantined_until(suspect, runs)
     }
 
-    /// Returns when the first run on a server ended with it.
-    ///
-    /// Later ones were sent to a server that no longer ran, such as through a proxy.
-    fn crashed_at(&self, incarnation: &Incarnation) -> Option<Moment> {
-        let runs = self.contents.values();
-        let ends = runs.filter_map(|runs| runs.get(incarnation).map(|run| run.ended));
-        ends.min()
+    /// Returns what contents are judged by, given the parts that are to blame.
+    fn evidence<'a>(&'a self, blamed: &[BlamedPart<'a>]) -> Evidence<'a> {
+        let certain = blamed.iter().filter(|part| part.is_certain());
+        let crashes = certain.flat_map(|part| &part.crashes);
+        Evidence {
+            all: &self.contents,
+            explained: crashes.map(|(incarnation, _)| *incarnation).collect(),
+        }
     }
 
-    /// Whether many servers, on which the content did not run, crashed at the same moment.
-    fn is_widespread(&self, runs: &Runs, run: &CrashedRun) -> bool {
-        let all_runs = self.contents.values().flatten();
-        let others: BTreeSet<_> = all_runs
-            .filter(|(_, other)| is_simultaneous(run.ended, other.ended))
-            .map(|(incarnation, _)| incarnation)
-            .filter(|incarnation| !runs.contains_key(incarnation))
-            .collect();
-        let share = usize::try_from(run.servers).unwrap_or(usize::MAX) / WIDESPREAD_DIVISOR;
-        others.len() >= MIN_WIDESPREAD.max(share)
+    /// Returns the parts that are to blame for crashes.
+    fn blamed(&self) -> BTreeSet<ContentDigest> {
+        let blamed = blamed_parts(&self.contents).into_iter();
+        blamed.map(|part| part.part).collect()
     }
+}
 
-    /// Whether another content, which has crashed servers repeatedly, ran on one of the servers.
-    fn is_contested(&self, content: &ContentDigest, runs: &Runs) -> bool {
-        let shared = |other: &Runs| {
-            let mut counted = other.iter().filter(|(_, run)| !run.cleared);
-            counted.any(|(incarnation, _)| runs.get(incarnation).is_some_and(|run| !run.cleared))
-        };
-        self.contents.iter().any(|(other, other_runs)| {
-            other != content
-                && sequential_crashes(other_runs.values()) >= RIVAL_CRASHES
-                && shared(other_runs)
-        })
+/// Adds a run on a server that is not known yet; returns whether it was kept.
+///
+/// A part keeps its first and its last crashes, whatever the order of reports.
+fn insert_run(runs: &mut Runs, report: &CrashReport) -> bool {
+    let is_part = report.content.is_prompt_part();
+    if !is_part && runs.len() >= MAX_CRASHES {
+        return false;
+    }
+    runs.insert(report.incarnation.clone(), report.run);
+    if is_part && runs.len() > MAX_PART_CRASHES {
+        let mut by_end: Vec<_> = runs
+            .iter()
+            .map(|(server, run)| (run.ended, server))
+            .collect();
+        by_end.sort_unstable();
+        let middle = by_end[MAX_PART_CRASHES / 2].1.clone();
+        runs.remove(&middle);
     }
+    runs.contains_key(&report.incarnation)
 }
 
-/// Whether two crashes may belong to one widespread failure.
-fn is_simultaneous(a: Moment, b: Moment) -> bool {
-    a.since(b).max(b.since(a)) <= WIDESPREAD_SPAN
+/// Returns the duration of an uncontested quarantine after `further` crashes beyond the first ones.
+fn extended_quarantine(further: usize) -> Duration {
+    let exponent = u32::try_from(further).unwrap_or(u32::MAX);
+    let factor = QUARANTINE_FACTOR.saturating_pow(exponent);
+    FIRST_QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE)
 }
 
 /// Counts runs that are not cleared, each of which began after the end of the one before.
--- a/core/src/units.rs
+++ b/core/src/units.rs
@@ -75,7 +75,13 @@
     }
 }
 
-/// SHA-256 digest of a request, a document or a token.
+/// First bytes of the digests of prompt parts.
+const PART_MARKER: [u8; 8] = *b"part\0\0\0\0";
+
+/// SHA-256 digest of a request, a document, a token or a part of a prompt.
+///
+/// The digest of a prompt part begins with `PART_MARKER`, and that of anything else does not.
+/// Wherever digests are stored or sent, this tells parts from whole requests without a field.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ContentDigest(pub [u8; 32]);
 
@@ -99,6 +105,20 @@
         Self(hash.finalize().into())
     }
 
+    /// Computes the digest of a prompt part of a service, marked as such.
+    #[must_use]
+    pub fn of_prompt_part(service: &str, part: &str) -> Self {
+        let Self(mut digest) = Self::of_parts(&[service.as_bytes(), part.as_bytes()]);
+        digest[..PART_MARKER.len()].copy_from_slice(&PART_MARKER);
+        Self(digest)
+    }
+
+    /// Whether this is the digest of a prompt part, not of a whole request.
+    #[must_use]
+    pub fn is_prompt_part(&self) -> bool {
+        self.0.starts_with(&PART_MARKER)
+    }
+
     /// Parses 64 hexadecimal digits; returns `None` for any other text.
     #[must_use]
     pub fn from_hex(text: &str) -> Option<Self> {
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod crash_detector;
 mod crash_history;
+mod crash_parts;
 mod directory;
 mod dispatch;
 mod dispatch_fuzz;
