--- a/core/tests/integration/crash_parts.rs
+++ b/core/tests/integration/crash_parts.rs
@@ -149,6 +149,35 @@
     assert_eq!(verdict(&history, part(2)), quarantined(1200, 1));
 }
 
+#[test]
+fn a_part_on_more_servers_explains_away_one_with_more_moments() {
+    let pairs = (0..6).map(|server| crash(part(1), server, 100 * u64::from(server / 2)));
+    let beside = [(0, 0), (2, 100), (4, 200), (10, 1000)];
+    let beside = beside.map(|(server, ended_ms)| crash(part(2), server, ended_ms));
+    let history = history(pairs.chain(beside));
+    assert_eq!(verdict(&history, part(1)), quarantined(200, 1));
+    assert_eq!(verdict(&history, part(2)), CrashVerdict::Allowed);
+}
+
+#[test]
+fn of_two_parts_on_equally_many_servers_the_one_with_more_moments_is_to_blame() {
+    let mut history = history(crashes(part(1), 0..4).chain(crashes(part(2), 0..3)));
+    history.merge(&crash(part(2), 10, 210));
+    assert_eq!(verdict(&history, part(1)), quarantined(300, 1));
+    assert_eq!(verdict(&history, part(2)), CrashVerdict::Allowed);
+}
+
+#[test]
+fn crashes_of_which_a_part_was_cleared_are_not_explained_by_it() {
+    let mut history = history(crashes(part(2), 0..8));
+    history.clear(&part(2));
+    for report in crashes(part(2), 10..13).chain(crashes(part(1), 0..3)) {
+        history.merge(&report);
+    }
+    assert_eq!(verdict(&history, part(1)), quarantined(200, 1));
+    assert_eq!(verdict(&history, part(2)), quarantined(1200, 1));
+}
+
 /// Reports of a suspect on servers that crash two seconds apart, so that its runs do not overlap.
 fn slow_crashes(
     suspect: ContentDigest,
@@ -397,6 +426,17 @@
     assert_ne!(learned, CrashVerdict::Allowed, "a full table still learns");
 }
 
+#[test]
+fn a_part_that_crashed_two_servers_outlasts_a_flood_of_parts_with_one_crash_each() {
+    let mut history = history(crashes(part(1), 0..2));
+    for number in 0..5000 {
+        history.merge(&crash(part(100 + number), 1000 + number, 300_000));
+    }
+    history.merge(&crash(part(1), 2, 300_100));
+    let third = quarantined(300_100, 1);
+    assert_eq!(history.verdict(at(300_100), &part(1)), third);
+}
+
 #[test]
 fn a_flood_of_parts_beside_the_guilty_one_does_not_displace_it() {
     let guilty = crashes(part(1), 0..4);
