bug: keep requests with a part that crashes servers away from them

Cause: crashes are counted for an identity, and the only identity was the exact request (path, customer and body). Requests that share just the guilty part are never the same, so no count reached three. The class of fault: evidence collected for a key that is finer than the cause. Beside it, an answer without length and chunks that ends between two events counted as complete, cleared its content and went back into the connection pool, also when its server had just crashed.

A part that completed here in the last 30 s is not reported, and clears reports of others. A part in quarantine refuses its requests at once; parts that cannot be told apart are tried one run at a time. After a break a request with a part that completed nowhere here lately waits 0.45 s for evidence before its retry. An end without framing counts as complete only while the server still accepts connections; it is not pooled, and for plain calls speaks for nothing.

A zone that crashes five times convicts no part.

--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -130,6 +130,7 @@
     let entry = |entry: &QuarantineEntry| {
         json!({
             "content": entry.quarantined.content.to_string(),
+            "prompt_part": entry.quarantined.content.is_prompt_part(),
             "crashes": entry.quarantined.crashes,
             "left_ms": duration_millis(entry.left),
         })
--- a/node/src/crash_exchange.rs
+++ b/node/src/crash_exchange.rs
@@ -23,6 +23,8 @@
     pub(crate) history: CrashHistory,
     /// Contents that servers completed for this VM; always empty at a control VM.
     completions: RecentCompletions,
+    /// Prompt parts of these contents, apart so that neither crowds out the other.
+    part_completions: RecentCompletions,
     /// Linked VMs that understand crash reports.
     subscribers: BTreeSet<VmId>,
 }
@@ -55,25 +57,40 @@
         }
     }
 
-    /// Records that a server ran a content to its end; returns the reports that clear it.
+    /// Records that a server ran a content or part to its end; returns the reports that clear it.
     pub(crate) fn record_completed(
         &mut self,
         now: Moment,
         content: ContentDigest,
     ) -> Vec<CrashReport> {
-        self.completions.record(now, content);
+        let completions = if content.is_prompt_part() {
+            &mut self.part_completions
+        } else {
+            &mut self.completions
+        };
+        completions.record(now, content);
         self.history.clear(&content)
     }
 
+    /// Whether a content or part completed here shortly before `moment`, or after it.
+    pub(crate) fn has_completed(&self, moment: Moment, content: &ContentDigest) -> bool {
+        if content.is_prompt_part() {
+            self.part_completions.speaks_for(content, moment)
+        } else {
+            self.completions.speaks_for(content, moment)
+        }
+    }
+
+    /// Whether the content or part of a report completed here at about the time of the crash.
+    pub(crate) fn is_refuted(&self, report: &CrashReport) -> bool {
+        self.has_completed(report.run.ended, &report.content)
+    }
+
     /// Clears the contents of reports that completed here at about the time of the crash.
     ///
     /// Returns the reports that tell other VMs.
     pub(crate) fn refute(&mut self, reports: &[CrashReport]) -> Vec<CrashReport> {
-        let speaks_for = |report: &&CrashReport| {
-            self.completions
-                .speaks_for(&report.content, report.run.ended)
-        };
-        let refuted = reports.iter().filter(speaks_for);
+        let refuted = reports.iter().filter(|report| self.is_refuted(report));
         let contents: BTreeSet<_> = refuted.map(|report| report.content).collect();
         let cleared = contents.iter().map(|content| self.history.clear(content));
         cleared.collect::<Vec<_>>().concat()
@@ -155,6 +172,7 @@
     fn log_quarantine(&self, now: Moment, content: &ContentDigest, log: &Logger) {
         if let CrashVerdict::QuarantinedUntil(until) = self.history.verdict(now, content) {
             warn!(log, "Content quarantined"; "content" => %content,
+                "part" => content.is_prompt_part(),
                 "for_s" => until.since(now).as_secs());
         }
     }
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod body;
 mod buffered;
+mod crash_verdict;
 mod crash_watch;
 mod exchange;
 mod hedge;
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -10,7 +10,7 @@
 use slog::info;
 use tokio::time::{sleep, timeout};
 
-use super::crash_watch::{self, Permission};
+use super::crash_verdict::{self, Permission};
 use super::exchange::{Failure, Progress, UpstreamResponse, attempt, hang_timeout};
 use super::hedge::{self, HEDGE_INTERVAL, HedgeFailure};
 use super::open_requests::Phase;
@@ -121,7 +121,7 @@
             };
             self.record_failure(gateway, call, &incarnation, failure);
             self.authorize_retry(gateway, call, failure)?;
-            crash_watch::await_evidence(gateway, call).await;
+            crash_verdict::await_evidence(gateway, call, failure.run_state()).await;
             if matches!(failure, Failure::Refused | Failure::NoMemory) {
                 sleep(REFUSAL_BACKOFF).await;
             }
@@ -314,7 +314,7 @@
     /// Checks whether the request may be sent; the trial of a content is sent only once.
     fn permission(&self, gateway: &Gateway, call: &CallerRequest) -> Permission {
         match (self.on_trial, self.run_state()) {
-            (false, _) => crash_watch::permission(gateway, call),
+            (false, _) => crash_verdict::permission(gateway, call),
             (true, RunState::NotRun) => Permission::Send,
             (true, _) => Permission::Refuse(Duration::ZERO),
         }
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -7,14 +7,15 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 use merlinrudder_core::health::ServerOutcome;
-use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason};
+use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
 use tokio::time::timeout;
 
 use super::attempts::Attempts;
 use super::body::ResponseBody;
+use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{UpstreamResponse, forwarded_response, return_to_pool};
+use super::exchange::{UpstreamResponse, forwarded_response, is_framed, return_to_pool};
 use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
@@ -37,9 +38,11 @@
         let complete_response = read_response(gateway, &call, upstream_response).await;
         let succeeded =
             matches!(&complete_response, Some((head, _)) if !head.status.is_server_error());
-        match run {
-            Some(run) if complete_response.is_none() => run.broke(),
-            _ if succeeded => crash_watch::record_completed(gateway, &call),
+        match (&complete_response, run) {
+            (None, Some(run)) => run.broke(),
+            (Some((head, _)), _) if head.status.is_success() && is_framed(head) => {
+                crash_watch::record_completed(gateway, &call);
+            }
             _ => {}
         }
         let server_outcome = if succeeded {
@@ -56,7 +59,7 @@
             attempts.excluded.push(server.clone());
             if attempts.try_retry(gateway, &call).is_ok() {
                 metrics::count_retry(RetryReason::IdempotentBroken);
-                crash_watch::await_evidence(gateway, &call).await;
+                crash_verdict::await_evidence(gateway, &call, RunState::MayHaveRun).await;
                 continue;
             }
         }
@@ -107,7 +110,7 @@
     return_to_pool(
         gateway,
         upstream_response.connection,
-        &upstream_response.head.headers,
+        &upstream_response.head,
     );
     Some((upstream_response.head, body.to_bytes()))
 }
--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use merlinrudder_core::crash_detector::{BrokenRun, CrashDetector, SETTLE_TIME};
-use merlinrudder_core::crash_history::{CrashReport, CrashVerdict};
+use merlinrudder_core::crash_history::CrashReport;
 use merlinrudder_core::directory::{Incarnation, ServerStage};
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::time::Moment;
@@ -29,14 +29,6 @@
 const PROBE_DELAYS: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(120)];
 /// Timeout for such an attempt; a server that cannot be reached gives no evidence.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest time for which the result of a trial is awaited.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time for which a request waits for the trial of its content.
-const TRIAL_WAIT: Duration = Duration::from_millis(1500);
-/// Time after which a caller may return if the trial takes longer.
-const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Time from the end of a run until a crash that it caused is in the history.
-const EVIDENCE_WAIT: Duration = Duration::from_millis(450);
 /// Margin by which a report waits longer than the settle time, as times are whole milliseconds.
 const SETTLE_MARGIN: Duration = Duration::from_millis(5);
 /// Interval at which old entries of the crash history are removed.
@@ -51,8 +43,8 @@
     /// Runs in progress by number.
     running: BTreeMap<u64, RunInProgress>,
     last_run: u64,
-    /// Contents that a VM tries again, each with the time until which its result is awaited.
-    trials: BTreeMap<ContentDigest, Moment>,
+    /// Contents and parts on trial, each with the time until which its result is awaited.
+    pub(super) trials: BTreeMap<ContentDigest, Moment>,
     /// Lifetimes of servers that are being probed.
     probing: BTreeSet<Incarnation>,
 }
@@ -100,8 +92,11 @@
         let Some(run) = watch.running.remove(&self.number) else {
             return;
         };
-        let incarnation = run.incarnation.clone();
-        let missing = watch.detector.record_broken(run.into_broken(gateway.now()));
+        let mut missing = false;
+        for broken in run.broken(gateway.now()) {
+            missing = watch.detector.record_broken(broken);
+        }
+        let incarnation = run.incarnation;
         if !missing {
             spawn_local(report_later(Rc::clone(gateway)));
         } else if watch.probing.insert(incarnation.clone()) {
@@ -118,96 +113,42 @@
 }
 
 impl CrashWatch {
-    /// Whether a VM tries a content again, and its result is not known yet.
-    fn is_on_trial(&self, now: Moment, content: &ContentDigest) -> bool {
-        self.trials.get(content).is_some_and(|end| now < *end)
+    /// Whether a VM tries a content or part again, and its result is not known yet.
+    pub(super) fn is_on_trial(&self, now: Moment, suspect: &ContentDigest) -> bool {
+        self.trials.get(suspect).is_some_and(|end| now < *end)
     }
 }
 
 impl RunInProgress {
-    fn into_broken(self, now: Moment) -> BrokenRun {
-        BrokenRun {
-            content: self.content.digest(),
-            incarnation: self.incarnation,
+    /// Returns a broken run of the request's content and of each part of its prompt.
+    fn broken(&self, now: Moment) -> Vec<BrokenRun> {
+        let broken = |content| BrokenRun {
+            content,
+            incarnation: self.incarnation.clone(),
             started: self.started,
             ended: now,
-        }
-    }
-}
-
-/// Whether a request may be sent to a server now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Permission {
-    /// It may be sent.
-    Send,
-    /// It may be sent once, as the trial of its content.
-    SendOnTrial,
-    /// Its content is on trial; the result is awaited.
-    Wait,
-    /// It must not be sent; its caller may return after this time.
-    Refuse(Duration),
-}
-
-/// Checks whether a request may be sent, and starts the trial of its content if one is due.
-///
-/// The digest is only computed where crashes are known.
-pub(super) fn permission(gateway: &Gateway, call: &CallerRequest) -> Permission {
-    let mut watch = gateway.crashes.borrow_mut();
-    if watch.exchange.history.is_empty() {
-        return Permission::Send;
-    }
-    let (now, content) = (gateway.now(), call.content.digest());
-    match watch.exchange.history.verdict(now, &content) {
-        CrashVerdict::Allowed => Permission::Send,
-        CrashVerdict::QuarantinedUntil(until) => Permission::Refuse(until.since(now)),
-        CrashVerdict::OnTrial if watch.is_on_trial(now, &content) => {
-            if now.since(call.received_at) < TRIAL_WAIT {
-                Permission::Wait
-            } else {
-                Permission::Refuse(TRIAL_RETRY_AFTER)
-            }
-        }
-        CrashVerdict::OnTrial => {
-            watch.trials.insert(content, now + TRIAL_TIMEOUT);
-            let peers = gateway.links.peers();
-            let vms = peers.iter().map(WirePeer::vm_id);
-            watch.exchange.share_trial(&gateway.links, vms, content);
-            info!(gateway.log, "Content tried again"; "content" => %content,
-                "request" => call.attempt_id_text());
-            Permission::SendOnTrial
-        }
+        };
+        self.content.suspects().map(broken).collect()
     }
 }
 
-/// Records that another VM tries a content again.
-pub(super) fn receive_trial(gateway: &Gateway, content: [u8; 32]) {
-    let end = gateway.now() + TRIAL_TIMEOUT;
+/// Clears the content and the parts of a request that a server ran to its end.
+pub(super) fn record_completed(gateway: &Gateway, call: &CallerRequest) {
+    let now = gateway.now();
     let mut watch = gateway.crashes.borrow_mut();
-    watch.trials.insert(ContentDigest(content), end);
+    let exchange = &mut watch.exchange;
+    let suspects = call.content.suspects();
+    let cleared: Vec<_> = suspects
+        .flat_map(|suspect| exchange.record_completed(now, suspect))
+        .collect();
+    share(gateway, exchange, &cleared);
 }
 
-/// Waits before a retry of a content that has already crashed servers.
+/// Whether a server has ended that closed its connection at what may be the end of a response.
 ///
-/// Its last attempt may have crashed one more, which becomes known within this time.
-pub(super) async fn await_evidence(gateway: &Gateway, call: &CallerRequest) {
-    if is_suspect(gateway, call) {
-        sleep(EVIDENCE_WAIT.min(call.time_left(gateway.now()))).await;
-    }
-}
-
-/// Whether the content of a request has crashed servers and was not cleared since.
-pub(super) fn is_suspect(gateway: &Gateway, call: &CallerRequest) -> bool {
-    let watch = gateway.crashes.borrow();
-    let history = &watch.exchange.history;
-    !history.is_empty() && history.is_suspect(&call.content.digest())
-}
-
-/// Clears the content of a request that a server ran to its end.
-pub(super) fn record_completed(gateway: &Gateway, call: &CallerRequest) {
-    let (now, content) = (gateway.now(), call.content.digest());
-    let mut watch = gateway.crashes.borrow_mut();
-    let cleared = watch.exchange.record_completed(now, content);
-    share(gateway, &watch.exchange, &cleared);
+/// Without a length or chunks nothing else tells a complete response from one cut by a crash.
+pub(super) async fn has_crashed(gateway: &Gateway, incarnation: &Incarnation) -> bool {
+    is_refusing(gateway, incarnation).await
 }
 
 /// Records that a server answered a request.
@@ -225,7 +166,7 @@
     let ended = watch
         .running
         .extract_if(.., |_, run| run.incarnation == *incarnation);
-    let ended: Vec<_> = ended.map(|(_, run)| run.into_broken(now)).collect();
+    let ended: Vec<_> = ended.flat_map(|(_, run)| run.broken(now)).collect();
     for run in ended {
         watch.detector.record_broken(run);
     }
@@ -299,8 +240,10 @@
     let now = gateway.now();
     let servers = gateway.fleet.borrow().directory.records().count();
     let mut watch = gateway.crashes.borrow_mut();
-    let reports = watch.detector.take_reports(now, servers);
+    let mut reports = watch.detector.take_reports(now, servers);
     let exchange = &mut watch.exchange;
+    // Most parts are shared by many requests; those that completed here need no report.
+    reports.retain(|report| !report.content.is_prompt_part() || !exchange.is_refuted(report));
     let mut added = exchange.merge(now, reports, &gateway.log);
     added.extend(exchange.refute(&added));
     share(&gateway, exchange, &added);
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap};
+use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use merlinrudder_core::deployment::CallKind;
 use merlinrudder_core::engine_model::EngineProfile;
@@ -252,14 +252,19 @@
     }
 }
 
+/// Whether a response has a length or chunks, so that its end is told from a cut.
+pub(super) fn is_framed(head: &Parts) -> bool {
+    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Pools the connection of a completed response, unless the server closes it.
-pub(super) fn return_to_pool(gateway: &Gateway, connection: Connection, head: &HeaderMap) {
-    let closes = text_header(head, CONNECTION.as_str())
+pub(super) fn return_to_pool(gateway: &Gateway, connection: Connection, head: &Parts) {
+    let closes = text_header(&head.headers, CONNECTION.as_str())
         .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-    if closes {
+    if closes || !is_framed(head) {
         return;
     }
-    let server_timeout = text_header(head, "keep-alive")
+    let server_timeout = text_header(&head.headers, "keep-alive")
         .and_then(headers::parse_keep_alive)
         .map(Duration::from_secs);
     gateway.pool.put_back(connection, server_timeout);
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -11,7 +11,7 @@
 use merlinrudder_core::outcome::RetryReason;
 use slog::info;
 
-use super::crash_watch;
+use super::crash_verdict;
 use super::exchange::{Failure, Progress, UpstreamResponse, attempt};
 use super::request::CallerRequest;
 use super::selection::{Selection, select_servers};
@@ -41,7 +41,7 @@
     last_event: Option<u64>,
     progress: &Progress,
 ) -> Result<UpstreamResponse, HedgeFailure> {
-    if crash_watch::is_suspect(gateway, call) {
+    if crash_verdict::is_suspect(gateway, call) {
         return Err(HedgeFailure::NotSent);
     }
     let Selection::Selected(selected) = select_servers(gateway, call, excluded) else {
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::crash_verdict;
 use super::crash_watch;
 use super::placement_sync;
 use super::state::Gateway;
@@ -87,7 +88,7 @@
             let mut crashes = gateway.crashes.borrow_mut();
             crashes.exchange.answer_pull(now, &gateway.links, from);
         }
-        MeshMessage::TrialStarted(content) => crash_watch::receive_trial(gateway, content),
+        MeshMessage::TrialStarted(content) => crash_verdict::receive_trial(gateway, content),
         MeshMessage::CrashReports(reports) => crash_watch::receive(gateway, from, reports),
         MeshMessage::Placements(placements) => placement_sync::apply(gateway, from, placements),
         other => debug!(gateway.log, "Unhandled message"; "from" => %from, "message" => ?other),
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -43,6 +43,9 @@
     "upgrade",
 ];
 
+/// Maximum number of parts of a prompt that are told apart in the search for crashing ones.
+const MAX_PROMPT_PARTS: usize = 64;
+
 /// An admitted request with its complete body.
 #[derive(Debug)]
 pub(super) struct CallerRequest {
@@ -81,11 +84,20 @@
     /// Customer of the API key; `None` where no key was needed or known.
     customer: Option<Arc<CustomerRule>>,
     body: Bytes,
-    /// Digest of the other fields, once it was needed.
+    /// Digests of the prompt's parts but the last one, which is the request's own.
+    ///
+    /// Of a prompt with very many parts it holds the first `MAX_PROMPT_PARTS`.
+    pub(super) parts: Vec<ContentDigest>,
+    /// Digest of path, query, customer and body, once it was needed.
     digest: OnceCell<ContentDigest>,
 }
 
 impl RequestContent {
+    /// Returns all that a crash during this request may be blamed on.
+    pub(super) fn suspects(&self) -> impl Iterator<Item = ContentDigest> + '_ {
+        std::iter::once(self.digest()).chain(self.parts.iter().copied())
+    }
+
     /// Returns the digest of path, query, customer and body.
     pub(super) fn digest(&self) -> ContentDigest {
         *self.digest.get_or_init(|| {
@@ -187,6 +199,7 @@
         uri: origin_form(&head.uri),
         customer,
         body,
+        parts: prompt_parts(&head.headers, service.as_str()),
         digest: OnceCell::new(),
     };
     let guard = OpenRequestGuard::new(gateway, text(&attempt_id), received_at);
@@ -208,6 +221,17 @@
     })
 }
 
+/// Returns the digests of the prompt's parts but the last one, at most `MAX_PROMPT_PARTS`.
+fn prompt_parts(headers: &HeaderMap, service: &str) -> Vec<ContentDigest> {
+    let lines = headers.get_all(headers::PROMPT_PARTS).iter();
+    let lines = lines.filter_map(|line| line.to_str().ok());
+    let mut ids: Vec<_> = lines.flat_map(headers::prompt_part_ids).collect();
+    ids.pop();
+    let ids = ids.into_iter().take(MAX_PROMPT_PARTS);
+    ids.map(|id| ContentDigest::of_prompt_part(service, &id.to_ascii_lowercase()))
+        .collect()
+}
+
 /// Returns the deployment in force, and waits for it at startup.
 ///
 /// Waits up to 750 ms until the deployment and a server of one of its services are known.
--- a/node/src/gateway/reservation.rs
+++ b/node/src/gateway/reservation.rs
@@ -164,6 +164,6 @@
         .collect()
         .await
         .ok()?;
-    super::exchange::return_to_pool(gateway, connection, &head.headers);
+    super::exchange::return_to_pool(gateway, connection, &head);
     Some(head.status.is_success())
 }
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -19,8 +19,9 @@
 use super::attempts::Attempts;
 use super::body::{ChunkSender, ResponseBody, TruncatedResponse};
 use super::buffered;
+use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{Progress, UpstreamResponse, forwarded_response, return_to_pool};
+use super::exchange::{Progress, UpstreamResponse, forwarded_response, is_framed, return_to_pool};
 use super::hedge::HEDGE_INTERVAL;
 use super::open_requests::Phase;
 use super::placement_sync;
@@ -134,15 +135,14 @@
                     self.take_over(&mut source, *next);
                     continue;
                 }
-                SourceEnd::Ended(end) => end,
+                SourceEnd::Ended(end) => self.check_end(&source, end).await,
             };
             self.record_source_end(&mut source, end);
             let upstream = source.upstream;
             match end {
                 StreamEnd::Broken(_) => {}
                 StreamEnd::Complete => {
-                    let headers = &upstream.head.headers;
-                    return_to_pool(&self.gateway, upstream.connection, headers);
+                    return_to_pool(&self.gateway, upstream.connection, &upstream.head);
                     return end;
                 }
                 StreamEnd::CallerGone | StreamEnd::Overdue | StreamEnd::Stopping => return end,
@@ -158,6 +158,17 @@
         }
     }
 
+    /// Checks an end that only the closed connection marks: the engine may have crashed instead.
+    async fn check_end(&self, source: &StreamSource, end: StreamEnd) -> StreamEnd {
+        let upstream = &source.upstream;
+        let incarnation = upstream.selected.incarnation();
+        let is_certain = end != StreamEnd::Complete || is_framed(&upstream.head);
+        if !is_certain && crash_watch::has_crashed(&self.gateway, &incarnation).await {
+            return StreamEnd::Broken("server crashed");
+        }
+        end
+    }
+
     /// Goes on with the hedge that overtook a silent engine, whose request is cancelled.
     fn take_over(&mut self, source: &mut StreamSource, next: StreamSource) {
         info!(self.gateway.log, "Stream goes on with a hedge"; "request" => self.call.attempt_id_text(),
@@ -182,7 +193,7 @@
         let upstream = &mut source.upstream;
         match (end, upstream.run.take()) {
             (StreamEnd::Broken(_), Some(run)) => run.broke(),
-            (StreamEnd::Complete, _) if !upstream.head.status.is_server_error() => {
+            (StreamEnd::Complete, _) if upstream.head.status.is_success() => {
                 crash_watch::record_completed(&self.gateway, &self.call);
             }
             _ => {}
@@ -203,7 +214,7 @@
             return None;
         }
         metrics::count_retry(RetryReason::StreamResumed);
-        crash_watch::await_evidence(&self.gateway, &self.call).await;
+        crash_verdict::await_evidence(&self.gateway, &self.call, RunState::MayHaveRun).await;
         let next = self
             .attempts
             .run_until_response(&self.gateway, &self.call, self.last_event);
