refactor: drop suspects from a full table without judging the parts

Cause: a merge into a full table judged all parts first.

Change: suspects are dropped by their own crashes alone. One that was just added has a single run, so none with two crashes is dropped, whoever is to blame.

--- a/core/src/crash_history.rs
+++ b/core/src/crash_history.rs
@@ -37,7 +37,7 @@
 const SUSPICION_LIFETIME: Duration = Duration::from_hours(1);
 /// Time after which a content is forgotten in any case.
 const RECORD_LIFETIME: Duration = Duration::from_hours(48);
-/// Maximum number of contents and parts kept; beyond it, the least suspect are dropped first.
+/// Maximum number of contents and parts kept; beyond it, those with the fewest crashes go first.
 pub const MAX_CONTENTS: usize = 4096;
 /// Maximum number of crashes kept for one content.
 const MAX_CRASHES: usize = 16;
@@ -202,7 +202,8 @@
 
     /// Forgets contents and parts whose crashes were too long ago.
     pub fn expire(&mut self, now: Moment) {
-        let blamed = self.blamed();
+        let blamed = blamed_parts(&self.contents).into_iter();
+        let blamed: BTreeSet<_> = blamed.map(|part| part.part).collect();
         self.contents.retain(|suspect, runs| {
             let is_proven = if suspect.is_prompt_part() {
                 blamed.contains(suspect)
@@ -231,17 +232,17 @@
         newly_cleared
     }
 
-    /// Drops the least suspect content or part, and of those the one with the oldest crash.
+    /// Drops the suspect with the fewest crashes, and of those the one with the oldest crash.
+    ///
+    /// One that was just added has a single run, so none with two crashes is ever dropped.
     fn drop_weakest(&mut self) {
-        let blamed = self.blamed();
         let strength = |suspect: &ContentDigest, runs: &Runs| {
-            let strength = if !suspect.is_prompt_part() {
-                sequential_crashes(runs.values()).min(QUARANTINE_CRASHES)
-            } else if blamed.contains(suspect) {
-                QUARANTINE_CRASHES
+            let crashes = if suspect.is_prompt_part() {
+                crash_moments(runs).len()
             } else {
-                crash_moments(runs).len().min(QUARANTINE_CRASHES - 1)
+                sequential_crashes(runs.values())
             };
+            let strength = crashes.min(QUARANTINE_CRASHES);
             (strength, last_crash(runs))
         };
         let weakest = self
@@ -279,12 +280,6 @@
             explained: crashes.map(|(incarnation, _)| *incarnation).collect(),
         }
     }
-
-    /// Returns the parts that are to blame for crashes.
-    fn blamed(&self) -> BTreeSet<ContentDigest> {
-        let blamed = blamed_parts(&self.contents).into_iter();
-        blamed.map(|part| part.part).collect()
-    }
 }
 
 /// Adds a run on a server that is not known yet; returns whether it was kept.
