bug: truncate a response whose forwarder ends without having completed it

The end of a complete response is a chunk of its own now; a channel that closes without it truncates the response. This also replaces the error that each incomplete end had to send.

--- a/node/src/gateway/body.rs
+++ b/node/src/gateway/body.rs
@@ -21,16 +21,25 @@
 
 impl std::error::Error for TruncatedResponse {}
 
+/// Piece of a streamed response.
+#[derive(Debug)]
+pub(super) enum Chunk {
+    /// Bytes to forward.
+    Data(Bytes),
+    /// The response is complete; without it, the end of the channel truncates the response.
+    End,
+}
+
 /// Sends the chunks of a streamed response to its body.
-pub(super) type ChunkSender = mpsc::Sender<Result<Bytes, TruncatedResponse>>;
+pub(super) type ChunkSender = mpsc::Sender<Chunk>;
 
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub(super) enum ResponseBody {
     /// The complete body; `None` once hyper has taken it.
     Buffered(Option<Bytes>),
-    /// Chunks in order, forwarded as they arrive; an error truncates the response.
-    Streaming(mpsc::Receiver<Result<Bytes, TruncatedResponse>>),
+    /// Chunks in order, forwarded as they arrive.
+    Streaming(mpsc::Receiver<Chunk>),
 }
 
 impl ResponseBody {
@@ -50,9 +59,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streaming(chunks) => chunks
-                .poll_recv(cx)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Streaming(chunks) => chunks.poll_recv(cx).map(|chunk| match chunk {
+                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Chunk::End) => None,
+                None => Some(Err(TruncatedResponse)),
+            }),
         }
     }
 
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use super::attempts::Attempts;
-use super::body::{ChunkSender, ResponseBody, TruncatedResponse};
+use super::body::{Chunk, ChunkSender, ResponseBody};
 use super::buffered;
 use super::crash_verdict;
 use super::crash_watch;
@@ -112,21 +112,17 @@
         tokio::select! {
             biased;
             () = sender.closed() => self.log_end(StreamEnd::CallerGone),
-            () = gateway.stage_reached(StopStage::Exiting) => self.cut(StreamEnd::Stopping).await,
-            end = self.forward_all(source) => match end {
-                StreamEnd::Complete => self.log_end(end),
-                _ => self.cut(end).await,
-            },
+            () = gateway.stage_reached(StopStage::Exiting) => self.log_end(StreamEnd::Stopping),
+            end = self.forward_all(source) => {
+                self.log_end(end);
+                if end == StreamEnd::Complete {
+                    // Fails only if the caller has left.
+                    drop(self.sender.send(Chunk::End).await);
+                }
+            }
         }
     }
 
-    /// Logs the end of an incomplete stream, and cuts the connection to its caller.
-    async fn cut(&self, end: StreamEnd) {
-        self.log_end(end);
-        // Without the error the response would look complete.
-        let _gone = self.sender.send(Err(TruncatedResponse)).await;
-    }
-
     /// Forwards events, and resumes on another engine when one breaks off or is overtaken.
     async fn forward_all(&mut self, mut source: StreamSource) -> StreamEnd {
         loop {
@@ -295,7 +291,7 @@
             self.ttft = Some(elapsed);
             metrics::observe_first_token(self.call.service.as_str(), elapsed);
         }
-        let chunk = Ok(Bytes::from(event.bytes));
+        let chunk = Chunk::Data(Bytes::from(event.bytes));
         let sent = self.sender.send(chunk).await;
         sent.map_err(|_closed| StreamEnd::CallerGone)
     }
