other: soak with parts that crash servers, longer silences, and a check for cut streams

Change: `--parts N` adds callers that send series of requests with the crashing part, 5 to 10 a second, no two alike; every second server then returns under a new id. `--silences` adds silences of 1.2 to 2.2 s, also before the head, and unframed answers; without it a seed plays the faults it played before. Sound requests carry the shared first part. The server records how each execution ended; a stream through an undisturbed VM that was cut 1 s or more before its timeout, while its last server was at work and no proxy impaired, is a violation. A shorter body is allowed only if a run of its attempt was unframed: a crash looks like its end. `Connection::send_customer_request` takes further headers.

Not run: tests of ctl, longer soaks.

--- a/ctl/src/commands/soak.rs
+++ b/ctl/src/commands/soak.rs
@@ -25,6 +25,8 @@
     let seeds: u64 = number_option(matches, "seeds")?;
     let duration = Duration::from_secs(number_option(matches, "seconds")?);
     let culprits: usize = number_option(matches, "culprits")?;
+    let parts: usize = number_option(matches, "parts")?;
+    let silences = matches.get_flag("silences");
     let entry_vms: u8 = number_option(matches, "entry-vms")?;
     let mut passed = true;
     for seed in first..first.saturating_add(seeds) {
@@ -33,6 +35,8 @@
             duration,
             entry_vms,
             culprits,
+            parts,
+            silences,
         };
         let report = soak::run(&program, options)?;
         println!("seed {seed}: {report}");
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -69,6 +69,20 @@
             )
             .default_value("3"),
         )
+        .arg(
+            option(
+                "parts",
+                "NUMBER",
+                "Number of callers whose requests share a part that crashes servers",
+            )
+            .default_value("0"),
+        )
+        .arg(
+            Arg::new("silences")
+                .long("silences")
+                .action(ArgAction::SetTrue)
+                .help("Also let servers be silent for longer and answer without framing"),
+        )
         .arg(option("entry-vms", "NUMBER", "Number of entry VMs").default_value("3"))
 }
 
--- a/fakes/src/backend/answer.rs
+++ b/fakes/src/backend/answer.rs
@@ -1,6 +1,6 @@
 //! Answers of a fake backend server, with or without framing.
 
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 
 use super::request::RequestHead;
@@ -65,7 +65,22 @@
         Ok(())
     }
 
+    /// Sends text, unless the receiver has closed the connection.
     fn send(&mut self, text: &str) -> std::io::Result<()> {
+        if is_closed(self.writer)? {
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
         self.writer.write_all(text.as_bytes())
     }
 }
+
+/// Whether the peer has closed the connection; the first write after that would succeed.
+fn is_closed(connection: &TcpStream) -> std::io::Result<bool> {
+    connection.set_nonblocking(true)?;
+    let peeked = connection.peek(&mut [0]);
+    connection.set_nonblocking(false)?;
+    Ok(match peeked {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != ErrorKind::WouldBlock,
+    })
+}
--- a/fakes/src/backend/request.rs
+++ b/fakes/src/backend/request.rs
@@ -6,6 +6,19 @@
 
 use super::CRASHING_PART;
 
+/// How the execution of a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExecutionEnd {
+    /// It has not ended.
+    Running,
+    /// The answer was sent whole.
+    Whole,
+    /// The server ended it, by a fault or a crash.
+    BrokenOff,
+    /// The caller closed the connection while the server was at work.
+    Abandoned,
+}
+
 /// One executed request, as its headers describe it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Execution {
@@ -13,12 +26,16 @@
     pub attempt: String,
     /// Customer that the entry VM named.
     pub customer: String,
+    /// How it ended.
+    pub end: ExecutionEnd,
     /// Ids of the parts of the prompt, in order; empty if not given.
     pub parts: Vec<String>,
     /// Time until the request's deadline, in milliseconds; 0 if not given.
     pub remaining_ms: u64,
     /// Path and query of the request.
     pub target: String,
+    /// Whether the answer has neither a length nor chunks.
+    pub unframed: bool,
     /// When the server began to run it.
     pub started: Instant,
 }
@@ -77,12 +94,13 @@
         self.header("last-event-id").parse().unwrap_or(0) + 1
     }
 
-    pub(super) fn execution(&self) -> Execution {
+    pub(super) fn execution(&self, unframed: bool) -> Execution {
         let parts = self.header("x-merlinrudder-prompt-prefix").split(',');
         let ids = parts.filter_map(|part| part.trim().split(':').next());
         Execution {
             attempt: self.header("x-merlinrudder-attempt-id").to_owned(),
             customer: self.header("x-merlinrudder-tenant").to_owned(),
+            end: ExecutionEnd::Running,
             parts: ids
                 .filter(|id| !id.is_empty())
                 .map(ToOwned::to_owned)
@@ -92,6 +110,7 @@
                 .parse()
                 .unwrap_or(0),
             target: self.target.clone(),
+            unframed,
             started: Instant::now(),
         }
     }
--- a/fakes/src/http_client.rs
+++ b/fakes/src/http_client.rs
@@ -131,13 +131,14 @@
 
     /// Sends a request of the first customer in `sample_configuration`, with a 10 s deadline.
     ///
-    /// Returns whether the connection can be used again.
+    /// Each line of `headers` ends with `\r\n`. Returns whether the connection can be used again.
     pub fn send_customer_request(
         &mut self,
         method_path: &str,
         attempt_id: &str,
+        headers: &str,
     ) -> (HttpResponse, bool) {
-        let headers = caller_headers(attempt_id, "k1");
+        let headers = caller_headers(attempt_id, "k1") + headers;
         let response = self
             .exchange(method_path, &headers, "body")
             .unwrap_or_default();
--- a/node/tests/integration/backend_server.rs
+++ b/node/tests/integration/backend_server.rs
@@ -1,8 +1,12 @@
 //! How the fake backend server answers, falls silent, crashes and returns.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use merlinrudder_fakes::backend::{BackendFault, CRASHING_PART, CrashPoint, FakeBackend};
+use merlinrudder_fakes::backend::{
+    BackendFault, CRASHING_PART, CrashPoint, ExecutionEnd, FakeBackend,
+};
 use merlinrudder_fakes::http_client::{HttpResponse, send_request_with_headers};
 use merlinrudder_fakes::nodes::wait_for;
 
@@ -104,3 +108,33 @@
         assert!(response.whole && response.status == 200, "{response:?}");
     }
 }
+
+#[test]
+fn the_end_of_each_execution_is_recorded() {
+    let server = bind();
+    let last_end = || server.executions().last().map(|ran| ran.end);
+    for (fault, end) in [
+        (BackendFault::None, ExecutionEnd::Whole),
+        (BackendFault::Unframed, ExecutionEnd::Whole),
+        (BackendFault::DropResponse, ExecutionEnd::BrokenOff),
+        (BackendFault::DisconnectAfter(2), ExecutionEnd::BrokenOff),
+    ] {
+        server.set_faults(&[fault]);
+        let _response = send(&server, "POST /stream/x", "");
+        wait_for("recorded end", || last_end() == Some(end));
+    }
+    let _response = send(&server, "POST /stream/x", &crashing_parts());
+    wait_for("crash", || last_end() == Some(ExecutionEnd::BrokenOff));
+    wait_for("restart", || server.born().is_some());
+    server.set_faults(&[BackendFault::StallBeforeHead(SILENCE)]);
+    let mut caller = TcpStream::connect(server.address).expect("the server listens");
+    let head = "POST /file/x HTTP/1.1\r\nX-Merlinrudder-Target-Instance: i-1\r\n\r\n";
+    caller
+        .write_all(head.as_bytes())
+        .expect("the request is sent");
+    wait_for("execution", || last_end() == Some(ExecutionEnd::Running));
+    drop(caller);
+    wait_for("abandoned execution", || {
+        last_end() == Some(ExecutionEnd::Abandoned)
+    });
+}
