bug: believe no refusal that repeats another attempt's id

Callers could see a request that may run once run twice, or 503 for one that had run.

Change: a response with another attempt's id is a broken attempt, whatever it says; every request that may run once gets a new connection. A stray 421 no longer marks its server as gone.

--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -8,7 +8,6 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use merlinrudder_core::deployment::CallKind;
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::outcome::RunState;
@@ -123,8 +122,8 @@
         .map(|helper| orders::helper_entry(helper.address, reservation_id))
         .collect();
     // The server may close an idle connection just as a request is sent on it, and then it is
-    // unknown whether the request ran. A call that may run only once gets a new connection.
-    let require_new = call.route.kind == CallKind::AtMostOnce;
+    // unknown whether the request ran. One that may run only once gets a new connection.
+    let require_new = !call.route.kind.is_idempotent();
     let connecting = gateway.pool.connect(selected.address, require_new).await;
     let mut connection = connecting.map_err(|_error| Failure::Unreachable)?;
     let priority = call.engine_profile.as_ref().zip(call.token_counts);
@@ -220,9 +219,14 @@
 
 /// Checks that a response comes from the selected server and answers this attempt.
 ///
+/// A response that repeats another attempt's id is a late one and says nothing of this request.
 /// Status 421 or the not-executed header means that the request did not run. Any other response
 /// must repeat the attempt id and have no content encoding, and a success must carry the seal.
 fn check_response_head(call: &CallerRequest, head: &Parts) -> Result<(), Failure> {
+    let attempt = head.headers.get(headers::ATTEMPT);
+    if attempt.is_some_and(|attempt| *attempt != call.attempt_id) {
+        return Err(Failure::Broken);
+    }
     if head.headers.contains_key(headers::NOT_RUN) {
         let replaced = head.status.as_u16() == 421;
         return Err(if replaced {
@@ -234,10 +238,9 @@
     if head.status.as_u16() == 421 {
         return Err(Failure::Replaced);
     }
-    let matches_attempt = head.headers.get(headers::ATTEMPT) == Some(&call.attempt_id);
     let has_seal = head.headers.contains_key(headers::RESPONSE_SEAL);
     let encoded = head.headers.contains_key(CONTENT_ENCODING);
-    if !matches_attempt || encoded || (head.status.is_success() && !has_seal) {
+    if attempt.is_none() || encoded || (head.status.is_success() && !has_seal) {
         return Err(Failure::Broken);
     }
     Ok(())
