bug: forward a server's failure on a stream route as a whole answer

Callers of a stream route saw the head of a server's 500, an empty body and a cut connection; with a second server, the head of the failure with the events of the other run.

Change: a response that is no success is read as that of a plain call: retried where the route allows it, else forwarded whole.

--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -24,61 +24,72 @@
 use crate::metrics;
 
 /// Serves a non-streaming call, with retries where its route allows them.
-///
-/// A 5xx response counts as a failed attempt; it is forwarded if no retry may follow.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
     let mut attempts = Attempts::new();
     loop {
-        let mut upstream_response = match attempts.run_until_response(gateway, &call, None).await {
+        let upstream_response = match attempts.run_until_response(gateway, &call, None).await {
             Ok(upstream_response) => upstream_response,
             Err(refusal) => return refuse_request(gateway, &call, &refusal),
         };
-        let server = upstream_response.selected.server.clone();
-        let run = upstream_response.run.take();
-        let complete_response = read_response(gateway, &call, upstream_response).await;
-        let succeeded =
-            matches!(&complete_response, Some((head, _)) if !head.status.is_server_error());
-        match (&complete_response, run) {
-            (None, Some(run)) => run.broke(),
-            (Some((head, _)), _) if head.status.is_success() && is_framed(head) => {
-                crash_watch::record_completed(gateway, &call);
-            }
-            _ => {}
+        let finished = finish(gateway, &call, &mut attempts, upstream_response);
+        if let Some(response) = finished.await {
+            return response;
         }
-        let server_outcome = if succeeded {
-            ServerOutcome::Succeeded
-        } else {
-            ServerOutcome::Failed
-        };
-        let now = gateway.now();
-        gateway
-            .fleet
-            .borrow_mut()
-            .record_outcome(now, &server, server_outcome);
-        if !succeeded {
-            attempts.excluded.push(server.clone());
-            if attempts.try_retry(gateway, &call).is_ok() {
-                metrics::count_retry(RetryReason::IdempotentBroken);
-                crash_verdict::await_evidence(gateway, &call, RunState::MayHaveRun).await;
-                continue;
-            }
+    }
+}
+
+/// Reads a response to its end and builds the one for the caller; `None` if a retry follows.
+///
+/// A 5xx response counts as a failed attempt; it is forwarded if no retry may follow.
+pub(super) async fn finish(
+    gateway: &Rc<Gateway>,
+    call: &CallerRequest,
+    attempts: &mut Attempts,
+    mut upstream_response: UpstreamResponse,
+) -> Option<Response<ResponseBody>> {
+    let server = upstream_response.selected.server.clone();
+    let run = upstream_response.run.take();
+    let complete_response = read_response(gateway, call, upstream_response).await;
+    let succeeded = matches!(&complete_response, Some((head, _)) if !head.status.is_server_error());
+    match (&complete_response, run) {
+        (None, Some(run)) => run.broke(),
+        (Some((head, _)), _) if head.status.is_success() && is_framed(head) => {
+            crash_watch::record_completed(gateway, call);
+        }
+        _ => {}
+    }
+    let server_outcome = if succeeded {
+        ServerOutcome::Succeeded
+    } else {
+        ServerOutcome::Failed
+    };
+    let now = gateway.now();
+    let mut fleet = gateway.fleet.borrow_mut();
+    fleet.record_outcome(now, &server, server_outcome);
+    drop(fleet);
+    if !succeeded {
+        attempts.excluded.push(server.clone());
+        if attempts.try_retry(gateway, call).is_ok() {
+            metrics::count_retry(RetryReason::IdempotentBroken);
+            crash_verdict::await_evidence(gateway, call, RunState::MayHaveRun).await;
+            return None;
         }
-        let Some((head, body)) = complete_response else {
-            let refusal = Refusal {
-                reason: RefusalReason::ServerFailed,
-                run: attempts.run_state(),
-                retry_after: None,
-            };
-            return refuse_request(gateway, &call, &refusal);
-        };
-        info!(gateway.log, "Request completed"; "request" => call.attempt_id_text(),
-            "route" => &*call.route.name, "server" => %server, "status" => head.status.as_u16(),
-            "took_ms" => gateway.now().since(call.received_at).as_millis(),
-            "manifest" => call.manifest_number);
-        call.guard.end();
-        metrics::count_outcome(call.service.as_str(), "complete");
-        return forwarded_response(&head, ResponseBody::buffered(body));
     }
+    let Some((head, body)) = complete_response else {
+        let refusal = Refusal {
+            reason: RefusalReason::ServerFailed,
+            run: attempts.run_state(),
+            retry_after: None,
+        };
+        return Some(refuse_request(gateway, call, &refusal));
+    };
+    info!(gateway.log, "Request completed"; "request" => call.attempt_id_text(),
+        "route" => &*call.route.name, "server" => %server, "status" => head.status.as_u16(),
+        "took_ms" => gateway.now().since(call.received_at).as_millis(),
+        "manifest" => call.manifest_number);
+    call.guard.end();
+    metrics::count_outcome(call.service.as_str(), "complete");
+    Some(forwarded_response(&head, ResponseBody::buffered(body)))
 }
 
 /// Logs an admitted request that is refused or failed, and builds its response.
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -36,11 +36,23 @@
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1600);
 
 /// Returns the head of a stream and spawns a task that forwards its events.
+///
+/// A response of an engine that is no success is forwarded as that of a plain call.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
     let mut attempts = Attempts::new();
-    let upstream_response = match attempts.run_until_response(gateway, &call, None).await {
-        Ok(upstream_response) => upstream_response,
-        Err(refusal) => return buffered::refuse_request(gateway, &call, &refusal),
+    let upstream_response = loop {
+        let upstream_response = match attempts.run_until_response(gateway, &call, None).await {
+            Ok(upstream_response) => upstream_response,
+            Err(refusal) => return buffered::refuse_request(gateway, &call, &refusal),
+        };
+        if upstream_response.head.status.is_success() {
+            break upstream_response;
+        }
+        // A failure is no stream of events.
+        let finished = buffered::finish(gateway, &call, &mut attempts, upstream_response);
+        if let Some(response) = finished.await {
+            return response;
+        }
     };
     let (sender, chunks) = mpsc::channel(EVENT_BUFFER_CAPACITY);
     let response = forwarded_response(&upstream_response.head, ResponseBody::Streaming(chunks));
