--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -64,9 +64,10 @@
         ServerOutcome::Failed
     };
     let now = gateway.now();
-    let mut fleet = gateway.fleet.borrow_mut();
-    fleet.record_outcome(now, &server, server_outcome);
-    drop(fleet);
+    gateway
+        .fleet
+        .borrow_mut()
+        .record_outcome(now, &server, server_outcome);
     if !succeeded {
         attempts.excluded.push(server.clone());
         if attempts.try_retry(gateway, call).is_ok() {
