bug: let a broken stream wait for another server in a planned stop

Cause: from the draining stage on, refuses every request that would wait, also one that is to be resumed.

Change: only a request that no server can have run is refused then; another one waits until the last answers.

--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -93,7 +93,7 @@
             match self.permission(gateway, call) {
                 Permission::Send => {}
                 Permission::SendOnTrial => self.on_trial = true,
-                Permission::Wait if gateway.has_reached(StopStage::Draining) => {
+                Permission::Wait if self.is_refused_by_stop(gateway) => {
                     return Err(self.refusal(RefusalReason::Stopping));
                 }
                 Permission::Wait => {
@@ -104,7 +104,7 @@
             }
             let selected = match select_servers(gateway, call, &self.excluded) {
                 Selection::Selected(selected) => selected,
-                Selection::Wait if gateway.has_reached(StopStage::Draining) => {
+                Selection::Wait if self.is_refused_by_stop(gateway) => {
                     return Err(self.refusal(RefusalReason::Stopping));
                 }
                 Selection::Wait => {
@@ -311,6 +311,13 @@
         }
     }
 
+    /// Whether a planned stop refuses the request instead of letting it wait.
+    ///
+    /// One that may have run waits on: its caller cannot simply send it again elsewhere.
+    fn is_refused_by_stop(&self, gateway: &Gateway) -> bool {
+        gateway.has_reached(StopStage::Draining) && self.run_state() == RunState::NotRun
+    }
+
     /// Checks whether the request may be sent; the trial of a content is sent only once.
     fn permission(&self, gateway: &Gateway, call: &CallerRequest) -> Permission {
         match (self.on_trial, self.run_state()) {
