--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -17,5 +17,6 @@
 mod http_server;
 pub mod nodes;
 pub mod proxy;
+pub mod raw_server;
 pub mod soak;
 pub mod weights;
--- /dev/null
+++ b/fakes/src/raw_server.rs
@@ -0,0 +1,101 @@
+//! A server whose answers are written byte by byte, also such that no sound server sends.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+/// A request as far as an answer depends on it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RawRequest {
+    /// Attempt id that the caller chose.
+    pub attempt: String,
+    /// Requests on the same connection before this one.
+    pub earlier: usize,
+}
+
+/// Handle of a running raw server.
+#[derive(Debug)]
+pub struct RawServer {
+    /// Address at which it accepts connections.
+    pub address: SocketAddr,
+    /// Attempt ids of the requests that arrived whole, oldest first.
+    attempts: Arc<Mutex<Vec<String>>>,
+}
+
+impl RawServer {
+    /// Listens on a free loopback port; `answer` runs for each request, on its connection's thread.
+    ///
+    /// An error that `answer` returns closes the connection.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound.
+    pub fn bind<F>(answer: F) -> std::io::Result<Self>
+    where
+        F: Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let address = listener.local_addr()?;
+        let attempts = Arc::new(Mutex::new(Vec::new()));
+        let (answer, recorded) = (Arc::new(answer), Arc::clone(&attempts));
+        thread::spawn(move || {
+            for connection in listener.incoming().flatten() {
+                let (answer, recorded) = (Arc::clone(&answer), Arc::clone(&recorded));
+                thread::spawn(move || {
+                    // I/O errors mean that a side has closed the connection.
+                    drop(serve(connection, &recorded, answer.as_ref()));
+                });
+            }
+        });
+        Ok(Self { address, attempts })
+    }
+
+    /// Returns the attempt ids of the requests that arrived whole, oldest first.
+    #[must_use]
+    pub fn attempts(&self) -> Vec<String> {
+        let attempts = self.attempts.lock();
+        attempts.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+fn serve(
+    mut connection: TcpStream,
+    recorded: &Mutex<Vec<String>>,
+    answer: &dyn Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()>,
+) -> std::io::Result<()> {
+    let mut reader = BufReader::new(connection.try_clone()?);
+    let mut earlier = 0;
+    while let Some(attempt) = read_request(&mut reader)? {
+        let mut attempts = recorded.lock().unwrap_or_else(PoisonError::into_inner);
+        attempts.push(attempt.clone());
+        drop(attempts);
+        answer(&mut connection, &RawRequest { attempt, earlier })?;
+        earlier += 1;
+    }
+    Ok(())
+}
+
+/// Reads a request; returns its attempt id, or `None` if the connection has closed.
+fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<String>> {
+    let (mut attempt, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Ok(None);
+        }
+        if line == "\r\n" {
+            break;
+        }
+        match line.trim().split_once(':') {
+            Some((name, value)) if name.eq_ignore_ascii_case("x-merlinrudder-attempt-id") => {
+                value.trim().clone_into(&mut attempt);
+            }
+            Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
+                length = value.trim().parse().unwrap_or(0);
+            }
+            _ => {}
+        }
+    }
+    std::io::copy(&mut reader.take(length), &mut std::io::sink())?;
+    Ok(Some(attempt))
+}
--- a/node/tests/integration/deployment.rs
+++ b/node/tests/integration/deployment.rs
@@ -1,5 +1,6 @@
 //! A deployment of control and entry processes with registered fake backend servers.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -98,6 +99,20 @@
     });
 }
 
+/// Sends the first heartbeat of a server of `id` until a control VM accepts it.
+pub fn register(nodes: &Nodes, id: &str, address: SocketAddr) {
+    wait_for("accepted heartbeat", || {
+        let heartbeat = Heartbeat {
+            id,
+            address,
+            sequence: 1,
+            born: 5,
+            draining: false,
+        };
+        (0..CONTROL_VMS).any(|at| nodes.send_heartbeat(at, &heartbeat))
+    });
+}
+
 /// Sends heartbeats of all running backend servers until `stopped` is set.
 pub fn send_heartbeats(nodes: &Nodes, backends: &[FakeBackend], stopped: &AtomicBool) {
     let mut sequence = 1;
