--- a/node/tests/integration/deployment.rs
+++ b/node/tests/integration/deployment.rs
@@ -25,12 +25,19 @@
 ///
 /// Returns once the backend servers are registered and the entry VMs are ready.
 pub fn start_deployment(entry_vms: u8, backends: &[&FakeBackend]) -> Nodes {
+    start_with(entry_vms, |nodes| {
+        for backend in backends {
+            wait_for("accepted heartbeat", || send_heartbeat(nodes, backend, 1));
+        }
+    })
+}
+
+/// Starts a deployment as `start_deployment` does, to which `register_servers` adds the servers.
+pub fn start_with(entry_vms: u8, register_servers: impl FnOnce(&Nodes)) -> Nodes {
     let program = Path::new(env!("CARGO_BIN_EXE_merlinrudder"));
     let nodes = Nodes::spawn(program, entry_vms).expect("deployment starts");
     publish(&nodes, &sample_configuration(5));
-    for backend in backends {
-        wait_for("accepted heartbeat", || send_heartbeat(&nodes, backend, 1));
-    }
+    register_servers(&nodes);
     for entry in CONTROL_VMS..nodes.len() {
         wait_for("ready entry VM", || nodes.is_ready(entry));
     }
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -13,4 +13,5 @@
 mod settings;
 mod silent_servers;
 mod soak;
+mod stray_responses;
 mod util;
--- /dev/null
+++ b/node/tests/integration/stray_responses.rs
@@ -0,0 +1,161 @@
+//! Responses that belong to another attempt, and failures that a server answers itself.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use merlinrudder_fakes::backend::FakeBackend;
+use merlinrudder_fakes::http_client::{HttpResponse, send_customer_request};
+use merlinrudder_fakes::nodes::{Nodes, sample_configuration};
+use merlinrudder_fakes::raw_server::{RawRequest, RawServer};
+use serde_json::json;
+
+use crate::deployment::{publish, register, start_with};
+
+/// Time between two events of a fake backend server's stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which a configuration or a server is known to all VMs.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+/// Requests of a test; enough for each of two servers to run some.
+const REQUESTS: usize = 8;
+/// A refusal of an attempt that no test sends.
+const STRAY_REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\n\
+    X-Merlinrudder-Attempt-Id: old\r\nX-Merlinrudder-Not-Executed: 1\r\n\
+    Content-Length: 0\r\n\r\n";
+/// A response of a server that has another id, to an attempt that no test sends.
+const STRAY_MISDIRECTION: &str = "HTTP/1.1 421 Misdirected Request\r\n\
+    X-Merlinrudder-Attempt-Id: old\r\nX-Merlinrudder-Instance-Id: i-0\r\n\
+    Content-Length: 0\r\n\r\n";
+
+/// Sends a response with a length.
+fn respond(
+    connection: &mut TcpStream,
+    request: &RawRequest,
+    status: &str,
+    body: &str,
+) -> std::io::Result<()> {
+    write!(
+        connection,
+        "HTTP/1.1 {status}\r\nX-Merlinrudder-Attempt-Id: {}\r\n\
+         X-Merlinrudder-Response-Seal: seal\r\nContent-Length: {}\r\n\r\n{body}",
+        request.attempt,
+        body.len()
+    )
+}
+
+/// Starts a server that runs each request, and sends a stray refusal before its later answers.
+fn start_refusing() -> RawServer {
+    let server = RawServer::bind(|connection, request| {
+        if request.earlier > 0 {
+            connection.write_all(STRAY_REFUSAL.as_bytes())?;
+        }
+        respond(connection, request, "200 OK", "id: 1\ndata: x\n\n")
+    });
+    server.expect("raw server listens")
+}
+
+/// Starts a server that answers each request with a failure.
+fn start_failing() -> RawServer {
+    let server = RawServer::bind(|connection, request| {
+        respond(connection, request, "500 Internal Server Error", "failed")
+    });
+    server.expect("raw server listens")
+}
+
+/// Starts a deployment with one entry VM that knows these servers, each by its address.
+fn start_known(addresses: &[SocketAddr]) -> Nodes {
+    let nodes = start_with(1, |nodes| {
+        for (number, address) in addresses.iter().enumerate() {
+            register(nodes, &format!("i-{number}"), *address);
+        }
+    });
+    thread::sleep(APPLY_TIME);
+    nodes
+}
+
+/// Whether a response is the failure that `start_failing` answers, and whole.
+fn is_failure(response: &HttpResponse) -> bool {
+    response.status == 500 && response.body == "failed" && response.whole
+}
+
+#[test]
+fn a_refusal_of_another_attempt_is_not_believed() {
+    let servers = [start_refusing(), start_refusing()];
+    let nodes = start_known(&servers.each_ref().map(|server| server.address));
+    let mut configuration = sample_configuration(6);
+    configuration["routes"][0]["resumable"] = json!(false);
+    publish(&nodes, &configuration);
+    thread::sleep(APPLY_TIME);
+    let mut wrong = Vec::new();
+    for number in 0..REQUESTS {
+        let attempt = format!("a{number}");
+        let callers = nodes.callers_address(3);
+        let response = send_customer_request(callers, "POST /stream/x", &attempt);
+        let ran = servers.iter().flat_map(RawServer::attempts);
+        let runs = ran.filter(|ran| *ran == attempt).count();
+        if runs > 1 || (runs > 0 && response.status == 503) {
+            wrong.push((attempt, runs, response.status));
+        }
+    }
+    assert!(
+        wrong.is_empty(),
+        "attempt, runs, status of {REQUESTS}: {wrong:?}"
+    );
+}
+
+#[test]
+fn a_misdirection_of_another_attempt_does_not_exclude_its_server() {
+    let strayed = AtomicBool::new(false);
+    let server = RawServer::bind(move |connection, request| {
+        if request.earlier > 0 && !strayed.swap(true, Ordering::Relaxed) {
+            connection.write_all(STRAY_MISDIRECTION.as_bytes())?;
+        }
+        respond(connection, request, "200 OK", "whole")
+    });
+    let server = server.expect("raw server listens");
+    let nodes = start_known(&[server.address]);
+    let send = |attempt: &str| {
+        let callers = nodes.callers_address(3);
+        send_customer_request(callers, "GET /read/x", attempt).status
+    };
+    assert_eq!(send("b-first"), 200);
+    let at_stray = send("b-stray");
+    thread::sleep(APPLY_TIME);
+    let later: Vec<_> = (0..3).map(|number| send(&format!("b{number}"))).collect();
+    assert_eq!(later, [200; 3], "after {at_stray}");
+}
+
+#[test]
+fn a_failure_that_a_server_answers_to_a_stream_reaches_the_caller_whole() {
+    let nodes = start_known(&[start_failing().address]);
+    let response = send_customer_request(nodes.callers_address(3), "POST /stream/x", "c1");
+    assert!(is_failure(&response), "{response:?}");
+}
+
+#[test]
+fn a_failed_answer_and_the_events_of_another_run_are_not_joined() {
+    let failing = start_failing();
+    let sound = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake server listens");
+    let nodes = start_known(&[failing.address, sound.address]);
+    let callers = nodes.callers_address(3);
+    let streams: Vec<_> = (0..REQUESTS)
+        .map(|n| {
+            thread::spawn(move || {
+                send_customer_request(callers, "POST /stream/x", &format!("d{n}"))
+            })
+        })
+        .collect();
+    let responses = streams
+        .into_iter()
+        .map(|stream| stream.join().expect("caller thread finishes"));
+    let wrong: Vec<_> = responses
+        .filter(|response| !response.is_whole_stream() && !is_failure(response))
+        .collect();
+    assert!(
+        !failing.attempts().is_empty(),
+        "the failing server ran nothing"
+    );
+    assert!(wrong.is_empty(), "of {REQUESTS}: {wrong:?}");
+}
