--- a/node/tests/integration/deployment.rs
+++ b/node/tests/integration/deployment.rs
@@ -1,5 +1,6 @@
 //! A deployment of control and entry processes with registered fake backend servers.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -24,12 +25,19 @@
 ///
 /// Returns once the backend servers are registered and the entry VMs are ready.
 pub fn start_deployment(entry_vms: u8, backends: &[&FakeBackend]) -> Nodes {
+    start_with(entry_vms, |nodes| {
+        for backend in backends {
+            wait_for("accepted heartbeat", || send_heartbeat(nodes, backend, 1));
+        }
+    })
+}
+
+/// Starts a deployment as `start_deployment` does, to which `register_servers` adds the servers.
+pub fn start_with(entry_vms: u8, register_servers: impl FnOnce(&Nodes)) -> Nodes {
     let program = Path::new(env!("CARGO_BIN_EXE_merlinrudder"));
     let nodes = Nodes::spawn(program, entry_vms).expect("deployment starts");
     publish(&nodes, &sample_configuration(5));
-    for backend in backends {
-        wait_for("accepted heartbeat", || send_heartbeat(&nodes, backend, 1));
-    }
+    register_servers(&nodes);
     for entry in CONTROL_VMS..nodes.len() {
         wait_for("ready entry VM", || nodes.is_ready(entry));
     }
@@ -98,6 +106,20 @@
     });
 }
 
+/// Sends the first heartbeat of a server of `id` until a control VM accepts it.
+pub fn register(nodes: &Nodes, id: &str, address: SocketAddr) {
+    wait_for("accepted heartbeat", || {
+        let heartbeat = Heartbeat {
+            id,
+            address,
+            sequence: 1,
+            born: 5,
+            draining: false,
+        };
+        (0..CONTROL_VMS).any(|at| nodes.send_heartbeat(at, &heartbeat))
+    });
+}
+
 /// Sends heartbeats of all running backend servers until `stopped` is set.
 pub fn send_heartbeats(nodes: &Nodes, backends: &[FakeBackend], stopped: &AtomicBool) {
     let mut sequence = 1;
