bug: send a further hedge while one is silent

Callers saw a stream cut after 10 s, or whole only after 9 s, although a third server was idle: its first server and the one of the hedge were both silent.

Cause: a hedge in flight was waited for until the deadline, also when it was all that was left.

Change: a hedge that is silent is hedged in turn, within the attempts that the route allows. Each attempt in progress is an entry in a tally that counts it once however it ends, also when it is dropped; that replaces the counting by hand beside each race. When the first server breaks off, the hedges in progress go on.

Failed before (cut after 10 s), passes now: a_silent_hedge_does_not_keep_a_stream_from_a_third_server.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -21,6 +21,7 @@
 mod state;
 mod stream;
 mod stream_source;
+mod tally;
 mod upstream;
 
 use std::net::SocketAddr;
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -1,24 +1,20 @@
 //! Retry loop of one request: selects servers, attempts, and decides on further attempts.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use merlinrudder_core::directory::Incarnation;
-use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
-use slog::info;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::crash_verdict::{self, Permission};
-use super::exchange::{Failure, Progress, UpstreamResponse, attempt, hang_timeout};
-use super::hedge::{self, HEDGE_INTERVAL, HedgeFailure};
+use super::exchange::{Failure, UpstreamResponse, record_failure};
+use super::hedge::AttemptContext;
 use super::open_requests::Phase;
-use super::placement_sync;
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
-use super::selection::{SelectedServers, Selection, select_servers};
+use super::selection::{Selection, select_servers};
 use super::state::{Gateway, StopStage};
+use super::tally::Tally;
 use crate::metrics;
 
 /// Failed attempts that did not run the request, after which it is refused.
@@ -44,10 +40,7 @@
 /// Attempts made for one request so far.
 #[derive(Debug)]
 pub(super) struct Attempts {
-    /// Servers that failed an attempt and are not selected again.
-    pub(super) excluded: Vec<ServerId>,
-    /// Failed attempts that may have run the request; limited by the route.
-    may_have_run: u32,
+    pub(super) tally: Rc<Tally>,
     /// Failed attempts that did not run the request; limited by `MAX_NOT_RUN_FAILURES`.
     not_run: u32,
     /// Whether the request is the trial of a content that crashed servers.
@@ -57,8 +50,7 @@
 impl Attempts {
     pub(super) fn new() -> Self {
         Self {
-            excluded: Vec::new(),
-            may_have_run: 0,
+            tally: Rc::default(),
             not_run: 0,
             on_trial: false,
         }
@@ -66,7 +58,7 @@
 
     /// Whether any failed attempt may have run the request.
     pub(super) fn run_state(&self) -> RunState {
-        if self.may_have_run == 0 {
+        if self.tally.may_have_run() == 0 {
             RunState::NotRun
         } else {
             RunState::MayHaveRun
@@ -102,7 +94,8 @@
                 }
                 Permission::Refuse(left) => return Err(self.quarantine_refusal(left)),
             }
-            let selected = match select_servers(gateway, call, &self.excluded) {
+            let excluded = self.tally.excluded.borrow().clone();
+            let selected = match select_servers(gateway, call, &excluded) {
                 Selection::Selected(selected) => selected,
                 Selection::Wait if self.is_refused_by_stop(gateway) => {
                     return Err(self.refusal(RefusalReason::Stopping));
@@ -114,12 +107,21 @@
                 Selection::Refuse => return Err(self.refusal(RefusalReason::QueueFull)),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
-            let result = self.attempt_hedged(gateway, call, selected, last_event);
-            let (incarnation, failure) = match result.await {
+            let context = AttemptContext {
+                gateway,
+                call,
+                tally: &self.tally,
+                last_event,
+            };
+            let (incarnation, failure) = match context.race(selected).await {
                 Ok(upstream_response) => return Ok(upstream_response),
                 Err(failed) => failed,
             };
-            self.record_failure(gateway, call, &incarnation, failure);
+            record_failure(context, &incarnation, failure);
+            if failure != Failure::NoMemory {
+                // A helper without memory says nothing of the selected server.
+                self.tally.exclude(&incarnation.server);
+            }
             self.authorize_retry(gateway, call, failure)?;
             crash_verdict::await_evidence(gateway, call, failure.run_state()).await;
             if matches!(failure, Failure::Refused | Failure::NoMemory) {
@@ -128,134 +130,22 @@
         }
     }
 
-    /// Makes one attempt, and a hedge at another server for as long as the first one is silent.
-    ///
-    /// Returns the response whose head arrives first, or the failure of the last attempt that was
-    /// left; other failures are counted.
-    async fn attempt_hedged(
-        &mut self,
-        gateway: &Rc<Gateway>,
-        call: &CallerRequest,
-        selected: SelectedServers,
-        last_event: Option<u64>,
-    ) -> Result<UpstreamResponse, (Incarnation, Failure)> {
-        let incarnation = selected.incarnation();
-        let mut silence = hang_timeout(call, &selected);
-        let progress = Progress::default();
-        let mut first = pin!(attempt(gateway, call, selected, last_event, &progress));
-        while self.allows_hedge(call) {
-            if let Ok(result) = timeout(silence, first.as_mut()).await {
-                return result.map_err(|failure| (incarnation, failure));
-            }
-            silence = HEDGE_INTERVAL;
-            let excluded = self.excluded_with(&incarnation.server);
-            let hedge_progress = Progress::default();
-            let mut hedge = pin!(hedge::open(
-                gateway,
-                call,
-                &excluded,
-                last_event,
-                &hedge_progress
-            ));
-            let hedged = tokio::select! {
-                biased;
-                result = first.as_mut() => {
-                    if !hedge_progress.sent.get() {
-                        return result.map_err(|failure| (incarnation, failure));
-                    }
-                    if let Err(failure) = result {
-                        self.record_parallel_failure(gateway, call, &incarnation, failure);
-                        return hedge.await.map_err(|failed| match failed {
-                            HedgeFailure::Failed(server, failure) => (server, failure),
-                            HedgeFailure::NotSent => (incarnation, failure),
-                        });
-                    }
-                    self.count_parallel(RunState::MayHaveRun);
-                    return result.map_err(|failure| (incarnation, failure));
-                }
-                hedged = hedge.as_mut() => hedged,
-            };
-            match hedged {
-                Ok(response) => {
-                    progress.give_up();
-                    self.record_parallel_failure(gateway, call, &incarnation, Failure::Overtaken);
-                    return Ok(response);
-                }
-                Err(failed) => self.record_hedge_failure(gateway, call, failed),
-            }
-        }
-        first.await.map_err(|failure| (incarnation, failure))
-    }
-
-    /// Whether a hedge may be sent beside the attempt in progress.
-    pub(super) fn allows_hedge(&self, call: &CallerRequest) -> bool {
-        self.allows_retry(call) && self.not_run < MAX_NOT_RUN_FAILURES
-    }
-
-    /// Returns the servers that a hedge beside an attempt at `server` must not be sent to.
-    pub(super) fn excluded_with(&self, server: &ServerId) -> Vec<ServerId> {
-        let mut excluded = self.excluded.clone();
-        excluded.push(server.clone());
-        excluded
-    }
-
-    /// Counts a hedge that failed while the first attempt goes on.
-    pub(super) fn record_hedge_failure(
-        &mut self,
-        gateway: &Gateway,
-        call: &CallerRequest,
-        failed: HedgeFailure,
-    ) {
-        if let HedgeFailure::Failed(incarnation, failure) = failed {
-            self.record_parallel_failure(gateway, call, &incarnation, failure);
-        }
-    }
-
-    /// Counts an attempt that failed while another one goes on.
-    fn record_parallel_failure(
-        &mut self,
-        gateway: &Gateway,
-        call: &CallerRequest,
-        incarnation: &Incarnation,
-        failure: Failure,
-    ) {
-        self.record_failure(gateway, call, incarnation, failure);
-        self.count_parallel(failure.run_state());
-    }
-
-    /// Counts an attempt that ended or was dropped while another one goes on.
-    pub(super) fn count_parallel(&mut self, run: RunState) {
-        if run == RunState::NotRun {
-            self.not_run += 1;
-        } else {
-            self.may_have_run += 1;
-        }
-    }
-
-    /// Whether another attempt may follow the one in progress.
-    ///
-    /// Assumes that the one in progress may have run the request.
-    fn allows_retry(&self, call: &CallerRequest) -> bool {
-        call.route.kind.is_idempotent() && self.may_have_run + 1 < call.route.max_attempts
-    }
-
-    /// Counts a failed attempt that may have run, and spends a retry if allowed.
+    /// Spends a retry after an attempt that may have run, if allowed.
     ///
     /// # Errors
     /// Returns why no other attempt may follow.
     pub(super) fn try_retry(
-        &mut self,
+        &self,
         gateway: &Gateway,
         call: &CallerRequest,
     ) -> Result<(), RetryDenial> {
-        self.may_have_run += 1;
         if !call.route.kind.is_idempotent() {
             return Err(RetryDenial::AtMostOnce);
         }
         if call.time_left(gateway.now()).is_zero() {
             return Err(RetryDenial::Deadline);
         }
-        if self.may_have_run >= call.route.max_attempts {
+        if self.tally.may_have_run() >= call.route.max_attempts {
             return Err(RetryDenial::AttemptLimit);
         }
         if !gateway.spend_retry(&call.service) {
@@ -336,39 +226,4 @@
             retry_after: (run == RunState::NotRun).then_some(left),
         }
     }
-
-    /// Updates server health, the excluded servers and the log after a failed attempt.
-    ///
-    /// A helper without memory does not exclude the selected server.
-    fn record_failure(
-        &mut self,
-        gateway: &Gateway,
-        call: &CallerRequest,
-        incarnation: &Incarnation,
-        failure: Failure,
-    ) {
-        let now = gateway.now();
-        let server = &incarnation.server;
-        if failure != Failure::NoMemory {
-            self.excluded.push(server.clone());
-        }
-        if let Some(server_outcome) = failure.health_outcome() {
-            if failure == Failure::Broken {
-                placement_sync::record_request_outcome(gateway, server, server_outcome);
-            } else {
-                gateway
-                    .fleet
-                    .borrow_mut()
-                    .record_outcome(now, server, server_outcome);
-            }
-        }
-        if failure == Failure::Replaced {
-            gateway.fleet.borrow_mut().mark_replaced(now, server);
-        }
-        info!(gateway.log, "Attempt failed"; "request" => call.attempt_id_text(),
-            "content" => %call.content.digest(), "server" => %server, "born" => incarnation.born,
-            "failure" => ?failure, "ran" => self.may_have_run, "not_run" => self.not_run,
-            "after_ms" => now.since(call.received_at).as_millis(),
-            "manifest" => call.manifest_number);
-    }
 }
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -3,24 +3,23 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::http::response::Parts;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
-use tokio::time::timeout;
 
 use super::attempts::Attempts;
 use super::body::ResponseBody;
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{UpstreamResponse, forwarded_response, is_framed, return_to_pool};
+use super::exchange::{
+    Prefetched, UpstreamResponse, forwarded_response, is_framed, read_whole, return_to_pool,
+};
 use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
 use super::state::Gateway;
-use crate::constants::MAX_BUFFERED_RESPONSE_BYTES;
 use crate::metrics;
 
 /// Serves a non-streaming call, with retries where its route allows them.
@@ -31,7 +30,7 @@
             Ok(upstream_response) => upstream_response,
             Err(refusal) => return refuse_request(gateway, &call, &refusal),
         };
-        let finished = finish(gateway, &call, &mut attempts, upstream_response);
+        let finished = finish(gateway, &call, &attempts, upstream_response);
         if let Some(response) = finished.await {
             return response;
         }
@@ -44,7 +43,7 @@
 pub(super) async fn finish(
     gateway: &Rc<Gateway>,
     call: &CallerRequest,
-    attempts: &mut Attempts,
+    attempts: &Attempts,
     mut upstream_response: UpstreamResponse,
 ) -> Option<Response<ResponseBody>> {
     let server = upstream_response.selected.server.clone();
@@ -69,7 +68,7 @@
         .borrow_mut()
         .record_outcome(now, &server, server_outcome);
     if !succeeded {
-        attempts.excluded.push(server.clone());
+        attempts.tally.exclude(&server);
         if attempts.try_retry(gateway, call).is_ok() {
             metrics::count_retry(RetryReason::IdempotentBroken);
             crash_verdict::await_evidence(gateway, call, RunState::MayHaveRun).await;
@@ -113,16 +112,18 @@
 async fn read_response(
     gateway: &Gateway,
     call: &CallerRequest,
-    upstream_response: UpstreamResponse,
+    mut upstream_response: UpstreamResponse,
 ) -> Option<(Parts, Bytes)> {
     call.guard.enter(Phase::Body);
     let time_left = call.time_left(gateway.now());
-    let body = Limited::new(upstream_response.body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-    let body = timeout(time_left, body).await.ok()?.ok()?;
+    let body = match std::mem::take(&mut upstream_response.prefetched) {
+        Prefetched::Whole(body) => body,
+        _ => read_whole(&mut upstream_response.body, time_left).await?,
+    };
     return_to_pool(
         gateway,
         upstream_response.connection,
         &upstream_response.head,
     );
-    Some((upstream_response.head, body.to_bytes()))
+    Some((upstream_response.head, body))
 }
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -1,27 +1,34 @@
 //! One attempt at a request: connects, sends it and checks the response head.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
+use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::outcome::RunState;
 use merlinrudder_platform::{headers, orders};
-use slog::debug;
+use slog::{debug, info};
 use tokio::time::timeout;
 
 use super::crash_watch::{self, RunGuard};
+use super::hedge::AttemptContext;
 use super::open_requests::Phase;
+use super::placement_sync;
 use super::request::{CallerRequest, ServerHeaders, text_header};
 use super::reservation::Reservation;
 use super::selection::SelectedServers;
 use super::state::Gateway;
+use super::tally::{InProgress, Tally};
 use super::upstream::{Connection, SendFailure};
+use crate::constants::MAX_BUFFERED_RESPONSE_BYTES;
 
 /// Lower limit of the hang timeout, after which a missing response head is hedged.
 const MIN_HANG_TIMEOUT: Duration = Duration::from_millis(900);
@@ -38,12 +45,27 @@
     /// Memory at the helpers; released when this is dropped.
     pub(super) _reservation: Option<Reservation>,
     pub(super) head: Parts,
+    /// The rest of the body, without what is prefetched.
     pub(super) body: Incoming,
+    pub(super) prefetched: Prefetched,
+    /// Counts the attempt as in progress; `None` once it was taken out.
+    pub(super) in_progress: Option<InProgress>,
     pub(super) connection: Connection,
     /// The run at the selected server; `None` once it was taken out.
     pub(super) run: Option<RunGuard>,
 }
 
+/// What of a body was read before its response was chosen.
+#[derive(Debug, Default)]
+pub(super) enum Prefetched {
+    #[default]
+    Nothing,
+    /// The beginning of a stream with its first event.
+    Beginning(Bytes),
+    /// The whole body of a plain call.
+    Whole(Bytes),
+}
+
 /// Why an attempt yielded no usable response head.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Failure {
@@ -86,34 +108,72 @@
 }
 
 /// How far an attempt has come, for one that is dropped before its end.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Progress {
-    /// Whether the request may have reached a server.
-    pub(super) sent: Cell<bool>,
+    /// Entry of the attempt in the tally until it fails or its response head arrives.
+    in_progress: RefCell<Option<InProgress>>,
     /// The run at the server until the response head arrives.
     run: RefCell<Option<RunGuard>>,
 }
 
 impl Progress {
+    /// Begins an attempt.
+    pub(super) fn new(tally: &Rc<Tally>) -> Self {
+        Self {
+            in_progress: RefCell::new(Some(InProgress::new(tally))),
+            run: RefCell::default(),
+        }
+    }
+
     /// Ends the run of an attempt that is dropped because its server was silent.
     pub(super) fn give_up(&self) {
         if let Some(run) = self.run.take() {
             run.broke();
         }
     }
+
+    /// Records that the request is about to be sent.
+    fn sent(&self, call: &CallerRequest) {
+        if let Some(in_progress) = &*self.in_progress.borrow() {
+            in_progress.may_run.set(true);
+            call.guard.request.record_sent();
+        }
+    }
+
+    /// Ends a failed attempt.
+    fn failed(&self, call: &CallerRequest, failure: Failure) {
+        let in_progress = self.in_progress.take();
+        let refused = in_progress.filter(|_| failure.run_state() == RunState::NotRun);
+        if let Some(refused) = refused
+            && refused.may_run.replace(false)
+        {
+            call.guard.request.record_refused();
+        }
+    }
 }
 
 /// Makes one attempt and returns the response once its head has arrived.
 ///
-/// `last_event` overrides the caller's own Last-Event-ID. A silent server is waited for until the
-/// deadline.
+/// A silent server is waited for until the deadline.
 pub(super) async fn attempt(
-    gateway: &Rc<Gateway>,
-    call: &CallerRequest,
+    context: AttemptContext<'_>,
     selected: SelectedServers,
-    last_event: Option<u64>,
     progress: &Progress,
 ) -> Result<UpstreamResponse, Failure> {
+    let result = send(context, selected, progress).await;
+    if let Err(failure) = &result {
+        progress.failed(context.call, *failure);
+    }
+    result
+}
+
+/// Sends a request and checks the response head.
+async fn send(
+    context: AttemptContext<'_>,
+    selected: SelectedServers,
+    progress: &Progress,
+) -> Result<UpstreamResponse, Failure> {
+    let AttemptContext { gateway, call, .. } = context;
     call.guard.enter(Phase::Reservation);
     let reservation = reserve_helper_memory(gateway, &selected).await?;
     let reservation_id = reservation.as_ref().map(|r| r.id.as_str());
@@ -132,14 +192,14 @@
         server: selected.server.as_str(),
         helpers: helpers.join(","),
         priority,
-        last_event: last_event.or(call.last_event),
+        last_event: context.last_event.or(call.last_event),
     };
     let now = gateway.now();
     let request = call.upstream_request(now, &server_headers);
     let time_left = call.time_left(now);
     let run = RunGuard::new(gateway, call, selected.incarnation());
     progress.run.replace(Some(run));
-    progress.sent.set(true);
+    progress.sent(call);
     call.guard.enter(Phase::Head);
     let sent = timeout(time_left, connection.send(request)).await;
     let run = progress.run.take();
@@ -176,6 +236,8 @@
         head,
         body,
         connection,
+        prefetched: Prefetched::Nothing,
+        in_progress: progress.in_progress.take(),
         run,
     })
 }
@@ -255,6 +317,40 @@
     }
 }
 
+/// Reads a body to its end; `None` if it is cut, too large or late.
+pub(super) async fn read_whole(body: &mut Incoming, time_left: Duration) -> Option<Bytes> {
+    let reading = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
+    let body = timeout(time_left, reading).await.ok()?.ok()?;
+    Some(body.to_bytes())
+}
+
+/// Updates server health and the log after a failed attempt.
+pub(super) fn record_failure(
+    context: AttemptContext<'_>,
+    incarnation: &Incarnation,
+    failure: Failure,
+) {
+    let AttemptContext { gateway, call, .. } = context;
+    let now = gateway.now();
+    let server = &incarnation.server;
+    if let Some(outcome) = failure.health_outcome() {
+        if failure == Failure::Broken {
+            placement_sync::record_request_outcome(gateway, server, outcome);
+        } else {
+            let mut fleet = gateway.fleet.borrow_mut();
+            fleet.record_outcome(now, server, outcome);
+        }
+    }
+    if failure == Failure::Replaced {
+        gateway.fleet.borrow_mut().mark_replaced(now, server);
+    }
+    info!(gateway.log, "Attempt failed"; "request" => call.attempt_id_text(),
+        "content" => %call.content.digest(), "server" => %server, "born" => incarnation.born,
+        "failure" => ?failure, "ran" => context.tally.may_have_run(),
+        "after_ms" => now.since(call.received_at).as_millis(),
+        "manifest" => call.manifest_number);
+}
+
 /// Whether a response has a length or chunks, so that its end is told from a cut.
 pub(super) fn is_framed(head: &Parts) -> bool {
     head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
--- a/node/src/gateway/open_requests.rs
+++ b/node/src/gateway/open_requests.rs
@@ -30,25 +30,32 @@
     pub(super) attempt_id: String,
     pub(super) received_at: Moment,
     phase: Cell<Phase>,
-    /// Whether any attempt may have reached a server; never reset.
-    sent: Cell<bool>,
+    /// Attempts that were sent and not refused; each has a `record_sent` before its `record_refused`.
+    sent: Cell<u32>,
 }
 
 impl OpenRequest {
     /// Records what the request waits for next.
     pub(super) fn enter(&self, phase: Phase) {
         self.phase.set(phase);
-        if phase == Phase::Head {
-            self.sent.set(true);
-        }
+    }
+
+    /// Records that an attempt is about to be sent.
+    pub(super) fn record_sent(&self) {
+        self.sent.set(self.sent.get() + 1);
+    }
+
+    /// Records that an attempt that was sent did not run the request.
+    pub(super) fn record_refused(&self) {
+        self.sent.set(self.sent.get() - 1);
     }
 
     /// Whether a server may have run the request.
     pub(super) fn run_state(&self) -> RunState {
-        if self.sent.get() {
-            RunState::MayHaveRun
-        } else {
+        if self.sent.get() == 0 {
             RunState::NotRun
+        } else {
+            RunState::MayHaveRun
         }
     }
 }
@@ -95,7 +102,7 @@
             attempt_id: attempt_id.to_owned(),
             received_at,
             phase: Cell::new(Phase::Selection),
-            sent: Cell::new(false),
+            sent: Cell::new(0),
         });
         let mut by_number = requests.by_number.borrow_mut();
         by_number.insert(number, Rc::clone(&request));
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -1,6 +1,5 @@
 //! Streaming responses: forwards whole events as they arrive, each once and in order.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,13 +20,13 @@
 use super::buffered;
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{Progress, UpstreamResponse, forwarded_response, is_framed, return_to_pool};
-use super::hedge::HEDGE_INTERVAL;
+use super::exchange::{UpstreamResponse, forwarded_response, is_framed, return_to_pool};
+use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::placement_sync;
 use super::request::CallerRequest;
 use super::state::{Gateway, StopStage};
-use super::stream_source::{SourceEnd, StreamEnd, StreamSource, open_hedge};
+use super::stream_source::{SourceEnd, StreamEnd, StreamSource};
 use crate::metrics;
 
 /// Events buffered for a caller that reads slowly.
@@ -49,7 +48,7 @@
             break upstream_response;
         }
         // A failure is no stream of events.
-        let finished = buffered::finish(gateway, &call, &mut attempts, upstream_response);
+        let finished = buffered::finish(gateway, &call, &attempts, upstream_response);
         if let Some(response) = finished.await {
             return response;
         }
@@ -155,9 +154,7 @@
                 }
                 StreamEnd::CallerGone | StreamEnd::Overdue | StreamEnd::Stopping => return end,
             }
-            self.attempts
-                .excluded
-                .push(upstream.selected.server.clone());
+            self.attempts.tally.exclude(&upstream.selected.server);
             drop(upstream);
             source = match self.resume().await {
                 Some(next) => next,
@@ -186,9 +183,9 @@
         if let Some(run) = source.upstream.run.take() {
             run.broke();
         }
-        let server = source.upstream.selected.server.clone();
-        self.attempts.excluded.push(server);
-        self.attempts.count_parallel(RunState::MayHaveRun);
+        self.attempts
+            .tally
+            .exclude(&source.upstream.selected.server);
         self.resumed_on(&next);
         *source = next;
     }
@@ -308,78 +305,46 @@
         sent.map_err(|_closed| StreamEnd::CallerGone)
     }
 
-    /// Waits for the next bytes, and sends a hedge while the engine is silent.
+    /// Waits for the next bytes, and sends hedges while the engine is silent.
     ///
     /// Returns `None` at the end of the engine's response.
-    async fn next_bytes(&mut self, source: &mut StreamSource) -> Result<Option<Bytes>, SourceEnd> {
-        let mut silence = self.stall_timeout();
-        loop {
-            let time_left = self.call.time_left(self.gateway.now());
-            if time_left.is_zero() {
-                return Err(SourceEnd::Ended(StreamEnd::Overdue));
-            }
-            if let Ok(received) = timeout(silence.min(time_left), source.next_bytes()).await {
-                return received.map_err(SourceEnd::Ended);
-            }
-            if silence < time_left
-                && let Some(received) = self.race_hedge(source).await
-            {
-                return received;
-            }
-            silence = match self.stall_timeout() {
-                Duration::MAX => Duration::MAX,
-                _ => HEDGE_INTERVAL,
-            };
-        }
+    async fn next_bytes(&self, source: &mut StreamSource) -> Result<Option<Bytes>, SourceEnd> {
+        let time_left = self.call.time_left(self.gateway.now());
+        let received = timeout(time_left, self.next_bytes_hedged(source)).await;
+        received.unwrap_or(Err(SourceEnd::Ended(StreamEnd::Overdue)))
     }
 
-    /// Waits for a silent engine or for a hedge at another one, whichever delivers bytes first.
-    ///
-    /// Returns `None` if the hedge failed and the engine is still silent.
-    async fn race_hedge(
-        &mut self,
+    async fn next_bytes_hedged(
+        &self,
         source: &mut StreamSource,
-    ) -> Option<Result<Option<Bytes>, SourceEnd>> {
-        let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
-        let excluded = self
-            .attempts
-            .excluded_with(&source.upstream.selected.server);
-        let progress = Progress::default();
-        let mut hedge = pin!(open_hedge(
-            &gateway,
-            &call,
-            &excluded,
-            self.last_event,
-            &progress
-        ));
-        let received = tokio::select! {
+    ) -> Result<Option<Bytes>, SourceEnd> {
+        if let Ok(received) = timeout(self.stall_timeout(), source.next_bytes()).await {
+            return received.map_err(SourceEnd::Ended);
+        }
+        let context = AttemptContext {
+            gateway: &self.gateway,
+            call: &self.call,
+            tally: &self.attempts.tally,
+            last_event: self.last_event,
+        };
+        let silent = vec![source.upstream.selected.server.clone()];
+        let mut hedges = context.hedge_until_answered(silent);
+        let end = tokio::select! {
             biased;
-            received = source.next_bytes() => received,
-            hedged = hedge.as_mut() => return match hedged {
-                Ok(next) => Some(Err(SourceEnd::Overtaken(Box::new(next)))),
-                Err(failed) => {
-                    self.attempts.record_hedge_failure(&gateway, &call, failed);
-                    None
-                }
+            received = source.next_bytes() => match received {
+                Ok(bytes) => return Ok(bytes),
+                Err(end) => end,
             },
+            response = hedges.as_mut() => return Err(SourceEnd::overtaken(response)),
         };
-        if !progress.sent.get() {
-            return Some(received.map_err(SourceEnd::Ended));
-        }
-        let Err(end) = received else {
-            self.attempts.count_parallel(RunState::MayHaveRun);
-            return Some(received.map_err(SourceEnd::Ended));
-        };
-        // The engine broke off, so the hedge is the only attempt that is left.
-        match hedge.await {
-            Ok(next) => {
+        // The engine broke off; only hedges in progress are left of this attempt.
+        source.upstream.in_progress = None;
+        match context.await_hedges(hedges.as_mut()).await {
+            Some(response) => {
                 self.record_source_end(source, end);
-                Some(Err(SourceEnd::Overtaken(Box::new(next))))
-            }
-            Err(failed) => {
-                self.attempts.record_hedge_failure(&gateway, &call, failed);
-                Some(Err(SourceEnd::Ended(end)))
+                Err(SourceEnd::overtaken(response))
             }
+            None => Err(SourceEnd::Ended(end)),
         }
     }
 
@@ -391,7 +356,7 @@
             CallKind::Stream {
                 resumable: true,
                 pause,
-            } if self.ttft.is_some() && self.attempts.allows_hedge(&self.call) => {
+            } if self.ttft.is_some() && self.attempts.tally.allows_hedge(&self.call) => {
                 MIN_STALL_TIMEOUT.max(pause * 3)
             }
             _ => Duration::MAX,
--- a/node/src/gateway/stream_source.rs
+++ b/node/src/gateway/stream_source.rs
@@ -1,17 +1,10 @@
 //! The response of one engine to a stream, from which events are forwarded.
 
-use std::rc::Rc;
-
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use merlinrudder_core::events::EventSplitter;
-use merlinrudder_core::names::ServerId;
-use tokio::time::timeout;
 
-use super::exchange::{Failure, Progress, UpstreamResponse};
-use super::hedge::{self, HedgeFailure};
-use super::request::CallerRequest;
-use super::state::Gateway;
+use super::exchange::{Prefetched, UpstreamResponse};
 
 /// How forwarding the events of one engine ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,11 +29,16 @@
     Overtaken(Box<StreamSource>),
 }
 
+impl SourceEnd {
+    /// Goes on with the response of a hedge.
+    pub(super) fn overtaken(response: UpstreamResponse) -> Self {
+        Self::Overtaken(Box::new(StreamSource::new(response)))
+    }
+}
+
 /// The response of one engine, from which events are forwarded.
 pub(super) struct StreamSource {
     pub(super) upstream: UpstreamResponse,
-    /// Bytes that arrived with the head; empty once they are forwarded.
-    first_bytes: Bytes,
     pub(super) splitter: EventSplitter,
 }
 
@@ -48,7 +46,6 @@
     pub(super) fn new(upstream: UpstreamResponse) -> Self {
         Self {
             upstream,
-            first_bytes: Bytes::new(),
             splitter: EventSplitter::default(),
         }
     }
@@ -57,8 +54,8 @@
     ///
     /// Nothing is lost if the future is dropped.
     pub(super) async fn next_bytes(&mut self) -> Result<Option<Bytes>, StreamEnd> {
-        if !self.first_bytes.is_empty() {
-            return Ok(Some(std::mem::take(&mut self.first_bytes)));
+        if let Prefetched::Beginning(bytes) = std::mem::take(&mut self.upstream.prefetched) {
+            return Ok(Some(bytes));
         }
         match self.upstream.body.frame().await {
             Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
@@ -68,31 +65,3 @@
         }
     }
 }
-
-/// Opens a hedge of a stream, and returns once the first bytes after its head are there.
-pub(super) async fn open_hedge(
-    gateway: &Rc<Gateway>,
-    call: &CallerRequest,
-    excluded: &[ServerId],
-    last_event: Option<u64>,
-    progress: &Progress,
-) -> Result<StreamSource, HedgeFailure> {
-    let response = hedge::open(gateway, call, excluded, last_event, progress).await?;
-    let mut source = StreamSource::new(response);
-    let incarnation = source.upstream.selected.incarnation();
-    let succeeded = source.upstream.head.status.is_success();
-    let time_left = call.time_left(gateway.now());
-    while succeeded && source.first_bytes.is_empty() {
-        match timeout(time_left, source.next_bytes()).await {
-            Ok(Ok(Some(bytes))) => source.first_bytes = bytes,
-            _ => break,
-        }
-    }
-    if !source.first_bytes.is_empty() {
-        return Ok(source);
-    }
-    if let Some(run) = source.upstream.run.take().filter(|_| succeeded) {
-        run.broke();
-    }
-    Err(HedgeFailure::Failed(incarnation, Failure::Broken))
-}
