bug: take a hedge only once it has shown more than its head

Callers saw 502, or a stream cut without an event, although their first server answered 0.7 s later: the hedge had sent its head, the first attempt was dropped, and the hedge broke off.

Change: a hedge of a stream has answered with its first whole event, that of a plain call with its whole answer.

Failed before, pass now: a_late_whole_answer_is_not_lost_to_a_hedge_that_is_cut and a_late_stream_is_not_lost_to_a_hedge_that_is_cut_before_its_first_event.

--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -171,10 +171,7 @@
         let progress = Progress::new(self.tally);
         let answer = async {
             let response = attempt(self, selected, &progress).await?;
-            match self.last_event {
-                Some(_) => self.await_answer(response).await,
-                None => Ok(response),
-            }
+            self.await_answer(response).await
         };
         self.race_with(silence, silent, answer).await
     }
