bug: do not hold a refused hedge against its server

Callers saw a stream cut with three idle servers: each had refused one hedge for a moment, and was excluded when the first server broke off a second later.

Change: a hedge that did not run excludes its server from the next hedge only, and counts for hedges alone.

hedges_that_were_refused_do_not_exclude_their_servers_from_a_recovery failed before (events 1 to 5, then cut) and passes now.

--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -116,9 +116,10 @@
                         Ok(response) => return response,
                         Err(failure) => {
                             record_failure(self, &incarnation, failure);
-                            self.tally.exclude(&incarnation.server);
                             if failure.run_state() == RunState::NotRun {
                                 self.tally.count_refused_hedge();
+                            } else {
+                                self.tally.exclude(&incarnation.server);
                             }
                             refused = Some(incarnation.server);
                         }
