bug: forward a server's whole failure where no other server is left

Callers saw our own 502 no_server in place of the 500 that a server had answered, as the answer was dropped before the retry was certain.

Change: the failure is kept while a retry is tried, and forwarded if none comes about.

Failed before, passes now: a_failure_that_a_server_answers_to_a_stream_reaches_the_caller_whole.

--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 use merlinrudder_core::health::ServerOutcome;
+use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
 
@@ -25,19 +26,49 @@
 /// Serves a non-streaming call, with retries where its route allows them.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
     let mut attempts = Attempts::new();
+    let mut failed = None;
     loop {
         let upstream_response = match attempts.run_until_response(gateway, &call, None).await {
             Ok(upstream_response) => upstream_response,
-            Err(refusal) => return refuse_request(gateway, &call, &refusal),
+            Err(refusal) => return end_without_success(gateway, &call, &refusal, failed),
         };
-        let finished = finish(gateway, &call, &attempts, upstream_response);
-        if let Some(response) = finished.await {
-            return response;
+        match finish(gateway, &call, &attempts, upstream_response).await {
+            Finished::Response(response) => return response,
+            Finished::Retry(answer) => failed = answer.or(failed),
         }
     }
 }
 
-/// Reads a response to its end and builds the one for the caller; `None` if a retry follows.
+/// A complete response of a server to a plain call.
+#[derive(Debug)]
+pub(super) struct Answer {
+    server: ServerId,
+    head: Parts,
+    body: Bytes,
+}
+
+/// How an attempt ended for its caller.
+pub(super) enum Finished {
+    /// The response for the caller.
+    Response(Response<ResponseBody>),
+    /// A retry follows; holds the failure that the server answered, if it did.
+    Retry(Option<Answer>),
+}
+
+/// Forwards the last failure that a server answered, or refuses the request if there is none.
+pub(super) fn end_without_success(
+    gateway: &Gateway,
+    call: &CallerRequest,
+    refusal: &Refusal,
+    failed: Option<Answer>,
+) -> Response<ResponseBody> {
+    match failed {
+        Some(answer) => forward(gateway, call, answer),
+        None => refuse_request(gateway, call, refusal),
+    }
+}
+
+/// Reads a response to its end, and builds the one for the caller unless a retry follows.
 ///
 /// A 5xx response counts as a failed attempt; it is forwarded if no retry may follow.
 pub(super) async fn finish(
@@ -45,14 +76,14 @@
     call: &CallerRequest,
     attempts: &Attempts,
     mut upstream_response: UpstreamResponse,
-) -> Option<Response<ResponseBody>> {
+) -> Finished {
     let server = upstream_response.selected.server.clone();
     let run = upstream_response.run.take();
-    let complete_response = read_response(gateway, call, upstream_response).await;
-    let succeeded = matches!(&complete_response, Some((head, _)) if !head.status.is_server_error());
-    match (&complete_response, run) {
+    let answer = read_response(gateway, call, upstream_response).await;
+    let succeeded = matches!(&answer, Some(answer) if !answer.head.status.is_server_error());
+    match (&answer, run) {
         (None, Some(run)) => run.broke(),
-        (Some((head, _)), _) if head.status.is_success() && is_framed(head) => {
+        (Some(Answer { head, .. }), _) if head.status.is_success() && is_framed(head) => {
             crash_watch::record_completed(gateway, call);
         }
         _ => {}
@@ -72,24 +103,30 @@
         if attempts.try_retry(gateway, call).is_ok() {
             metrics::count_retry(RetryReason::IdempotentBroken);
             crash_verdict::await_evidence(gateway, call, RunState::MayHaveRun).await;
-            return None;
+            return Finished::Retry(answer);
         }
     }
-    let Some((head, body)) = complete_response else {
+    let Some(answer) = answer else {
         let refusal = Refusal {
             reason: RefusalReason::ServerFailed,
             run: attempts.run_state(),
             retry_after: None,
         };
-        return Some(refuse_request(gateway, call, &refusal));
+        return Finished::Response(refuse_request(gateway, call, &refusal));
     };
+    Finished::Response(forward(gateway, call, answer))
+}
+
+/// Logs a complete response, and builds the one for the caller.
+fn forward(gateway: &Gateway, call: &CallerRequest, answer: Answer) -> Response<ResponseBody> {
+    let Answer { server, head, body } = answer;
     info!(gateway.log, "Request completed"; "request" => call.attempt_id_text(),
         "route" => &*call.route.name, "server" => %server, "status" => head.status.as_u16(),
         "took_ms" => gateway.now().since(call.received_at).as_millis(),
         "manifest" => call.manifest_number);
     call.guard.end();
     metrics::count_outcome(call.service.as_str(), "complete");
-    Some(forwarded_response(&head, ResponseBody::buffered(body)))
+    forwarded_response(&head, ResponseBody::buffered(body))
 }
 
 /// Logs an admitted request that is refused or failed, and builds its response.
@@ -113,7 +150,7 @@
     gateway: &Gateway,
     call: &CallerRequest,
     mut upstream_response: UpstreamResponse,
-) -> Option<(Parts, Bytes)> {
+) -> Option<Answer> {
     call.guard.enter(Phase::Body);
     let time_left = call.time_left(gateway.now());
     let body = match std::mem::take(&mut upstream_response.prefetched) {
@@ -125,5 +162,9 @@
         upstream_response.connection,
         &upstream_response.head,
     );
-    Some((upstream_response.head, body))
+    Some(Answer {
+        server: upstream_response.selected.server.clone(),
+        head: upstream_response.head,
+        body,
+    })
 }
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -17,7 +17,7 @@
 
 use super::attempts::Attempts;
 use super::body::{Chunk, ChunkSender, ResponseBody};
-use super::buffered;
+use super::buffered::{self, Finished};
 use super::crash_verdict;
 use super::crash_watch;
 use super::exchange::{UpstreamResponse, forwarded_response, is_framed, return_to_pool};
@@ -39,18 +39,21 @@
 /// A response of an engine that is no success is forwarded as that of a plain call.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
     let mut attempts = Attempts::new();
+    let mut failed = None;
     let upstream_response = loop {
         let upstream_response = match attempts.run_until_response(gateway, &call, None).await {
             Ok(upstream_response) => upstream_response,
-            Err(refusal) => return buffered::refuse_request(gateway, &call, &refusal),
+            Err(refusal) => {
+                return buffered::end_without_success(gateway, &call, &refusal, failed);
+            }
         };
         if upstream_response.head.status.is_success() {
             break upstream_response;
         }
         // A failure is no stream of events.
-        let finished = buffered::finish(gateway, &call, &attempts, upstream_response);
-        if let Some(response) = finished.await {
-            return response;
+        match buffered::finish(gateway, &call, &attempts, upstream_response).await {
+            Finished::Response(response) => return response,
+            Finished::Retry(answer) => failed = answer.or(failed),
         }
     };
     let (sender, chunks) = mpsc::channel(EVENT_BUFFER_CAPACITY);
