--- a/node/tests/integration/planned_stop.rs
+++ b/node/tests/integration/planned_stop.rs
@@ -10,7 +10,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 
-use crate::deployment::{publish, start_deployment};
+use crate::deployment::{publish, register, start_deployment};
 
 /// Time between two events of a fake backend server's stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -102,3 +102,34 @@
     assert_eq!(response.status, 502, "{response:?}");
     wait_for("end of the process", || nodes.has_ended(3));
 }
+
+#[test]
+fn a_stream_whose_server_breaks_in_a_planned_stop_is_resumed_when_an_engine_is_free() {
+    let first = FakeBackend::bind("i-1", EVENT_INTERVAL * 25).expect("fake server listens");
+    let second = FakeBackend::bind("i-2", EVENT_INTERVAL).expect("fake server listens");
+    let nodes = start_deployment(1, &[&first]);
+    publish_engine(&nodes);
+    thread::sleep(APPLY_TIME);
+    let callers = nodes.callers_address(3);
+    let stream = thread::spawn(move || send_prompt(callers, "f1"));
+    wait_for("running stream", || first.executions().len() == 1);
+    thread::sleep(Duration::from_millis(700));
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    let signaled_at = Instant::now();
+    second.set_faults(&[BackendFault::StallAfter(0, Duration::from_millis(1500)); 8]);
+    register(&nodes, "i-2", second.address);
+    thread::sleep(Duration::from_millis(2300).saturating_sub(signaled_at.elapsed()));
+    let backlog: Vec<_> = (0..3)
+        .map(|n| thread::spawn(move || send_prompt(callers, &format!("f1-other{n}"))))
+        .collect();
+    thread::sleep(Duration::from_secs(3).saturating_sub(signaled_at.elapsed()));
+    assert!(!second.executions().is_empty(), "no backlog");
+    first.crash();
+    let response = stream.join().expect("caller thread finishes");
+    for other in backlog {
+        let _response = other.join().expect("caller thread finishes");
+    }
+    assert!(response.is_whole_stream(), "{response:?}");
+}
