--- a/node/tests/integration/planned_stop.rs
+++ b/node/tests/integration/planned_stop.rs
@@ -1,12 +1,15 @@
 //! What callers are told while their entry VM stops.
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use merlinrudder_fakes::backend::{BackendFault, FakeBackend};
 use merlinrudder_fakes::http_client::{HttpResponse, send_request};
 use merlinrudder_fakes::nodes::{Nodes, sample_configuration, wait_for};
+use merlinrudder_fakes::raw_server::RawServer;
 use nix::sys::signal::Signal;
 use serde_json::json;
 
@@ -18,6 +21,12 @@
 const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time from the stop signal within which a waiting request must have its answer.
 const STOP_LIMIT: Duration = Duration::from_secs(4);
+/// Time from the stop signal to the last answers of a VM that has open requests.
+const EXIT_TIME: Duration = Duration::from_millis(7400);
+/// Calls that are refused shortly before the exit, 50 ms apart.
+const REFUSED_CALLS: u32 = 8;
+/// Time within which an entry VM has taken note of a refusal.
+const NOTICE_TIME: Duration = Duration::from_millis(100);
 
 /// Sends a stream whose prompt takes an engine of `publish_engine` seconds to read.
 fn send_prompt(callers: SocketAddr, attempt: &str) -> HttpResponse {
@@ -28,6 +37,38 @@
     send_request(callers, "POST /stream/x", &headers, "body")
 }
 
+/// Sends a call that may run only once.
+fn send_once(callers: SocketAddr, attempt: &str) -> HttpResponse {
+    let headers = format!(
+        "X-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Deadline-Ms: 20000\r\n\
+         Authorization: Bearer k1\r\n"
+    );
+    send_request(callers, "POST /file/x", &headers, "body")
+}
+
+/// Starts a server that refuses call `h<n>` n + 1 times 50 ms before `exit_at`, without running it.
+///
+/// Each refusal is added to `refusals` with its attempt id, once it is sent.
+fn start_refusing(exit_at: Instant, refusals: Arc<Mutex<Vec<(String, Instant)>>>) -> RawServer {
+    let server = RawServer::bind(move |connection, request| {
+        let number = request.attempt.strip_prefix('h');
+        let number: u32 = number.and_then(|n| n.parse().ok()).unwrap_or(0);
+        let ahead = Duration::from_millis(50) * (number + 1);
+        let left = exit_at.saturating_duration_since(Instant::now());
+        thread::sleep(left.saturating_sub(ahead));
+        write!(
+            connection,
+            "HTTP/1.1 503 Service Unavailable\r\nX-Merlinrudder-Attempt-Id: {}\r\n\
+             X-Merlinrudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            request.attempt
+        )?;
+        let mut refusals = refusals.lock().expect("no thread panics");
+        refusals.push((request.attempt.clone(), Instant::now()));
+        Ok(())
+    });
+    server.expect("raw server listens")
+}
+
 /// Publishes a configuration whose service has engines with a performance model.
 fn publish_engine(nodes: &Nodes) {
     let mut configuration = sample_configuration(6);
@@ -133,3 +174,51 @@
     }
     assert!(response.is_whole_stream(), "{response:?}");
 }
+
+#[test]
+fn a_call_that_servers_only_refused_is_told_at_exit_that_it_did_not_run() {
+    let crashing = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake server listens");
+    crashing.set_downtime(Duration::from_mins(1));
+    let nodes = start_deployment(1, &[&crashing]);
+    let mut configuration = sample_configuration(6);
+    configuration["routes"][1]["timeout-ms"] = json!(20_000);
+    publish(&nodes, &configuration);
+    thread::sleep(APPLY_TIME);
+    // After a content has crashed a server, its next attempts wait for evidence of a crash.
+    crashing.set_faults(&[BackendFault::StallBeforeHead(Duration::from_secs(9))]);
+    let callers = nodes.callers_address(3);
+    let crash = thread::spawn(move || send_once(callers, "h-crash"));
+    wait_for("running call", || crashing.executions().len() == 1);
+    crashing.crash();
+    let _response = crash.join().expect("caller thread finishes");
+    let refusals = Arc::new(Mutex::new(Vec::new()));
+    let sent_at = Instant::now() + APPLY_TIME;
+    let signaled_at = sent_at + NOTICE_TIME;
+    let refuser = start_refusing(signaled_at + EXIT_TIME, Arc::clone(&refusals));
+    register(&nodes, "i-2", refuser.address);
+    thread::sleep(sent_at.saturating_duration_since(Instant::now()));
+    let calls: Vec<_> = (0..REFUSED_CALLS)
+        .map(|n| {
+            thread::spawn(move || {
+                let attempt = format!("h{n}");
+                let status = send_once(callers, &attempt).status;
+                (attempt, status, Instant::now())
+            })
+        })
+        .collect();
+    thread::sleep(signaled_at.saturating_duration_since(Instant::now()));
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    let mut told = Vec::new();
+    for call in calls {
+        let (attempt, status, answered_at) = call.join().expect("caller thread finishes");
+        let refusals = refusals.lock().expect("no thread panics");
+        let refusal = refusals.iter().find(|(of, _)| *of == attempt);
+        if refusal.is_some_and(|(_, at)| *at + NOTICE_TIME < answered_at) {
+            told.push(status);
+        }
+    }
+    assert!(!told.is_empty(), "no call waited after a refusal");
+    assert!(told.iter().all(|status| *status == 503), "{told:?}");
+}
