bug: judge prompt parts once after a change of the crash history

A caller whose requests crash servers on purpose, each with many parts, could keep an entry VM's only thread busy.

Cause: each verdict on a part or content with three crashes computed anew which parts are to blame for which crashes, over the whole table. A request has up to 64 parts, and a batch of reports up to 1,000 suspects.

Change: `BlameCache` keeps the blame and the explained crashes from the first question to the next change of a run. Reports that change nothing, and completions of what is cleared already, keep it. Equality ignores it and a clone begins without one. Verdicts are as before.

--- a/core/src/crash_history.rs
+++ b/core/src/crash_history.rs
@@ -12,14 +12,16 @@
 //! Parts of prompts are suspects as well, in the same table. They are told apart by their digests
 //! and judged by rules of their own; what a quarantined part explains counts against no content.
 
+mod blame;
 mod contents;
 mod parts;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use blame::BlameCache;
 use contents::{Evidence, QUARANTINE_CRASHES};
-use parts::{BlamedPart, blamed_parts, crash_moments, is_candidate};
+use parts::{crash_moments, is_candidate};
 
 use crate::directory::Incarnation;
 use crate::time::Moment;
@@ -100,6 +102,8 @@
     ///
     /// A content has at most `MAX_CRASHES` runs, a part `MAX_PART_CRASHES`.
     contents: BTreeMap<ContentDigest, Runs>,
+    /// Empty, or computed from `contents` as they are.
+    blame: BlameCache,
 }
 
 impl CrashHistory {
@@ -155,6 +159,9 @@
                 run: *run,
             });
         }
+        if !cleared.is_empty() {
+            self.blame.invalidate();
+        }
         cleared
     }
 
@@ -180,13 +187,13 @@
     /// Returns the contents and parts in quarantine at `now`.
     #[must_use]
     pub fn quarantined(&self, now: Moment) -> Vec<QuarantinedContent> {
-        let blamed = blamed_parts(&self.contents);
-        let parts = blamed.iter().map(|part| QuarantinedContent {
-            content: part.part,
-            crashes: part.moments.len(),
-            until: part.quarantined_until(),
+        let blamed = self.blame.get(&self.contents).parts.iter();
+        let parts = blamed.map(|(part, quarantine)| QuarantinedContent {
+            content: *part,
+            crashes: quarantine.crashes,
+            until: quarantine.until,
         });
-        let evidence = self.evidence(&blamed);
+        let evidence = self.evidence();
         let contents = evidence.contents().filter_map(|(content, runs)| {
             Some(QuarantinedContent {
                 content: *content,
@@ -202,11 +209,11 @@
 
     /// Forgets contents and parts whose crashes were too long ago.
     pub fn expire(&mut self, now: Moment) {
-        let blamed = blamed_parts(&self.contents).into_iter();
-        let blamed: BTreeSet<_> = blamed.map(|part| part.part).collect();
+        let blamed = &self.blame.get(&self.contents).parts;
+        let known = self.contents.len();
         self.contents.retain(|suspect, runs| {
             let is_proven = if suspect.is_prompt_part() {
-                blamed.contains(suspect)
+                blamed.contains_key(suspect)
             } else {
                 sequential_crashes(runs.values()) >= QUARANTINE_CRASHES
             };
@@ -217,18 +224,29 @@
             };
             now.since(last_crash(runs)) < lifetime
         });
+        if self.contents.len() < known {
+            self.blame.invalidate();
+        }
     }
 
     fn merge_run(&mut self, report: &CrashReport) -> bool {
         let runs = self.contents.entry(report.content).or_default();
         let Some(known) = runs.get_mut(&report.incarnation) else {
-            return insert_run(runs, report);
+            let is_kept = insert_run(runs, report);
+            if is_kept {
+                self.blame.invalidate();
+            }
+            return is_kept;
         };
-        let newly_cleared = report.run.cleared && !known.cleared;
+        let before = *known;
         known.started = known.started.min(report.run.started);
         known.ended = known.ended.min(report.run.ended);
         known.servers = known.servers.max(report.run.servers);
         known.cleared |= report.run.cleared;
+        let newly_cleared = known.cleared && !before.cleared;
+        if *known != before {
+            self.blame.invalidate();
+        }
         newly_cleared
     }
 
@@ -251,6 +269,7 @@
             .min_by_key(|(suspect, runs)| (strength(suspect, runs), **suspect));
         if let Some(suspect) = weakest.map(|(suspect, _)| *suspect) {
             self.contents.remove(&suspect);
+            self.blame.invalidate();
         }
     }
 
@@ -260,24 +279,20 @@
     fn quarantined_until(&self, suspect: &ContentDigest) -> Option<Moment> {
         let runs = self.contents.get(suspect)?;
         if suspect.is_prompt_part() {
-            let blamed = is_candidate(runs).then(|| blamed_parts(&self.contents))?;
-            let blamed = blamed.iter().find(|part| part.part == *suspect)?;
-            return Some(blamed.quarantined_until());
+            let blame = is_candidate(runs).then(|| self.blame.get(&self.contents))?;
+            return blame.parts.get(suspect).map(|quarantine| quarantine.until);
         }
         if sequential_crashes(runs.values()) < QUARANTINE_CRASHES {
             return None;
         }
-        let blamed = blamed_parts(&self.contents);
-        self.evidence(&blamed).quarantined_until(suspect, runs)
+        self.evidence().quarantined_until(suspect, runs)
     }
 
-    /// Returns what contents are judged by, given the parts that are to blame.
-    fn evidence<'a>(&'a self, blamed: &[BlamedPart<'a>]) -> Evidence<'a> {
-        let certain = blamed.iter().filter(|part| part.is_certain());
-        let crashes = certain.flat_map(|part| &part.crashes);
+    /// Returns what contents are judged by.
+    fn evidence(&self) -> Evidence<'_> {
         Evidence {
             all: &self.contents,
-            explained: crashes.map(|(incarnation, _)| *incarnation).collect(),
+            explained: &self.blame.get(&self.contents).explained,
         }
     }
 }
--- a/core/src/crash_history/contents.rs
+++ b/core/src/crash_history/contents.rs
@@ -31,7 +31,7 @@
     /// Runs of contents and of prompt parts.
     pub(super) all: &'a BTreeMap<ContentDigest, Runs>,
     /// Servers whose crashes quarantined parts explain.
-    pub(super) explained: BTreeSet<&'a Incarnation>,
+    pub(super) explained: &'a BTreeSet<Incarnation>,
 }
 
 impl Evidence<'_> {
@@ -54,7 +54,7 @@
         runs: &'r Runs,
     ) -> impl Iterator<Item = (&'r Incarnation, &'r CrashedRun)> {
         let runs = runs.iter();
-        runs.filter(|(incarnation, _)| !self.explained.contains(incarnation))
+        runs.filter(|(incarnation, _)| !self.explained.contains(*incarnation))
     }
 
     /// Counts the crashes of a content that may have caused them.
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod consensus;
 mod control;
+mod crash_blame;
 mod crash_detector;
 mod crash_history;
 mod crash_parts;
