bug: log the quarantine of a suspect that was on trial before

`Content quarantined` was missing for parts that cannot be told apart, which are on trial from the third crash and quarantined from the fifth, and for suspects whose trial crashed a server.

Cause: a batch of reports logged only suspects that were allowed before it.

Change: it logs each suspect that is quarantined after a batch and was not before. Each is judged once before and once after, also with several reports in the batch.

Trial with a temporary test, not kept, as the type is private to the crate: two parts that always crash together have one line each at the fifth crash and none at the three that follow; before, none at all.

--- a/node/src/crash_exchange.rs
+++ b/node/src/crash_exchange.rs
@@ -109,25 +109,22 @@
         self.merge(now, reports.collect(), log)
     }
 
-    /// Merges reports and logs the contents that they quarantine; returns those that were new.
+    /// Merges reports and logs the suspects that they quarantine; returns those that were new.
     pub(crate) fn merge(
         &mut self,
         now: Moment,
         mut reports: Vec<CrashReport>,
         log: &Logger,
     ) -> Vec<CrashReport> {
-        let allowed_before: BTreeSet<_> = reports
-            .iter()
-            .map(|report| report.content)
-            .filter(|content| self.history.verdict(now, content) == CrashVerdict::Allowed)
-            .collect();
+        let mut sendable: BTreeSet<_> = reports.iter().map(|report| report.content).collect();
+        sendable.retain(|content| self.quarantined_until(now, content).is_none());
         reports.retain(|report| self.history.merge(report));
         for report in &reports {
             info!(log, "Crash of a backend server recorded"; "content" => %report.content,
                 "server" => %report.incarnation.server, "born" => report.incarnation.born,
                 "cleared" => report.run.cleared);
         }
-        for content in allowed_before {
+        for content in sendable {
             self.log_quarantine(now, &content, log);
         }
         if !reports.is_empty() {
@@ -170,12 +167,20 @@
     }
 
     fn log_quarantine(&self, now: Moment, content: &ContentDigest, log: &Logger) {
-        if let CrashVerdict::QuarantinedUntil(until) = self.history.verdict(now, content) {
+        if let Some(until) = self.quarantined_until(now, content) {
             warn!(log, "Content quarantined"; "content" => %content,
                 "part" => content.is_prompt_part(),
                 "for_s" => until.since(now).as_secs());
         }
     }
+
+    /// Returns the end of a suspect's quarantine, unless it may be sent or tried at `now`.
+    fn quarantined_until(&self, now: Moment, suspect: &ContentDigest) -> Option<Moment> {
+        match self.history.verdict(now, suspect) {
+            CrashVerdict::QuarantinedUntil(until) => Some(until),
+            CrashVerdict::Allowed | CrashVerdict::OnTrial => None,
+        }
+    }
 }
 
 fn message(now: Moment, reports: &[CrashReport]) -> MeshMessage {
