bug: log the failure, the phase and the longest pause of hedged requests as they were

Read by the review: an attempt that broke off beside a hedge was logged as overtaken, a request whose response was forwarded as waiting for a head, and the longest pause of a stream left out the one that a hedge bridged.

--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt at a request: connects, sends it and checks the response head.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -111,17 +111,20 @@
 #[derive(Debug)]
 pub(super) struct Progress {
     /// Entry of the attempt in the tally until it fails or its response head arrives.
-    in_progress: RefCell<Option<InProgress>>,
+    entry: RefCell<Option<InProgress>>,
     /// The run at the server until the response head arrives.
     run: RefCell<Option<RunGuard>>,
+    /// How the attempt failed, if it did.
+    pub(super) failure: Cell<Option<Failure>>,
 }
 
 impl Progress {
     /// Begins an attempt.
     pub(super) fn new(tally: &Rc<Tally>) -> Self {
         Self {
-            in_progress: RefCell::new(Some(InProgress::new(tally))),
+            entry: RefCell::new(Some(InProgress::new(tally))),
             run: RefCell::default(),
+            failure: Cell::default(),
         }
     }
 
@@ -134,7 +137,7 @@
 
     /// Records that the request is about to be sent.
     fn sent(&self, call: &CallerRequest) {
-        if let Some(in_progress) = &*self.in_progress.borrow() {
+        if let Some(in_progress) = &*self.entry.borrow() {
             in_progress.may_run.set(true);
             call.guard.request.record_sent();
         }
@@ -142,7 +145,8 @@
 
     /// Ends a failed attempt.
     fn failed(&self, call: &CallerRequest, failure: Failure) {
-        let in_progress = self.in_progress.take();
+        self.failure.set(Some(failure));
+        let in_progress = self.entry.take();
         let refused = in_progress.filter(|_| failure.run_state() == RunState::NotRun);
         if let Some(refused) = refused
             && refused.may_run.replace(false)
@@ -237,7 +241,7 @@
         body,
         connection,
         prefetched: Prefetched::Nothing,
-        in_progress: progress.in_progress.take(),
+        in_progress: progress.entry.take(),
         run,
     })
 }
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -59,7 +59,8 @@
         let result = raced.map_err(|failure| (incarnation.clone(), failure));
         if matches!(&result, Ok(response) if response.selected.server != server) {
             progress.give_up();
-            record_failure(self, &incarnation, Failure::Overtaken);
+            let failure = progress.failure.get().unwrap_or(Failure::Overtaken);
+            record_failure(self, &incarnation, failure);
             self.tally.exclude(&incarnation.server);
         }
         result
--- a/node/src/gateway/open_requests.rs
+++ b/node/src/gateway/open_requests.rs
@@ -36,8 +36,12 @@
 
 impl OpenRequest {
     /// Records what the request waits for next.
+    ///
+    /// A hedge beside a response that is forwarded changes nothing.
     pub(super) fn enter(&self, phase: Phase) {
-        self.phase.set(phase);
+        if self.phase.get() != Phase::Body || phase == Phase::Selection {
+            self.phase.set(phase);
+        }
     }
 
     /// Records that an attempt is about to be sent.
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{RetryReason, RunState};
+use merlinrudder_core::time::Moment;
 use slog::info;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -67,6 +68,7 @@
         sender,
         event_count: 0,
         ttft: None,
+        last_received: None,
         longest_gap: Duration::ZERO,
         resumptions: 0,
     };
@@ -110,9 +112,11 @@
     event_count: u32,
     /// Time to first token: from the receipt of the request to its first event.
     ttft: Option<Duration>,
-    /// Longest time between two events.
+    /// When the last event was received; `None` before the first one.
+    last_received: Option<Moment>,
+    /// Longest time between two events, over all engines.
     longest_gap: Duration,
-    /// Times that the stream broke and a retry was spent to resume it.
+    /// Times that the stream went on with another engine.
     resumptions: u32,
     last_placement: PlacementInfo,
 }
@@ -260,7 +264,6 @@
     /// Forwards the events of one engine until its response ends, breaks or is overtaken.
     async fn forward_from(&mut self, source: &mut StreamSource) -> SourceEnd {
         self.call.guard.enter(Phase::Body);
-        let mut last_received = self.gateway.now();
         loop {
             let bytes = match self.next_bytes(source).await {
                 Ok(Some(bytes)) => bytes,
@@ -274,10 +277,11 @@
                     placement.record_first_event();
                 }
                 let now = self.gateway.now();
-                if self.ttft.is_some() {
-                    self.longest_gap = self.longest_gap.max(now.since(last_received));
-                }
-                last_received = now;
+                let gap = self
+                    .last_received
+                    .map_or(Duration::ZERO, |last| now.since(last));
+                self.longest_gap = self.longest_gap.max(gap);
+                self.last_received = Some(now);
                 if let Err(end) = self.forward_event(event).await {
                     return SourceEnd::Ended(end);
                 }
