--- a/core/src/crash_detector.rs
+++ b/core/src/crash_detector.rs
@@ -47,10 +47,10 @@
     }
 
     /// Records that a server answered, so the runs that broke there before did not crash it.
-    pub fn record_alive(&mut self, incarnation: &Incarnation) {
+    pub fn record_alive(&mut self, now: Moment, incarnation: &Incarnation) {
         if !self.crashed.contains_key(incarnation) {
             self.broken
-                .retain(|(run, _)| run.incarnation != *incarnation);
+                .retain(|(run, _)| run.incarnation != *incarnation || now < run.ended);
         }
     }
 
--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -153,8 +153,9 @@
 
 /// Records that a server answered a request.
 pub(super) fn record_alive(gateway: &Gateway, incarnation: &Incarnation) {
+    let now = gateway.now();
     let mut watch = gateway.crashes.borrow_mut();
-    watch.detector.record_alive(incarnation);
+    watch.detector.record_alive(now, incarnation);
 }
 
 /// Records that a lifetime of a server ended without a planned stop.
