bug: count a crash also if the server's next lifetime answers before it is announced

Cause: an answer cleared all runs that had broken at the server before. A server behind a proxy gives no refusal; if it starts again and answers before its new lifetime is announced, the answer was ascribed to the crashed lifetime.

Runs that end because the lifetime's end is known are recorded after it and do not count as such breaks.

--- a/core/tests/integration/crash_detector.rs
+++ b/core/tests/integration/crash_detector.rs
@@ -96,8 +96,8 @@
     let mut detector = CrashDetector::default();
     detector.record_broken(broken(1, 1, NOW));
     detector.record_alive(after(400), &lifetime(1));
-    detector.record_broken(broken(2, 1, after(520)));
     detector.record_crash(after(520), lifetime(1));
+    detector.record_broken(broken(2, 1, after(520)));
     let reported = reported(&mut detector, after(520), 16);
     assert!(reported.contains(&(1, lifetime(1))), "{reported:?}");
 }
--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -168,10 +168,10 @@
         .running
         .extract_if(.., |_, run| run.incarnation == *incarnation);
     let ended: Vec<_> = ended.flat_map(|(_, run)| run.broken(now)).collect();
+    let is_new = watch.detector.record_crash(now, incarnation.clone());
     for run in ended {
         watch.detector.record_broken(run);
     }
-    let is_new = watch.detector.record_crash(now, incarnation.clone());
     drop(watch);
     if is_new {
         info!(gateway.log, "Backend server crashed"; "server" => %incarnation.server,
