--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -153,8 +153,9 @@
 
 /// Records that a server answered a request.
 pub(super) fn record_alive(gateway: &Gateway, incarnation: &Incarnation) {
+    let now = gateway.now();
     let mut watch = gateway.crashes.borrow_mut();
-    watch.detector.record_alive(incarnation);
+    watch.detector.record_alive(now, incarnation);
 }
 
 /// Records that a lifetime of a server ended without a planned stop.
@@ -167,10 +168,10 @@
         .running
         .extract_if(.., |_, run| run.incarnation == *incarnation);
     let ended: Vec<_> = ended.flat_map(|(_, run)| run.broken(now)).collect();
+    let is_new = watch.detector.record_crash(now, incarnation.clone());
     for run in ended {
         watch.detector.record_broken(run);
     }
-    let is_new = watch.detector.record_crash(now, incarnation.clone());
     drop(watch);
     if is_new {
         info!(gateway.log, "Backend server crashed"; "server" => %incarnation.server,
