--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -109,9 +109,9 @@
         silent: Vec<ServerId>,
     ) -> Pin<Box<dyn Future<Output = UpstreamResponse> + 'a>> {
         Box::pin(async move {
-            let mut refused = None;
+            let mut last_failed = None;
             loop {
-                if let Some(selected) = self.select_hedge(&silent, refused.as_ref()) {
+                if let Some(selected) = self.select_hedge(&silent, last_failed.as_ref()) {
                     let incarnation = selected.incarnation();
                     match self.open_hedge(selected, &silent).await {
                         Ok(response) => return response,
@@ -122,7 +122,7 @@
                             } else {
                                 self.tally.exclude(&incarnation.server);
                             }
-                            refused = Some(incarnation.server);
+                            last_failed = Some(incarnation.server);
                         }
                     }
                 }
@@ -135,7 +135,7 @@
     fn select_hedge(
         self,
         silent: &[ServerId],
-        refused: Option<&ServerId>,
+        last_failed: Option<&ServerId>,
     ) -> Option<SelectedServers> {
         let Self {
             gateway,
@@ -147,7 +147,7 @@
             return None;
         }
         let mut excluded = tally.excluded.borrow().clone();
-        excluded.extend(silent.iter().chain(refused).cloned());
+        excluded.extend(silent.iter().chain(last_failed).cloned());
         let Selection::Selected(selected) = select_servers(gateway, call, &excluded) else {
             return None;
         };
