feature: log the limits that backend servers name

Each answer with a Server-Limit is logged with its server and counted; a value that is no rate is logged and ignored.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -14,6 +14,7 @@
 mod link_events;
 mod open_requests;
 mod placement_sync;
+mod rate_limits;
 mod refusal;
 mod request;
 mod reservation;
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -22,6 +22,7 @@
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::placement_sync;
+use super::rate_limits;
 use super::request::{CallerRequest, ServerHeaders, text_header};
 use super::reservation::Reservation;
 use super::selection::SelectedServers;
@@ -233,6 +234,7 @@
         }
     };
     crash_watch::record_alive(gateway, &selected.incarnation());
+    rate_limits::record_answer(gateway, call, &selected, &head.headers);
     record_reported_load(gateway, &selected, &head.headers);
     Ok(UpstreamResponse {
         selected,
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -13,6 +13,7 @@
 const FIRST_TOKEN: &str = "merlinrudder_first_token_seconds";
 const ANNOUNCEMENTS: &str = "merlinrudder_announcements_total";
 const DROPPED_EVENTS: &str = "merlinrudder_dropped_events_total";
+const LIMITED_ANSWERS: &str = "merlinrudder_limited_answers_total";
 const MESH_SENT: &str = "merlinrudder_mesh_sent_bytes_total";
 const MESH_DROPPED: &str = "merlinrudder_mesh_dropped_total";
 
@@ -84,6 +85,11 @@
     counter!(DROPPED_EVENTS).increment(1);
 }
 
+/// Counts an answer in which a backend server named a limit on its request rate.
+pub fn count_limited_answer() {
+    counter!(LIMITED_ANSWERS).increment(1);
+}
+
 /// Adds to the bytes sent to other VMs.
 pub fn count_mesh_sent(bytes: usize) {
     counter!(MESH_SENT).increment(bytes as u64);
