--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -93,6 +93,8 @@
     crash_point: CrashPoint,
     /// Whether all responses are sent as `BackendFault::Unframed` does.
     unframed: bool,
+    /// Values of the `Server-Limit` headers of all answers.
+    limits: Vec<String>,
     /// Whether each lifetime after the first has an id of its own.
     new_ids: bool,
     /// End of the downtime after a crash; `None` while the server runs.
@@ -141,6 +143,20 @@
         self.lock_state().unframed = unframed;
     }
 
+    /// Sets the values of the `Server-Limit` headers of all further answers; none at first.
+    pub fn set_limits(&self, limits: &[&str]) {
+        self.lock_state().limits = limits.iter().map(ToString::to_string).collect();
+    }
+
+    /// Returns the `Server-Limit` lines of an answer.
+    fn limit_lines(&self) -> String {
+        let state = self.lock_state();
+        let limits = state.limits.iter();
+        limits
+            .map(|limit| format!("Server-Limit: {limit}\r\n"))
+            .collect()
+    }
+
     /// Sets whether the server returns from a crash under a new id; it keeps its id at first.
     pub fn set_new_ids(&self, new_ids: bool) {
         self.lock_state().new_ids = new_ids;
@@ -257,8 +273,9 @@
                 self.lock_state().refusals += 1;
                 write!(
                     writer,
-                    "HTTP/1.1 503 Service Unavailable\r\n\
-                     X-Merlinrudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 503 Service Unavailable\r\n{}\
+                     X-Merlinrudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                    self.limit_lines()
                 )?;
                 continue;
             }
@@ -319,7 +336,7 @@
         if head.is_stream {
             return self.send_stream(writer, head, fault, framing);
         }
-        let mut answer = Answer::begin(writer, head, framing)?;
+        let mut answer = Answer::begin(writer, head, framing, &self.limit_lines())?;
         answer.write(PLAIN_BODY)?;
         answer.end()?;
         Ok(ExecutionEnd::Whole)
@@ -350,7 +367,7 @@
         framing: Framing,
     ) -> std::io::Result<()> {
         thread::sleep(READ_TIME);
-        let mut answer = Answer::begin(writer, head, framing)?;
+        let mut answer = Answer::begin(writer, head, framing, &self.limit_lines())?;
         if !head.is_stream {
             return Ok(());
         }
@@ -371,7 +388,7 @@
         fault: BackendFault,
         framing: Framing,
     ) -> std::io::Result<ExecutionEnd> {
-        let mut answer = Answer::begin(writer, head, framing)?;
+        let mut answer = Answer::begin(writer, head, framing, &self.limit_lines())?;
         let event_interval = self.lock_state().event_interval;
         for id in head.first_event()..=STREAM_EVENTS {
             let event = event_text(id);
--- a/fakes/src/backend/answer.rs
+++ b/fakes/src/backend/answer.rs
@@ -23,11 +23,12 @@
 }
 
 impl<'a> Answer<'a> {
-    /// Sends the head.
+    /// Sends the head; each of the `further` headers ends with `\r\n`.
     pub(super) fn begin(
         writer: &'a TcpStream,
         head: &RequestHead,
         framing: Framing,
+        further: &str,
     ) -> std::io::Result<Self> {
         let attempt = head.header("x-merlinrudder-attempt-id");
         let content_type = if head.is_stream {
@@ -42,7 +43,7 @@
         };
         let mut answer = Self { writer, framing };
         answer.send(&format!(
-            "HTTP/1.1 200 OK\r\n{content_type}X-Merlinrudder-Attempt-Id: {attempt}\r\n\
+            "HTTP/1.1 200 OK\r\n{content_type}{further}X-Merlinrudder-Attempt-Id: {attempt}\r\n\
              X-Merlinrudder-Response-Seal: seal\r\n{framing_header}\r\n\r\n"
         ))?;
         Ok(answer)
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod mesh;
 mod planned_stop;
 mod platform;
+mod rate_limits;
 mod retry_budget;
 mod settings;
 mod silent_servers;
