--- a/node/tests/integration/rate_limits.rs
+++ b/node/tests/integration/rate_limits.rs
@@ -54,7 +54,7 @@
         if let Err(panic) = outcome {
             std::panic::resume_unwind(panic);
         }
-        let responses = callers.into_iter().map(|caller| caller.join());
+        let responses = callers.into_iter().map(thread::ScopedJoinHandle::join);
         responses
             .flat_map(|responses| responses.expect("caller thread finishes"))
             .collect()
