feature: open connections to backend servers from the VM's own address

Without an address of its own choice, a VM on a host with several connected from whichever the kernel picked, so a backend server or a test could not tell VMs apart.

--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -95,7 +95,7 @@
             manifest_pull: RefCell::default(),
             fleet: RefCell::new(Fleet::new(zone, rates)),
             open_requests: OpenRequests::default(),
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(config.local_peer.address.ip()),
             outbox: RefCell::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout};
 
@@ -52,12 +52,22 @@
 }
 
 /// Idle connections by server address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConnectionPool {
+    /// Address of this VM, from which connections are opened.
+    local_ip: IpAddr,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool of a VM with this address.
+    pub(super) fn new(local_ip: IpAddr) -> Self {
+        Self {
+            local_ip,
+            idle: RefCell::default(),
+        }
+    }
+
     /// Takes an idle connection or opens one; with `require_new`, always opens one.
     pub(super) async fn connect(
         &self,
@@ -71,7 +81,7 @@
         };
         match reused {
             Some(connection) => Ok(connection),
-            None => open_connection(address).await,
+            None => open_connection(self.local_ip, address).await,
         }
     }
 
@@ -136,8 +146,24 @@
     }
 }
 
-async fn open_connection(address: SocketAddr) -> Result<Connection, String> {
-    let connecting = timeout(UPSTREAM_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+/// Opens a TCP connection from an address of this VM.
+pub(super) async fn connect_from(
+    local_ip: IpAddr,
+    address: SocketAddr,
+) -> std::io::Result<TcpStream> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    if local_ip.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(local_ip, 0))?;
+    }
+    socket.connect(address).await
+}
+
+async fn open_connection(local_ip: IpAddr, address: SocketAddr) -> Result<Connection, String> {
+    let connecting = timeout(UPSTREAM_CONNECT_TIMEOUT, connect_from(local_ip, address)).await;
     let stream = connecting
         .map_err(|_elapsed| "connection attempt timed out".to_owned())?
         .map_err(|error| error.to_string())?;
