--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -4,6 +4,7 @@
 //! demand it disconnects, stalls, refuses, crashes or returns under a new id.
 
 mod answer;
+mod cuts;
 mod listener;
 mod request;
 
@@ -14,6 +15,8 @@
 use std::time::{Duration, Instant};
 
 use answer::{Answer, Framing};
+pub use cuts::CutMode;
+use cuts::Cuts;
 use request::RequestHead;
 pub use request::{Execution, ExecutionEnd};
 
@@ -99,6 +102,10 @@
     new_ids: bool,
     /// End of the downtime after a crash; `None` while the server runs.
     down_until: Option<Instant>,
+    /// Callers that are cut off.
+    cuts: Cuts,
+    /// Listener of the current lifetime; kept to change its packet filter.
+    listener: Option<TcpListener>,
     /// Connections of the current lifetime.
     connections: Vec<Weak<TcpStream>>,
     /// Time from a crash to the next start.
@@ -215,6 +222,7 @@
         state.born += 1;
         state.crash_times.push(Instant::now());
         state.down_until = Some(Instant::now() + state.downtime);
+        state.listener = None;
         let connections = state.connections.drain(..);
         for connection in connections.filter_map(|connection| connection.upgrade()) {
             // Fails where the peer has already disconnected.
@@ -336,12 +344,22 @@
         if head.is_stream {
             return self.send_stream(writer, head, fault, framing);
         }
-        let mut answer = Answer::begin(writer, head, framing, &self.limit_lines())?;
+        let mut answer = self.begin(writer, head, framing)?;
         answer.write(PLAIN_BODY)?;
         answer.end()?;
         Ok(ExecutionEnd::Whole)
     }
 
+    /// Begins an answer with the headers of this server.
+    fn begin<'a>(
+        &'a self,
+        writer: &'a TcpStream,
+        head: &RequestHead,
+        framing: Framing,
+    ) -> std::io::Result<Answer<'a>> {
+        Answer::begin(self, writer, head, framing)
+    }
+
     /// Crashes the server and records that a part of a prompt was the reason.
     fn crash_by_part(&self, born: u64) {
         if self.end_lifetime(born) {
@@ -367,7 +385,7 @@
         framing: Framing,
     ) -> std::io::Result<()> {
         thread::sleep(READ_TIME);
-        let mut answer = Answer::begin(writer, head, framing, &self.limit_lines())?;
+        let mut answer = self.begin(writer, head, framing)?;
         if !head.is_stream {
             return Ok(());
         }
@@ -388,7 +406,7 @@
         fault: BackendFault,
         framing: Framing,
     ) -> std::io::Result<ExecutionEnd> {
-        let mut answer = Answer::begin(writer, head, framing, &self.limit_lines())?;
+        let mut answer = self.begin(writer, head, framing)?;
         let event_interval = self.lock_state().event_interval;
         for id in head.first_event()..=STREAM_EVENTS {
             let event = event_text(id);
--- a/fakes/src/backend/answer.rs
+++ b/fakes/src/backend/answer.rs
@@ -3,6 +3,7 @@
 use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 
+use super::FakeBackend;
 use super::request::RequestHead;
 
 /// How the receiver recognises the end of an answer.
@@ -18,17 +19,18 @@
 
 /// An answer of which the head has been sent.
 pub(super) struct Answer<'a> {
+    backend: &'a FakeBackend,
     writer: &'a TcpStream,
     framing: Framing,
 }
 
 impl<'a> Answer<'a> {
-    /// Sends the head; each of the `further` headers ends with `\r\n`.
+    /// Sends the head.
     pub(super) fn begin(
+        backend: &'a FakeBackend,
         writer: &'a TcpStream,
         head: &RequestHead,
         framing: Framing,
-        further: &str,
     ) -> std::io::Result<Self> {
         let attempt = head.header("x-merlinrudder-attempt-id");
         let content_type = if head.is_stream {
@@ -41,9 +43,14 @@
             Framing::Chunks => "Transfer-Encoding: chunked".to_owned(),
             Framing::Close => "Connection: close".to_owned(),
         };
-        let mut answer = Self { writer, framing };
+        let limits = backend.limit_lines();
+        let mut answer = Self {
+            backend,
+            writer,
+            framing,
+        };
         answer.send(&format!(
-            "HTTP/1.1 200 OK\r\n{content_type}{further}X-Merlinrudder-Attempt-Id: {attempt}\r\n\
+            "HTTP/1.1 200 OK\r\n{content_type}{limits}X-Merlinrudder-Attempt-Id: {attempt}\r\n\
              X-Merlinrudder-Response-Seal: seal\r\n{framing_header}\r\n\r\n"
         ))?;
         Ok(answer)
@@ -68,6 +75,7 @@
 
     /// Sends text, unless the receiver has closed the connection.
     fn send(&mut self, text: &str) -> std::io::Result<()> {
+        self.backend.wait_while_cut(self.writer)?;
         if is_closed(self.writer)? {
             return Err(ErrorKind::ConnectionAborted.into());
         }
--- a/fakes/src/backend/listener.rs
+++ b/fakes/src/backend/listener.rs
@@ -25,16 +25,18 @@
         listener
             .set_nonblocking(true)
             .expect("a listening socket can be polled");
+        self.filter_listener(listener);
         while self.born().is_some() {
             match listener.accept() {
                 Ok((stream, _)) => self.spawn_connection(stream),
                 Err(_) => thread::sleep(POLL_INTERVAL),
             }
         }
+        self.lock_state().listener = None;
     }
 
     fn spawn_connection(&self, stream: TcpStream) {
-        if stream.set_nonblocking(false).is_err() {
+        if stream.set_nonblocking(false).is_err() || self.is_cut_at_once(&stream) {
             return;
         }
         let connection = Arc::new(stream);
--- a/fakes/src/backend/request.rs
+++ b/fakes/src/backend/request.rs
@@ -1,7 +1,7 @@
 //! Requests to a fake backend server, and the record of those that it executed.
 
 use std::io::{BufRead, BufReader, Read};
-use std::net::TcpStream;
+use std::net::{IpAddr, TcpStream};
 use std::time::Instant;
 
 use super::CRASHING_PART;
@@ -30,6 +30,8 @@
     pub end: ExecutionEnd,
     /// Ids of the parts of the prompt, in order; empty if not given.
     pub parts: Vec<String>,
+    /// Address of the VM that sent it; `None` if it has left at once.
+    pub sender: Option<IpAddr>,
     /// Time until the request's deadline, in milliseconds; 0 if not given.
     pub remaining_ms: u64,
     /// Path and query of the request.
@@ -55,6 +57,7 @@
     /// Path and query.
     pub(super) target: String,
     pub(super) is_stream: bool,
+    sender: Option<IpAddr>,
 }
 
 impl RequestHead {
@@ -68,6 +71,7 @@
             headers: Vec::new(),
             target: line.split(' ').nth(1).unwrap_or_default().to_owned(),
             is_stream: line.contains("/stream/"),
+            sender: reader.get_ref().peer_addr().ok().map(|peer| peer.ip()),
         };
         loop {
             let mut line = String::new();
@@ -105,6 +109,7 @@
                 .filter(|id| !id.is_empty())
                 .map(ToOwned::to_owned)
                 .collect(),
+            sender: self.sender,
             remaining_ms: self
                 .header("x-merlinrudder-deadline-ms")
                 .parse()
--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -143,7 +143,7 @@
              internal-port-range={internal},{}\nbounds.grace-s=8\n",
             index % CONTROL_VMS,
             seeds.join(","),
-            internal + 1
+            internal + 2
         );
         if index < CONTROL_VMS {
             let folder = self.data_dir(index);
@@ -237,6 +237,12 @@
         SocketAddr::new(self.processes[index].ip, self.ports[0])
     }
 
+    /// Returns the IP address of a node.
+    #[must_use]
+    pub fn ip(&self, index: usize) -> IpAddr {
+        self.processes[index].ip
+    }
+
     /// Returns the address of an entry VM for callers.
     #[must_use]
     pub fn callers_address(&self, index: usize) -> SocketAddr {
--- a/node/tests/integration/rate_limits.rs
+++ b/node/tests/integration/rate_limits.rs
@@ -1,85 +1,25 @@
 //! Backend servers that name a limit on the rate of their requests, under several times that load.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use merlinrudder_fakes::backend::FakeBackend;
-use merlinrudder_fakes::http_client::{HttpResponse, send_customer_request};
-use merlinrudder_fakes::nodes::{CONTROL_VMS, Nodes, wait_for};
+use merlinrudder_fakes::nodes::{CONTROL_VMS, wait_for};
 use nix::sys::signal::Signal;
 
-use crate::deployment::{send_heartbeats, start_deployment};
+use crate::load::{start_servers, under_load};
 
-/// Time between two events of a fake backend server's stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Methods and paths that callers request.
+const PATHS: [&str; 2] = ["POST /stream/x", "GET /read/x"];
 /// Span in which the requests that reach a server are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Requests in a window beyond one and a half times the limit.
 const SLACK: f64 = 5.0;
 /// Time from a server's first answer with a limit until all VMs must keep to it.
 const TELL_TIME: Duration = Duration::from_secs(1);
-/// Pause of a caller between two plain calls.
-const CALL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for a refusal of what cannot be served.
 const REFUSAL_TIME: Duration = Duration::from_millis(1500);
 
-fn start_servers(count: usize) -> Vec<FakeBackend> {
-    let bind = |number| FakeBackend::bind(&format!("i-{number}"), EVENT_INTERVAL);
-    let servers = (0..count).map(|number| bind(number).expect("fake backend server listens"));
-    servers.collect()
-}
-
-/// Runs `test` while each of the entry VMs gets streams and plain calls of four callers.
-fn under_load(
-    servers: &[FakeBackend],
-    entry_vms: u8,
-    test: impl FnOnce(&Nodes),
-) -> Vec<(HttpResponse, Duration)> {
-    let nodes = start_deployment(entry_vms, &servers.iter().collect::<Vec<_>>());
-    let stopped = AtomicBool::new(false);
-    thread::scope(|scope| {
-        let (nodes, stopped) = (&nodes, &stopped);
-        scope.spawn(|| send_heartbeats(nodes, servers, stopped));
-        let callers: Vec<_> = (CONTROL_VMS..nodes.len())
-            .flat_map(|entry| ["POST /stream/x", "GET /read/x"].map(|path| (entry, path)))
-            .flat_map(|(entry, path)| (0..2).map(move |caller| (entry, path, caller)))
-            .map(|(entry, path, caller)| {
-                let prefix = format!("{entry}-{}-{caller}", &path[..1]);
-                scope.spawn(move || call_until(nodes, stopped, entry, path, &prefix))
-            })
-            .collect();
-        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| test(nodes)));
-        stopped.store(true, Ordering::Relaxed);
-        if let Err(panic) = outcome {
-            std::panic::resume_unwind(panic);
-        }
-        let responses = callers.into_iter().map(thread::ScopedJoinHandle::join);
-        responses
-            .flat_map(|responses| responses.expect("caller thread finishes"))
-            .collect()
-    })
-}
-
-/// Sends requests one after the other; returns the responses, with the time that each took.
-fn call_until(
-    nodes: &Nodes,
-    stopped: &AtomicBool,
-    entry: usize,
-    path: &str,
-    prefix: &str,
-) -> Vec<(HttpResponse, Duration)> {
-    let mut responses = Vec::new();
-    while !stopped.load(Ordering::Relaxed) {
-        let attempt = format!("{prefix}-{}", responses.len());
-        let start = Instant::now();
-        let response = send_customer_request(nodes.callers_address(entry), path, &attempt);
-        responses.push((response, start.elapsed()));
-        thread::sleep(CALL_INTERVAL);
-    }
-    responses
-}
-
 /// Returns the most requests that reached a server in one window between two moments.
 fn most_arrivals(server: &FakeBackend, from: Instant, to: Instant) -> usize {
     let times: Vec<_> = server
@@ -111,7 +51,7 @@
 fn play_two_limits(entry_vms: u8) {
     let servers = start_servers(4);
     let mut named = Instant::now();
-    let responses = under_load(&servers, entry_vms, |_| {
+    let calls = under_load(&servers, entry_vms, &PATHS, |_| {
         servers[0].set_limits(&["2"]);
         servers[1].set_limits(&["0.7"]);
         named = Instant::now();
@@ -120,10 +60,8 @@
     let end = Instant::now();
     assert_kept(&servers[0], 2.0, named, end);
     assert_kept(&servers[1], 0.7, named, end);
-    let failed = responses
-        .iter()
-        .filter(|(response, _)| response.status != 200);
-    assert_eq!(failed.count(), 0, "failed of {}", responses.len());
+    let failed = calls.iter().filter(|call| call.response.status != 200);
+    assert_eq!(failed.count(), 0, "failed of {}", calls.len());
     for limited in &servers[..2] {
         assert!(
             most_arrivals(limited, named + TELL_TIME, end) >= 2,
@@ -147,7 +85,7 @@
 fn a_falling_limit_is_kept_and_an_ended_one_is_noticed() {
     let servers = start_servers(2);
     let mut times = Vec::new();
-    under_load(&servers, 3, |_| {
+    under_load(&servers, 3, &PATHS, |_| {
         for limits in [&["8"] as &[_], &["1"]] {
             servers[0].set_limits(limits);
             times.push(Instant::now());
@@ -168,7 +106,7 @@
 fn limits_are_kept_while_vms_restart_and_are_cut_off() {
     let servers = start_servers(3);
     let mut named = Instant::now();
-    under_load(&servers, 3, |nodes| {
+    under_load(&servers, 3, &PATHS, |nodes| {
         servers[0].set_limits(&["1.5"]);
         servers[1].set_limits(&["4"]);
         named = Instant::now();
@@ -192,7 +130,7 @@
 fn requests_for_servers_that_all_have_limits_are_served_at_the_limit_or_refused_at_once() {
     let servers = start_servers(2);
     let mut named = Instant::now();
-    let responses = under_load(&servers, 3, |_| {
+    let calls = under_load(&servers, 3, &PATHS, |_| {
         servers[0].set_limits(&["3"]);
         servers[1].set_limits(&["2"]);
         named = Instant::now();
@@ -209,11 +147,12 @@
         ran >= 12,
         "{ran} requests reached the servers in 4 s; 20 are allowed"
     );
-    for (response, took) in &responses {
+    for call in &calls {
+        let (response, took) = (&call.response, call.took);
         assert!([200, 503].contains(&response.status), "{response:?}");
         if response.status == 503 {
             assert!(response.head.contains("retry-after: "), "{response:?}");
-            assert!(*took < REFUSAL_TIME, "{took:?}: {response:?}");
+            assert!(took < REFUSAL_TIME, "{took:?}: {response:?}");
         }
     }
 }
@@ -222,7 +161,7 @@
 fn a_limit_of_zero_lets_trials_pass_and_one_that_is_no_rate_changes_nothing() {
     let servers = start_servers(3);
     let mut named = Instant::now();
-    let responses = under_load(&servers, 3, |_| {
+    let calls = under_load(&servers, 3, &PATHS, |_| {
         servers[0].set_limits(&["0"]);
         servers[1].set_limits(&["nan"]);
         named = Instant::now();
@@ -231,8 +170,6 @@
     let end = Instant::now();
     assert_kept(&servers[0], 0.0, named, end);
     assert!(most_arrivals(&servers[1], named + TELL_TIME, end) > 40);
-    let failed = responses
-        .iter()
-        .filter(|(response, _)| response.status != 200);
-    assert_eq!(failed.count(), 0, "failed of {}", responses.len());
+    let failed = calls.iter().filter(|call| call.response.status != 200);
+    assert_eq!(failed.count(), 0, "failed of {}", calls.len());
 }
