--- a/fakes/src/backend/cuts.rs
+++ b/fakes/src/backend/cuts.rs
@@ -4,6 +4,7 @@
 use std::io::ErrorKind;
 use std::net::{IpAddr, Shutdown, TcpListener, TcpStream};
 use std::os::fd::AsFd;
+use std::sync::Weak;
 use std::thread;
 use std::time::Duration;
 
@@ -38,7 +39,7 @@
             filter(listener, &cuts);
         }
         drop(state);
-        for connection in connections.iter().filter_map(|c| c.upgrade()) {
+        for connection in connections.iter().filter_map(Weak::upgrade) {
             filter(&*connection, &cuts);
             if cut_mode(&cuts, &connection) == Some(CutMode::Reset) {
                 // Fails where the peer has already disconnected.
