--- a/core/src/deployment.rs
+++ b/core/src/deployment.rs
@@ -183,6 +183,13 @@
         self.keys.get(key)
     }
 
+    /// Finds a customer by name.
+    #[must_use]
+    pub fn customer_named(&self, name: &str) -> Option<&Arc<CustomerRule>> {
+        let mut customers = self.keys.values();
+        customers.find(|customer| customer.name.as_str() == name)
+    }
+
     /// Returns whether API keys are configured; without any, callers need none.
     #[must_use]
     pub fn has_customers(&self) -> bool {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,7 +11,8 @@
 //! - Entry VMs that are separate from the control VMs serve a [`deployment`]. Each entry VM places
 //!   its requests itself ([`fleet`], [`engine_placement`]), on the backend servers in its
 //!   [`directory`], keeps to the limits on their request rates with the other VMs ([`rate_limit`]),
-//!   and keeps requests that crash them away ([`crash_detector`],
+//!   reaches them by way of another VM if it is cut off itself ([`reach`], [`relays`]), and keeps
+//!   requests that crash them away ([`crash_detector`],
 //!   [`crash_history`], [`completions`]).
 
 pub mod census;
@@ -39,7 +40,9 @@
 pub mod placement;
 pub mod queue;
 pub mod rate_limit;
+pub mod reach;
 pub mod registry;
+pub mod relays;
 pub mod rendezvous;
 pub mod retry;
 pub mod suspects;
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -85,6 +85,8 @@
         DeadlinePassed = "deadline_passed",
         /// No backend server of the service is known.
         NoServer = "no_server",
+        /// Neither this VM nor another one reaches a backend server of the service.
+        NoPath = "no_path",
         /// The VM has no manifest yet.
         NoManifest = "no_manifest",
         /// The VM is shutting down.
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -18,6 +18,7 @@
 mod manifest_pull;
 mod membership;
 mod rate_limits;
+mod reach;
 mod retry;
 mod suspects;
 mod util;
--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -26,6 +27,14 @@
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Last byte of the first node's address.
+const FIRST_HOST: u8 = 10;
+/// Ports of each node.
+const PORTS: u16 = 6;
+/// Ports from which those of a deployment are drawn.
+const FIRST_PORTS: Range<u16> = 15_000..31_000;
+const PORT_ATTEMPTS: u32 = 50;
+
 /// Third byte of the next deployment's addresses, so that deployments do not share any.
 static NEXT_SUBNET: AtomicU8 = AtomicU8::new(1);
 
@@ -72,9 +81,8 @@
     /// Fails if a file cannot be written or a process cannot be started.
     pub fn spawn(program: &Path, entry_vms: u8) -> Result<Self> {
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
-        // Assumes that ports from a free one on are free at all addresses of this subnet.
-        let base = free_port(subnet)?;
         let control_count = u8::try_from(CONTROL_VMS)?;
+        let base = free_port(subnet, FIRST_HOST..FIRST_HOST + control_count + entry_vms)?;
         let nodes = (0..control_count + entry_vms).map(|number| {
             let kind = if number < control_count {
                 "control"
@@ -83,7 +91,7 @@
             };
             NodeProcess {
                 name: format!("{kind}-{number}"),
-                ip: IpAddr::from([127, 77, subnet, 10 + number]),
+                ip: IpAddr::from([127, 77, subnet, FIRST_HOST + number]),
                 child: Mutex::new(None),
             }
         });
@@ -134,7 +142,7 @@
     fn settings(&self, index: usize, bootstrap: bool) -> Result<String> {
         let subnet = self.subnet;
         let [control, callers, ready, internal] = self.ports;
-        let seeds: Vec<_> = (10..13)
+        let seeds: Vec<_> = (FIRST_HOST..FIRST_HOST + 3)
             .map(|host| format!("127.77.{subnet}.{host}:{control}"))
             .collect();
         let NodeProcess { name, ip, .. } = &self.processes[index];
@@ -249,6 +257,12 @@
         SocketAddr::new(self.processes[index].ip, self.ports[1])
     }
 
+    /// Returns the address at which an entry VM accepts requests of other VMs.
+    #[must_use]
+    pub fn relay_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.processes[index].ip, self.ports[3] + 2)
+    }
+
     /// Returns the address of an entry VM's readiness endpoint.
     #[must_use]
     pub fn readiness_address(&self, index: usize) -> SocketAddr {
@@ -358,11 +372,18 @@
     }
 }
 
-/// Returns a free port of the subnet.
+/// Returns the first of `PORTS` free ports at all `hosts` of the subnet.
 ///
-/// It is at most 60000, to leave room for the ports after it.
-fn free_port(subnet: u8) -> Result<u16> {
-    let ip = IpAddr::from([127, 77, subnet, 1]);
-    let listener = TcpListener::bind((ip, 0))?;
-    Ok(listener.local_addr()?.port().min(60_000))
+/// They are below those that the kernel gives to outgoing connections.
+fn free_port(subnet: u8, hosts: Range<u8>) -> Result<u16> {
+    let is_free = |port: u16| {
+        let mut addresses = hosts.clone().flat_map(|host| {
+            let ip = IpAddr::from([127, 77, subnet, host]);
+            (port..port + PORTS).map(move |port| SocketAddr::new(ip, port))
+        });
+        addresses.all(|address| TcpListener::bind(address).is_ok())
+    };
+    let candidates = (0..PORT_ATTEMPTS).map(|_| fastrand::u16(FIRST_PORTS) / PORTS * PORTS);
+    let free = candidates.into_iter().find(|port| is_free(*port));
+    free.context("no free ports")
 }
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -264,6 +264,7 @@
             | MeshMessage::TrialStarted(_)
             | MeshMessage::Handshake(_)
             | MeshMessage::Rates(_)
+            | MeshMessage::CutOff(_)
             | MeshMessage::CrashReports(_)
             | MeshMessage::NewestManifest { .. }
             | MeshMessage::Peers(_)
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -15,7 +15,10 @@
 mod open_requests;
 mod placement_sync;
 mod rate_limits;
+mod reach;
 mod refusal;
+mod relay;
+mod relay_ingress;
 mod request;
 mod reservation;
 mod selection;
@@ -23,6 +26,7 @@
 mod stream;
 mod stream_source;
 mod tally;
+mod target;
 mod upstream;
 
 use std::net::SocketAddr;
@@ -34,12 +38,14 @@
 use merlinrudder_core::retry::RetryLimits;
 use merlinrudder_wire::mesh::WireFeatures;
 use merlinrudder_wire::peers::WirePeer;
+use merlinrudder_wire::relay::WireRelay;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use self::ingress::Sender;
 use self::state::{Gateway, StopStage};
 use crate::links::Links;
 
@@ -65,6 +71,8 @@
     pub caller_addr: SocketAddr,
     /// Address that serves the readiness probes of the load balancer.
     pub ready_addr: SocketAddr,
+    /// Address that accepts requests of other VMs.
+    pub relay_addr: SocketAddr,
     /// Link addresses of the control VMs to connect to at startup.
     pub seeds: Vec<SocketAddr>,
     /// Retry budget of each service, shared by all entry VMs.
@@ -88,20 +96,34 @@
     pub async fn spawn(config: GatewayConfig, log: &Logger) -> Result<Self> {
         let caller_listener = TcpListener::bind(config.caller_addr).await?;
         let ready_listener = TcpListener::bind(config.ready_addr).await?;
+        let relay_listener = TcpListener::bind(config.relay_addr).await?;
         let (events, receiver) = mpsc::unbounded_channel();
         // The receiver is only dropped when the process exits, so a failed send is ignored.
         let handler = Arc::new(move |event| drop(events.send(event)));
-        let features = WireFeatures { rates: true };
+        let relay = WireRelay {
+            address: config.relay_addr,
+            token: fastrand::u128(..),
+        };
+        let features = WireFeatures {
+            rates: true,
+            relay: Some(relay),
+        };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
             links.dial(*seed, true);
         }
-        let gateway = Rc::new(Gateway::new(&config, links, log));
+        let gateway = Rc::new(Gateway::new(&config, relay.token, links, log));
         spawn_local(link_events::run(Rc::clone(&gateway), receiver));
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
-        spawn_local(ingress::serve_callers(Rc::clone(&gateway), caller_listener));
+        spawn_local(reach::run(Rc::clone(&gateway)));
+        for (listener, sender) in [
+            (caller_listener, Sender::Caller),
+            (relay_listener, Sender::OtherVm),
+        ] {
+            spawn_local(ingress::serve(Rc::clone(&gateway), listener, sender));
+        }
         spawn_local(ingress::serve_readiness(
             Rc::clone(&gateway),
             ready_listener,
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -25,6 +25,8 @@
 /// Mean wait before engines are selected again for a long prompt without capacity.
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time in which a VM notices the end of a cut, after which its callers may come back.
+const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(600);
 /// Interval at which a request that waits for a permit looks for it.
 const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest wait for a permit; it is promised at most a second ahead.
@@ -49,18 +51,25 @@
     pub(super) tally: Rc<Tally>,
     /// Failed attempts that did not run the request; limited by `MAX_NOT_RUN_FAILURES`.
     not_run: u32,
-    /// Whether the request is the trial of a content that crashed servers.
-    on_trial: bool,
     /// Set while the request waits for a permit.
     permit_waiter: Option<PermitWaiter>,
 }
 
 impl Attempts {
-    pub(super) fn new() -> Self {
+    /// Begins the attempts at a request.
+    ///
+    /// The VM that read the request tells which servers it excludes, and decides on trials.
+    pub(super) fn new(call: &CallerRequest) -> Self {
+        let tally = Tally::default();
+        if let Some(relayed) = &call.relayed {
+            let mut excluded = tally.excluded.borrow_mut();
+            excluded.servers.clone_from(&relayed.excluded);
+            drop(excluded);
+            tally.on_trial.set(relayed.on_trial);
+        }
         Self {
-            tally: Rc::default(),
+            tally: Rc::new(tally),
             not_run: 0,
-            on_trial: false,
             permit_waiter: None,
         }
     }
@@ -93,7 +102,7 @@
             call.guard.enter(Phase::Selection);
             match self.permission(gateway, call) {
                 Permission::Send => {}
-                Permission::SendOnTrial => self.on_trial = true,
+                Permission::SendOnTrial => self.tally.on_trial.set(true),
                 Permission::Wait if self.is_refused_by_stop(gateway) => {
                     return Err(self.refusal(RefusalReason::Stopping));
                 }
@@ -105,7 +114,7 @@
             }
             let excluded = self.tally.excluded.borrow().clone();
             let is_waiting = self.permit_waiter.is_some();
-            let selected = match select_servers(gateway, call, &excluded, is_waiting) {
+            let selected = match select_servers(gateway, call, &self.tally, &excluded, is_waiting) {
                 Selection::Selected(selected) => selected,
                 Selection::Wait | Selection::AwaitPermit if self.is_refused_by_stop(gateway) => {
                     return Err(self.refusal(RefusalReason::Stopping));
@@ -122,6 +131,7 @@
                     return Err(self.rate_refusal(gateway, call));
                 }
                 Selection::Refuse => return Err(self.refusal(RefusalReason::QueueFull)),
+                Selection::NoPath => return Err(self.path_refusal()),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
             self.permit_waiter = None;
@@ -131,14 +141,14 @@
                 tally: &self.tally,
                 last_event,
             };
-            let (incarnation, failure) = match context.race(selected).await {
+            let (target, failure) = match context.race(selected).await {
                 Ok(upstream_response) => return Ok(upstream_response),
                 Err(failed) => failed,
             };
-            record_failure(context, &incarnation, failure);
+            record_failure(context, &target, failure);
             if failure != Failure::NoMemory {
                 // A helper without memory says nothing of the selected server.
-                self.tally.exclude(&incarnation.server);
+                self.tally.exclude_failed(&target, failure);
             }
             self.authorize_retry(gateway, call, failure)?;
             crash_verdict::await_evidence(gateway, call, failure.run_state()).await;
@@ -195,12 +205,15 @@
         }
         self.not_run += 1;
         // A refused or misdirected request reached a server, so the next attempt spends a retry.
-        let permitted = matches!(failure, Failure::Unreachable | Failure::NoMemory)
-            || gateway.spend_retry(&call.service);
+        let is_free = matches!(
+            failure,
+            Failure::Unreachable | Failure::NoPath | Failure::NoMemory
+        );
+        let permitted = is_free || gateway.spend_retry(&call.service);
         if self.not_run >= MAX_NOT_RUN_FAILURES || !permitted {
             return Err(self.refusal(RefusalReason::ServerRefused));
         }
-        let reason = if failure == Failure::Unreachable {
+        let reason = if matches!(failure, Failure::Unreachable | Failure::NoPath) {
             RetryReason::ConnectFailed
         } else {
             RetryReason::ServerRefused
@@ -219,6 +232,13 @@
         }
     }
 
+    /// Builds the refusal of a request for which neither this nor another VM reaches a server.
+    fn path_refusal(&self) -> Refusal {
+        let mut refusal = self.refusal(RefusalReason::NoPath);
+        refusal.retry_after = refusal.retry_after.map(|_| NO_PATH_RETRY_AFTER);
+        refusal
+    }
+
     /// Whether the request may wait for a permit; begins the wait if it has not begun.
     fn may_await_permit(&mut self, gateway: &Rc<Gateway>, call: &CallerRequest) -> bool {
         let waiter = self
@@ -246,7 +266,7 @@
 
     /// Checks whether the request may be sent; the trial of a content is sent only once.
     fn permission(&self, gateway: &Gateway, call: &CallerRequest) -> Permission {
-        match (self.on_trial, self.run_state()) {
+        match (self.tally.on_trial.get(), self.run_state()) {
             (false, _) => crash_verdict::permission(gateway, call),
             (true, RunState::NotRun) => Permission::Send,
             (true, _) => Permission::Refuse(Duration::ZERO),
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -6,7 +6,6 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 use merlinrudder_core::health::ServerOutcome;
-use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
 
@@ -21,11 +20,12 @@
 use super::refusal;
 use super::request::CallerRequest;
 use super::state::Gateway;
+use super::target::Target;
 use crate::metrics;
 
 /// Serves a non-streaming call, with retries where its route allows them.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
-    let mut attempts = Attempts::new();
+    let mut attempts = Attempts::new(&call);
     let mut failed = None;
     loop {
         let upstream_response = match attempts.run_until_response(gateway, &call, None).await {
@@ -42,7 +42,7 @@
 /// A complete response of a server to a plain call.
 #[derive(Debug)]
 pub(super) struct Answer {
-    server: ServerId,
+    target: Target,
     head: Parts,
     body: Bytes,
 }
@@ -77,7 +77,7 @@
     attempts: &Attempts,
     mut upstream_response: UpstreamResponse,
 ) -> Finished {
-    let server = upstream_response.selected.server.clone();
+    let target = upstream_response.selected.target.clone();
     let run = upstream_response.run.take();
     let answer = read_response(gateway, call, upstream_response).await;
     let succeeded = matches!(&answer, Some(answer) if !answer.head.status.is_server_error());
@@ -93,13 +93,12 @@
     } else {
         ServerOutcome::Failed
     };
-    let now = gateway.now();
-    gateway
-        .fleet
-        .borrow_mut()
-        .record_outcome(now, &server, server_outcome);
+    if let Some(incarnation) = target.incarnation() {
+        let mut fleet = gateway.fleet.borrow_mut();
+        fleet.record_outcome(gateway.now(), &incarnation.server, server_outcome);
+    }
     if !succeeded {
-        attempts.tally.exclude(&server);
+        attempts.tally.exclude(&target);
         if attempts.try_retry(gateway, call).is_ok() {
             metrics::count_retry(RetryReason::IdempotentBroken);
             crash_verdict::await_evidence(gateway, call, RunState::MayHaveRun).await;
@@ -119,14 +118,14 @@
 
 /// Logs a complete response, and builds the one for the caller.
 fn forward(gateway: &Gateway, call: &CallerRequest, answer: Answer) -> Response<ResponseBody> {
-    let Answer { server, head, body } = answer;
+    let Answer { target, head, body } = answer;
     info!(gateway.log, "Request completed"; "request" => call.attempt_id_text(),
-        "route" => &*call.route.name, "server" => %server, "status" => head.status.as_u16(),
+        "route" => &*call.route.name, "server" => %target, "status" => head.status.as_u16(),
         "took_ms" => gateway.now().since(call.received_at).as_millis(),
         "manifest" => call.manifest_number);
     call.guard.end();
     metrics::count_outcome(call.service.as_str(), "complete");
-    forwarded_response(&head, ResponseBody::buffered(body))
+    forwarded_response(&target, &head, ResponseBody::buffered(body))
 }
 
 /// Logs an admitted request that is refused or failed, and builds its response.
@@ -163,7 +162,7 @@
         &upstream_response.head,
     );
     Some(Answer {
-        server: upstream_response.selected.server.clone(),
+        target: upstream_response.selected.target.clone(),
         head: upstream_response.head,
         body,
     })
--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -15,12 +15,13 @@
 use merlinrudder_wire::crashes::WireCrashReport;
 use merlinrudder_wire::peers::WirePeer;
 use slog::info;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use super::reach;
 use super::request::{CallerRequest, RequestContent};
 use super::state::Gateway;
+use super::upstream::connect_from;
 use crate::crash_exchange::CrashExchange;
 
 /// Waits before the attempts to connect to a server that broke a request off.
@@ -29,6 +30,8 @@
 const PROBE_DELAYS: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(120)];
 /// Timeout for such an attempt; a server that cannot be reached gives no evidence.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Other servers that are tried before a refused connection counts as a crash.
+const MAX_CONTROL_PROBES: usize = 4;
 /// Margin by which a report waits longer than the settle time, as times are whole milliseconds.
 const SETTLE_MARGIN: Duration = Duration::from_millis(5);
 /// Interval at which old entries of the crash history are removed.
@@ -202,7 +205,8 @@
 
 /// Records a crash of a server that broke a request off, if it refuses connections.
 async fn probe(gateway: Rc<Gateway>, incarnation: Incarnation) {
-    let refused = is_refusing(&gateway, &incarnation).await;
+    let refused =
+        is_refusing(&gateway, &incarnation).await && reaches_others(&gateway, &incarnation).await;
     gateway.crashes.borrow_mut().probing.remove(&incarnation);
     if refused {
         record_crash(&gateway, &incarnation);
@@ -216,7 +220,8 @@
         let Some(address) = ready_address(gateway, incarnation) else {
             return false;
         };
-        let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+        let connecting = connect_from(gateway.pool.local_ip, address);
+        let connected = timeout(PROBE_TIMEOUT, connecting).await;
         let refused = matches!(&connected, Ok(Err(error))
             if error.kind() == ErrorKind::ConnectionRefused);
         // The server may have announced its stop meanwhile.
@@ -227,6 +232,22 @@
     false
 }
 
+/// Whether this VM reaches another server of the same service, so that it is not cut off itself.
+///
+/// True as well if there is no other one.
+async fn reaches_others(gateway: &Gateway, incarnation: &Incarnation) -> bool {
+    let others = reach::other_servers(gateway, &incarnation.server);
+    if others.is_empty() {
+        return true;
+    }
+    for server in others.into_iter().take(MAX_CONTROL_PROBES) {
+        if reach::is_reached(gateway, &server).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Returns the address of a server if this lifetime is the current one and has not said goodbye.
 fn ready_address(gateway: &Gateway, incarnation: &Incarnation) -> Option<SocketAddr> {
     let fleet = gateway.fleet.borrow();
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -13,7 +13,9 @@
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::health::ServerOutcome;
+use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::RunState;
+use merlinrudder_core::time::Moment;
 use merlinrudder_platform::{headers, orders};
 use slog::{debug, info};
 use tokio::time::timeout;
@@ -22,12 +24,16 @@
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::placement_sync;
-use super::rate_limits;
+use super::rate_limits::{self, AnswerHead};
+use super::reach;
+use super::refusal::Origin;
+use super::relay;
 use super::request::{CallerRequest, ServerHeaders, text_header};
 use super::reservation::Reservation;
 use super::selection::SelectedServers;
 use super::state::Gateway;
 use super::tally::{InProgress, Tally};
+use super::target::Target;
 use super::upstream::{Connection, SendFailure};
 use crate::constants::MAX_BUFFERED_RESPONSE_BYTES;
 
@@ -72,6 +78,8 @@
 pub(super) enum Failure {
     /// No connection could be opened, or it closed before the request was sent.
     Unreachable,
+    /// Another VM was asked, and reaches no server of the service or is stopping.
+    NoPath,
     /// The server refused the request and states that it did not run it.
     Refused,
     /// Another server answered at this address.
@@ -90,7 +98,9 @@
     /// Whether the server may have run the request.
     pub(super) const fn run_state(self) -> RunState {
         match self {
-            Self::Unreachable | Self::Refused | Self::Replaced | Self::NoMemory => RunState::NotRun,
+            Self::Unreachable | Self::NoPath | Self::Refused | Self::Replaced | Self::NoMemory => {
+                RunState::NotRun
+            }
             Self::Broken | Self::Overtaken | Self::Overdue => RunState::MayHaveRun,
         }
     }
@@ -103,7 +113,7 @@
             Self::Unreachable => Some(ServerOutcome::Unreachable),
             Self::Refused => Some(ServerOutcome::Full),
             Self::Replaced | Self::Broken | Self::Overtaken => Some(ServerOutcome::Failed),
-            Self::NoMemory | Self::Overdue => None,
+            Self::NoPath | Self::NoMemory | Self::Overdue => None,
         }
     }
 }
@@ -175,7 +185,7 @@
 /// Sends a request and checks the response head.
 async fn send(
     context: AttemptContext<'_>,
-    selected: SelectedServers,
+    mut selected: SelectedServers,
     progress: &Progress,
 ) -> Result<UpstreamResponse, Failure> {
     let AttemptContext { gateway, call, .. } = context;
@@ -190,20 +200,35 @@
     // unknown whether the request ran. One that may run only once gets a new connection.
     let require_new = !call.route.kind.is_idempotent();
     let connecting = gateway.pool.connect(selected.address, require_new).await;
-    let mut connection = connecting.map_err(|_error| Failure::Unreachable)?;
+    let mut connection = connecting.map_err(|_error| {
+        record_lost_connection(context, &selected.target);
+        Failure::Unreachable
+    })?;
+    // After a failure, a connection that is reset at once must not cost another attempt.
+    if context.tally.has_failed() && connection.is_new && !connection.stays_open().await {
+        record_lost_connection(context, &selected.target);
+        return Err(Failure::Unreachable);
+    }
     let priority = call.engine_profile.as_ref().zip(call.token_counts);
     let priority = priority.map(|(profile, tokens)| engine_priority(profile, tokens.prompt));
     let server_headers = ServerHeaders {
-        server: selected.server.as_str(),
+        server: selected.target.incarnation().map(|i| i.server.as_str()),
         helpers: helpers.join(","),
         priority,
         last_event: context.last_event.or(call.last_event),
     };
     let now = gateway.now();
-    let request = call.upstream_request(now, &server_headers);
+    let mut request = call.upstream_request(now, &server_headers);
+    if let Target::Vm { vm, .. } = &selected.target {
+        let excluded = context.tally.excluded.borrow();
+        let on_trial = context.tally.on_trial.get();
+        relay::add_headers(gateway, call, vm, &excluded, on_trial, &mut request)
+            .ok_or(Failure::Unreachable)?;
+    }
     let time_left = call.time_left(now);
-    let run = RunGuard::new(gateway, call, selected.incarnation());
-    progress.run.replace(Some(run));
+    let incarnation = selected.target.incarnation().cloned();
+    let run = incarnation.map(|incarnation| RunGuard::new(gateway, call, incarnation));
+    progress.run.replace(run);
     progress.sent(call);
     call.guard.enter(Phase::Head);
     let sent = timeout(time_left, connection.send(request)).await;
@@ -212,7 +237,8 @@
         Err(_elapsed) => Err(Failure::Overdue),
         Ok(Err(failure)) => {
             debug!(gateway.log, "Failed to send request"; "request" => call.attempt_id_text(),
-                "server" => %selected.server, "error" => ?failure);
+                "server" => %selected.target, "error" => ?failure);
+            record_lost_connection(context, &selected.target);
             Err(match failure {
                 SendFailure::NotSent(_) => Failure::Unreachable,
                 SendFailure::MayHaveRun(_) => Failure::Broken,
@@ -221,12 +247,19 @@
         Ok(Ok(response)) => Ok(response),
     };
     let checked = response.and_then(|response| {
-        let (head, body) = response.into_parts();
-        let check = check_response_head(call, &head);
-        let is_refusal = check == Err(Failure::Refused);
-        if check.is_ok() || is_refusal {
-            rate_limits::record_answer(gateway, call, &selected, now, &head.headers, is_refusal);
-        }
+        let (mut head, body) = response.into_parts();
+        let check = match &mut selected.target {
+            Target::Server(incarnation) => {
+                let check = check_response_head(call, &head);
+                record_head(gateway, call, incarnation, &connection, now, &head, check);
+                check
+            }
+            Target::Vm { server, .. } => {
+                let check = relay::check_answer(&head.headers);
+                *server = relay::take_server(&mut head);
+                check.and_then(|()| check_response_head(call, &head))
+            }
+        };
         check.map(|()| (head, body))
     });
     let (head, body) = match checked {
@@ -238,8 +271,6 @@
             return Err(failure);
         }
     };
-    crash_watch::record_alive(gateway, &selected.incarnation());
-    record_reported_load(gateway, &selected, &head.headers);
     Ok(UpstreamResponse {
         selected,
         _reservation: reservation,
@@ -252,6 +283,44 @@
     })
 }
 
+/// Records that no connection to a target could be opened, or that it was lost without an answer.
+fn record_lost_connection(context: AttemptContext<'_>, target: &Target) {
+    let AttemptContext { gateway, call, .. } = context;
+    if let Target::Server(incarnation) = target {
+        context.tally.count_lost_connection();
+        reach::record_failure(gateway, &call.service, &incarnation.server);
+    }
+}
+
+/// Records what the head of an answer shows of its server.
+fn record_head(
+    gateway: &Gateway,
+    call: &CallerRequest,
+    incarnation: &Incarnation,
+    connection: &Connection,
+    requested_at: Moment,
+    head: &Parts,
+    check: Result<(), Failure>,
+) {
+    if connection.is_new {
+        gateway.reach.borrow_mut().record_answer(&call.service);
+    }
+    let is_refusal = check == Err(Failure::Refused);
+    if check.is_ok() || is_refusal {
+        let answer = AnswerHead {
+            incarnation,
+            requested_at,
+            headers: &head.headers,
+            is_refusal,
+        };
+        rate_limits::record_answer(gateway, call, &answer);
+    }
+    if check.is_ok() {
+        crash_watch::record_alive(gateway, incarnation);
+        record_reported_load(gateway, &incarnation.server, &head.headers);
+    }
+}
+
 /// Reserves memory at the helpers if the placement needs it.
 ///
 /// # Errors
@@ -319,11 +388,11 @@
 }
 
 /// Records the running and waiting requests that a server reports with its response.
-fn record_reported_load(gateway: &Gateway, selected: &SelectedServers, head: &HeaderMap) {
+fn record_reported_load(gateway: &Gateway, server: &ServerId, head: &HeaderMap) {
     let load = text_header(head, headers::LOAD).and_then(headers::parse_load);
     if let Some(load) = load {
         let mut fleet = gateway.fleet.borrow_mut();
-        fleet.record_load(gateway.now(), &selected.server, load.running + load.waiting);
+        fleet.record_load(gateway.now(), server, load.running + load.waiting);
     }
 }
 
@@ -334,15 +403,23 @@
     Some(body.to_bytes())
 }
 
-/// Updates server health and the log after a failed attempt.
-pub(super) fn record_failure(
-    context: AttemptContext<'_>,
-    incarnation: &Incarnation,
-    failure: Failure,
-) {
+/// Updates the health of the target and the log after a failed attempt.
+pub(super) fn record_failure(context: AttemptContext<'_>, target: &Target, failure: Failure) {
     let AttemptContext { gateway, call, .. } = context;
+    match target {
+        Target::Server(incarnation) => record_server_failure(gateway, &incarnation.server, failure),
+        Target::Vm { vm, .. } => relay::record_failure(gateway, call, vm, failure),
+    }
+    info!(gateway.log, "Attempt failed"; "request" => call.attempt_id_text(),
+        "content" => %call.content.digest(), "server" => %target, "born" => target.born(),
+        "failure" => ?failure, "ran" => context.tally.may_have_run(),
+        "after_ms" => gateway.now().since(call.received_at).as_millis(),
+        "manifest" => call.manifest_number);
+}
+
+/// Updates the health of a server after a failed attempt.
+fn record_server_failure(gateway: &Gateway, server: &ServerId, failure: Failure) {
     let now = gateway.now();
-    let server = &incarnation.server;
     if let Some(outcome) = failure.health_outcome() {
         if failure == Failure::Broken {
             placement_sync::record_request_outcome(gateway, server, outcome);
@@ -354,11 +431,6 @@
     if failure == Failure::Replaced {
         gateway.fleet.borrow_mut().mark_replaced(now, server);
     }
-    info!(gateway.log, "Attempt failed"; "request" => call.attempt_id_text(),
-        "content" => %call.content.digest(), "server" => %server, "born" => incarnation.born,
-        "failure" => ?failure, "ran" => context.tally.may_have_run(),
-        "after_ms" => now.since(call.received_at).as_millis(),
-        "manifest" => call.manifest_number);
 }
 
 /// Whether a response has a length or chunks, so that its end is told from a cut.
@@ -380,11 +452,16 @@
 }
 
 /// Builds the response to the caller from a server's response head, without hop-by-hop headers.
-pub(super) fn forwarded_response<B>(head: &Parts, body: B) -> Response<B> {
+pub(super) fn forwarded_response<B>(target: &Target, head: &Parts, body: B) -> Response<B> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
+    if let Target::Server(incarnation) = target {
+        let origin = Origin::Server(incarnation.server.to_string());
+        response.extensions_mut().insert(origin);
+    }
     let mut kept_headers = head.headers.clone();
     super::request::strip_hop_by_hop(&mut kept_headers);
+    relay::remove_headers(&mut kept_headers);
     kept_headers.remove(hyper::header::CONTENT_LENGTH);
     *response.headers_mut() = kept_headers;
     response
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -11,9 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use merlinrudder_core::deployment::CallKind;
-use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::events::EventSplitter;
-use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{RetryReason, RunState};
 use slog::info;
 use tokio::time::{sleep, timeout};
@@ -27,13 +25,14 @@
 use super::selection::{SelectedServers, Selection, select_servers};
 use super::state::Gateway;
 use super::tally::Tally;
+use super::target::Target;
 use crate::metrics;
 
 /// Wait before a hedge is tried again that could not be sent, or that failed.
 const HEDGE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Response of an attempt, or how it failed at which server.
-pub(super) type AttemptResult = Result<UpstreamResponse, (Incarnation, Failure)>;
+pub(super) type AttemptResult = Result<UpstreamResponse, (Target, Failure)>;
 
 /// What all attempts at a request have in common.
 #[derive(Clone, Copy, Debug)]
@@ -52,16 +51,16 @@
     /// Failures of other attempts are recorded.
     pub(super) async fn race(self, selected: SelectedServers) -> AttemptResult {
         let silence = hang_timeout(self.call, &selected);
-        let (server, incarnation) = (selected.server.clone(), selected.incarnation());
+        let target = selected.target.clone();
         let progress = Progress::new(self.tally);
         let first = attempt(self, selected, &progress);
-        let raced = self.race_with(silence, vec![server.clone()], first).await;
-        let result = raced.map_err(|failure| (incarnation.clone(), failure));
-        if matches!(&result, Ok(response) if response.selected.server != server) {
+        let raced = self.race_with(silence, vec![target.clone()], first).await;
+        let result = raced.map_err(|failure| (target.clone(), failure));
+        if matches!(&result, Ok(response) if !response.selected.target.is_same(&target)) {
             progress.give_up();
             let failure = progress.failure.get().unwrap_or(Failure::Overtaken);
-            record_failure(self, &incarnation, failure);
-            self.tally.exclude(&incarnation.server);
+            record_failure(self, &target, failure);
+            self.tally.exclude_failed(&target, failure);
         }
         result
     }
@@ -72,7 +71,7 @@
     async fn race_with(
         self,
         silence: Duration,
-        silent: Vec<ServerId>,
+        silent: Vec<Target>,
         first: impl Future<Output = Result<UpstreamResponse, Failure>>,
     ) -> Result<UpstreamResponse, Failure> {
         let mut first = pin!(first);
@@ -106,23 +105,23 @@
     /// Sends hedges until one has answered; waits for ever where no more may be sent.
     pub(super) fn hedge_until_answered(
         self,
-        silent: Vec<ServerId>,
+        silent: Vec<Target>,
     ) -> Pin<Box<dyn Future<Output = UpstreamResponse> + 'a>> {
         Box::pin(async move {
             let mut last_failed = None;
             loop {
                 if let Some(selected) = self.select_hedge(&silent, last_failed.as_ref()) {
-                    let incarnation = selected.incarnation();
+                    let target = selected.target.clone();
                     match self.open_hedge(selected, &silent).await {
                         Ok(response) => return response,
                         Err(failure) => {
-                            record_failure(self, &incarnation, failure);
+                            record_failure(self, &target, failure);
                             if failure.run_state() == RunState::NotRun {
                                 self.tally.count_refused_hedge();
                             } else {
-                                self.tally.exclude(&incarnation.server);
+                                self.tally.exclude_failed(&target, failure);
                             }
-                            last_failed = Some(incarnation.server);
+                            last_failed = Some(target);
                         }
                     }
                 }
@@ -134,8 +133,8 @@
     /// Selects the server of a hedge and spends a retry; `None` if no hedge may be sent now.
     fn select_hedge(
         self,
-        silent: &[ServerId],
-        last_failed: Option<&ServerId>,
+        silent: &[Target],
+        last_failed: Option<&Target>,
     ) -> Option<SelectedServers> {
         let Self {
             gateway,
@@ -147,8 +146,9 @@
             return None;
         }
         let mut excluded = tally.excluded.borrow().clone();
-        excluded.extend(silent.iter().chain(last_failed).cloned());
-        let Selection::Selected(selected) = select_servers(gateway, call, &excluded, false) else {
+        excluded.extend(silent.iter().chain(last_failed));
+        let selection = select_servers(gateway, call, tally, &excluded, false);
+        let Selection::Selected(selected) = selection else {
             return None;
         };
         if !gateway.spend_retry(&call.service) {
@@ -156,7 +156,7 @@
         }
         metrics::count_retry(RetryReason::ServerSilent);
         info!(gateway.log, "Hedge sent"; "request" => call.attempt_id_text(),
-            "server" => %selected.server, "silent" => silent.last().map(ServerId::as_str),
+            "server" => %selected.target, "silent" => silent.last().map(ToString::to_string),
             "after_ms" => gateway.now().since(call.received_at).as_millis());
         Some(selected)
     }
@@ -165,11 +165,11 @@
     async fn open_hedge(
         self,
         selected: SelectedServers,
-        silent: &[ServerId],
+        silent: &[Target],
     ) -> Result<UpstreamResponse, Failure> {
         let silence = hang_timeout(self.call, &selected);
         let mut silent = silent.to_vec();
-        silent.push(selected.server.clone());
+        silent.push(selected.target.clone());
         let progress = Progress::new(self.tally);
         let answer = async {
             let response = attempt(self, selected, &progress).await?;
--- a/node/src/gateway/ingress.rs
+++ b/node/src/gateway/ingress.rs
@@ -21,14 +21,22 @@
 use super::open_requests::OpenRequest;
 use super::request::CallerRequest;
 use super::state::{ConnectionGuard, Gateway, StopStage};
-use super::{buffered, refusal, request, stream};
+use super::{buffered, refusal, relay_ingress, request, stream};
 use crate::constants::ACCEPT_RETRY_DELAY;
 use crate::sockets;
 
-/// Accepts caller connections until a planned stop drains them.
+/// Who sends the requests that a listener accepts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Sender {
+    Caller,
+    /// Another VM, for its callers.
+    OtherVm,
+}
+
+/// Accepts connections until a planned stop drains them.
 ///
 /// The listener closes then, so the operating system refuses later connections.
-pub(super) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+pub(super) async fn serve(gateway: Rc<Gateway>, listener: TcpListener, sender: Sender) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -36,10 +44,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                spawn_local(serve_caller_connection(Rc::clone(&gateway), stream));
+                spawn_local(serve_connection(Rc::clone(&gateway), stream, sender));
             }
             Err(error) => {
-                warn!(gateway.log, "Failed to accept caller connection"; "error" => %error);
+                warn!(gateway.log, "Failed to accept connection"; "sender" => ?sender, "error" => %error);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -76,8 +84,8 @@
     drop(connection.await);
 }
 
-/// Serves a caller connection; in a planned stop it ends with the request in progress.
-async fn serve_caller_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+/// Serves a connection; in a planned stop it ends with the request in progress.
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, sender: Sender) {
     let _guard = ConnectionGuard::new(&gateway);
     if let Err(error) = sockets::set_tcp_options(&stream) {
         warn!(gateway.log, "Failed to set socket options"; "error" => %error);
@@ -85,12 +93,16 @@
     let limits = gateway.deployment().map(|d| d.limits).unwrap_or_default();
     let service = service_fn(|request| {
         let gateway = Rc::clone(&gateway);
-        async move { Ok::<_, Infallible>(respond(&gateway, request).await) }
+        async move { Ok::<_, Infallible>(respond_to(&gateway, request, sender).await) }
     });
+    let header_bytes = match sender {
+        Sender::Caller => limits.header_bytes,
+        Sender::OtherVm => limits.header_bytes + MAX_RELAY_HEADER_BYTES,
+    };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
+        .max_buf_size(header_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
@@ -101,40 +113,61 @@
         }
     };
     if let Err(error) = result {
-        debug!(gateway.log, "Caller connection failed"; "error" => %error);
+        debug!(gateway.log, "Connection failed"; "sender" => ?sender, "error" => %error);
     }
 }
 
 /// Smallest limit for the size of a request head that hyper accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8192;
 
-/// Admits a request and returns its response.
+/// Size of the headers that a VM adds to a request by way of another one, in bytes.
+const MAX_RELAY_HEADER_BYTES: usize = 4096;
+
+/// Returns the response to a request.
 ///
-/// While the VM is stopping, the response asks the caller to close the connection.
+/// While the VM is stopping, the response asks the sender to close the connection.
+async fn respond_to(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    sender: Sender,
+) -> Response<ResponseBody> {
+    let mut response = match sender {
+        Sender::Caller => respond(gateway, request).await,
+        Sender::OtherVm => relay_ingress::respond(gateway, request).await,
+    };
+    if gateway.has_reached(StopStage::Unready) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Admits a caller's request and returns its response.
 async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let mut response = match request::admit(gateway, request).await {
-        // A request accepted now might not finish before the process has to exit.
-        Ok(call) if gateway.has_reached(StopStage::Draining) => {
-            buffered::refuse_request(gateway, &call, &refusal::retryable(RefusalReason::Stopping))
+    match request::admit(gateway, request).await {
+        Ok(call) => {
+            gateway.count_request(&call.service);
+            serve_until_exit(gateway, call).await
         }
-        Ok(call) => serve_until_exit(gateway, call).await,
         Err(refusal) => {
             info!(gateway.log, "Request refused"; "reason" => refusal.reason.code());
             refusal::response(&refusal)
         }
-    };
-    if gateway.has_reached(StopStage::Unready) {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
     }
-    response
 }
 
 /// Serves a request; if the process exits before there is a response head, it is refused.
-async fn serve_until_exit(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
-    gateway.count_request(&call.service);
+pub(super) async fn serve_until_exit(
+    gateway: &Rc<Gateway>,
+    call: CallerRequest,
+) -> Response<ResponseBody> {
+    if gateway.has_reached(StopStage::Draining) {
+        // A request accepted now might not finish before the process has to exit.
+        let refusal = refusal::retryable(RefusalReason::Stopping);
+        return buffered::refuse_request(gateway, &call, &refusal);
+    }
     let open = Rc::clone(&call.guard.request);
-    let mut serving = pin!(serve(gateway, call));
+    let mut serving = pin!(serve_request(gateway, call));
     tokio::select! {
         biased;
         response = serving.as_mut() => response,
@@ -142,7 +175,7 @@
     }
 }
 
-async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
+async fn serve_request(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
     match call.route.kind {
         CallKind::Stream { .. } => stream::serve(gateway, call).await,
         CallKind::Idempotent | CallKind::AtMostOnce => buffered::serve(gateway, call).await,
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -6,7 +6,7 @@
 
 use merlinrudder_core::directory::{Merged, ServerRecord};
 use merlinrudder_core::manifest::ManifestNumber;
-use merlinrudder_core::names::VmId;
+use merlinrudder_core::names::{VmId, ZoneName};
 use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
 use merlinrudder_wire::peers::WirePeer;
@@ -19,6 +19,7 @@
 use super::crash_watch;
 use super::placement_sync;
 use super::rate_limits;
+use super::reach;
 use super::state::Gateway;
 use crate::links::LinkEvent;
 
@@ -51,6 +52,17 @@
         drop(entry_vms);
         placement_sync::send_all(gateway, &peer.vm_id());
         rate_limits::link_up(gateway, &peer.vm_id());
+        relay_link_up(gateway, peer);
+    }
+}
+
+/// Adds a VM that makes attempts for others.
+fn relay_link_up(gateway: &Gateway, peer: &WirePeer) {
+    let vm = peer.vm_id();
+    if gateway.links.relay(&vm).is_some() {
+        let zone = ZoneName::from(peer.zone.as_str());
+        gateway.relays.borrow_mut().insert(vm.clone(), zone);
+        reach::tell(gateway, &vm);
     }
 }
 
@@ -62,6 +74,7 @@
     let has_control_link = gateway.links.peers().iter().any(|peer| peer.control);
     gateway.manifest_pull.borrow_mut().disconnected(vm);
     gateway.crashes.borrow_mut().exchange.link_down(vm);
+    gateway.relays.borrow_mut().remove(vm);
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.receives_heartbeats = has_control_link;
     fleet.entry_lost(now, vm);
@@ -94,6 +107,7 @@
         }
         MeshMessage::TrialStarted(content) => crash_verdict::receive_trial(gateway, content),
         MeshMessage::CrashReports(reports) => crash_watch::receive(gateway, from, reports),
+        MeshMessage::CutOff(services) => reach::receive(gateway, from, services),
         MeshMessage::Rates(message) => rate_limits::receive(gateway, from, message),
         MeshMessage::Placements(placements) => placement_sync::apply(gateway, from, placements),
         other => debug!(gateway.log, "Unhandled message"; "from" => %from, "message" => ?other),
--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -101,7 +101,9 @@
         .fleet
         .borrow_mut()
         .record_outcome(now, server, server_outcome);
-    if server_outcome == ServerOutcome::Failed {
+    // A VM that is cut off would take its own fault for the servers'.
+    let is_certain = !gateway.reach.borrow().is_uncertain();
+    if server_outcome == ServerOutcome::Failed && is_certain {
         let change = WirePlacementChange::ServerFailed(server.to_string());
         gateway.outbox.borrow_mut().push(change);
     }
--- a/node/src/gateway/rate_limits.rs
+++ b/node/src/gateway/rate_limits.rs
@@ -21,7 +21,6 @@
 use tokio::time::sleep;
 
 use super::request::CallerRequest;
-use super::selection::SelectedServers;
 use super::state::Gateway;
 use crate::metrics;
 
@@ -81,24 +80,28 @@
     times.promise(now, rate)
 }
 
+/// Head of an answer of a server.
+pub(super) struct AnswerHead<'a> {
+    pub(super) incarnation: &'a Incarnation,
+    /// When the request was sent.
+    pub(super) requested_at: Moment,
+    pub(super) headers: &'a HeaderMap,
+    /// Whether the server refused the request.
+    pub(super) is_refusal: bool,
+}
+
 /// Records what the head of an answer says of its server's limit.
 ///
 /// A refusal that names none does not end a limit.
-pub(super) fn record_answer(
-    gateway: &Gateway,
-    call: &CallerRequest,
-    selected: &SelectedServers,
-    requested_at: Moment,
-    head: &HeaderMap,
-    is_refusal: bool,
-) {
-    let lines = head.get_all(headers::SERVER_LIMIT).iter();
+pub(super) fn record_answer(gateway: &Gateway, call: &CallerRequest, answer: &AnswerHead<'_>) {
+    let server = &answer.incarnation.server;
+    let lines = answer.headers.get_all(headers::SERVER_LIMIT).iter();
     let lines = lines.map(|line| line.to_str().unwrap_or("unreadable"));
     let limit = match headers::parse_server_limit(lines) {
         Ok(limit) => limit,
         Err(error) => {
             warn!(gateway.log, "Limit ignored"; "request" => call.attempt_id_text(),
-                "server" => %selected.server, "error" => %error);
+                "server" => %server, "error" => %error);
             return;
         }
     };
@@ -106,20 +109,20 @@
         metrics::count_limited_answer();
     }
     let mut fleet = gateway.fleet.borrow_mut();
-    let is_limited = fleet.rates.is_limited(&selected.server);
-    if limit.is_none() && (is_refusal || !is_limited) {
+    let is_limited = fleet.rates.is_limited(server);
+    if limit.is_none() && (answer.is_refusal || !is_limited) {
         return;
     }
     let now = gateway.now();
     let observation = Observation {
-        incarnation: selected.incarnation(),
+        incarnation: answer.incarnation.clone(),
         rate: limit.and_then(Rate::new),
-        requested_at,
+        requested_at: answer.requested_at,
         heard_at: now,
     };
     let change = fleet.rates.observe(now, observation);
     drop(fleet);
-    log_change(gateway, &gateway.vm, &selected.incarnation(), limit, change);
+    log_change(gateway, &gateway.vm, answer.incarnation, limit, change);
     flush(gateway);
 }
 
--- a/node/src/gateway/refusal.rs
+++ b/node/src/gateway/refusal.rs
@@ -25,6 +25,7 @@
         (RefusalReason::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
         (RefusalReason::SlowBody, _) => StatusCode::REQUEST_TIMEOUT,
         (RefusalReason::UnknownCustomer, _) => StatusCode::UNAUTHORIZED,
+        (RefusalReason::ServiceNotAllowed, _) => StatusCode::FORBIDDEN,
         (RefusalReason::UnknownPath, _) => StatusCode::NOT_FOUND,
         (RefusalReason::Quarantined, RunState::NotRun) => StatusCode::TOO_MANY_REQUESTS,
         (_, RunState::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
@@ -33,11 +34,22 @@
     }
 }
 
+/// Who gave a response, as an extension of it.
+#[derive(Clone, Debug)]
+pub(super) enum Origin {
+    /// The server of this id.
+    Server(String),
+    /// This VM, which refused or failed the request.
+    Refusal(RefusalReason, RunState),
+}
+
 /// Builds the response to a refused or failed request, and counts it by reason.
 pub(super) fn response(refusal: &Refusal) -> Response<ResponseBody> {
     metrics::count_refusal(refusal.reason);
     let mut response = Response::new(ResponseBody::buffered(refusal.reason.code()));
     *response.status_mut() = status_code(refusal);
+    let origin = Origin::Refusal(refusal.reason, refusal.run);
+    response.extensions_mut().insert(origin);
     if let Some(wait) = refusal.retry_after {
         let jittered = wait.mul_f64(1.0 + fastrand::f64() * RETRY_AFTER_JITTER);
         let seconds = format!("{:.3}", jittered.as_secs_f64());
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -12,6 +12,7 @@
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
     TRANSFER_ENCODING,
 };
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
 use merlinrudder_core::deployment::{CustomerRule, Deployment, RouteRule};
 use merlinrudder_core::engine_model::EngineProfile;
@@ -24,6 +25,8 @@
 
 use super::open_requests::OpenRequestGuard;
 use super::refusal::{DEFAULT_RETRY_AFTER, retryable};
+use super::relay;
+use super::relay_ingress::Relayed;
 use super::state::Gateway;
 
 /// Time between two checks whether a starting VM knows its deployment and servers.
@@ -72,10 +75,26 @@
     pub(super) last_event: Option<u64>,
     /// Random number that decides between servers of nearly equal cost.
     pub(super) tie_breaker: u64,
+    /// What another VM says of the request; `None` if a caller sent it.
+    pub(super) relayed: Option<Relayed>,
     /// Logs the request if it is dropped without an outcome.
     pub(super) guard: OpenRequestGuard,
 }
 
+/// What is known of a request whose body has not been read.
+pub(super) struct Admission<'a> {
+    /// When its head had arrived.
+    pub(super) received_at: Moment,
+    pub(super) deployment: &'a Deployment,
+    pub(super) route: &'a Arc<RouteRule>,
+    /// Customer of the API key; `None` where no key was needed or known.
+    pub(super) customer: Option<Arc<CustomerRule>>,
+    /// Service that another VM has drawn; `None` to draw one.
+    pub(super) service: Option<ServiceName>,
+    /// What another VM says of the request; `None` if a caller sent it.
+    pub(super) relayed: Option<Relayed>,
+}
+
 /// The part of a request that is the same for each attempt of its caller.
 #[derive(Debug)]
 pub(super) struct RequestContent {
@@ -115,8 +134,8 @@
 /// Header values that depend on the servers selected for an attempt.
 #[derive(Debug)]
 pub(super) struct ServerHeaders<'a> {
-    /// Id of the only server that may run the request.
-    pub(super) server: &'a str,
+    /// Id of the only server that may run the request; `None` if another VM selects it.
+    pub(super) server: Option<&'a str>,
     /// Helpers as addresses with reservation ids, separated by commas; empty if there are none.
     pub(super) helpers: String,
     /// Scheduling priority at the engine; 0 is first.
@@ -149,7 +168,9 @@
         let mut outgoing = self.headers.clone();
         let time_left = duration_millis(self.time_left(now));
         set_header(&mut outgoing, headers::DEADLINE, &time_left.to_string());
-        set_header(&mut outgoing, headers::TARGET, server_headers.server);
+        if let Some(server) = server_headers.server {
+            set_header(&mut outgoing, headers::TARGET, server);
+        }
         if let Some(customer) = &content.customer {
             set_header(&mut outgoing, headers::CUSTOMER, customer.name.as_str());
         }
@@ -184,15 +205,45 @@
     let route = host.and_then(|host| deployment.route(host, head.uri.path()));
     let route = route.ok_or(Refusal::not_run(RefusalReason::UnknownPath, None))?;
     let customer = find_customer(&deployment, route, &head.headers)?;
+    let admission = Admission {
+        received_at,
+        deployment: &deployment,
+        route,
+        customer,
+        service: None,
+        relayed: None,
+    };
+    admit_body(gateway, head, body, admission).await
+}
+
+/// Reads the body of a request whose head is admitted.
+///
+/// # Errors
+/// Returns the refusal for the caller; the request has not run in any of these cases.
+pub(super) async fn admit_body(
+    gateway: &Rc<Gateway>,
+    head: Parts,
+    body: Incoming,
+    admission: Admission<'_>,
+) -> Result<CallerRequest, Refusal> {
+    let Admission {
+        received_at,
+        deployment,
+        route,
+        customer,
+        ..
+    } = admission;
     let attempt_id = head.headers.get(headers::ATTEMPT).cloned();
     let attempt_id = attempt_id.ok_or(Refusal::not_run(RefusalReason::BadRequest, None))?;
     let caller_limit = parse_header::<f64>(&head.headers, headers::DEADLINE)
         .and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok());
     let time_limit = caller_limit.map_or(route.timeout, |time_limit| time_limit.min(route.timeout));
     let body = read_body(body, deployment.limits.body_bytes, time_limit).await?;
-    let service = route.choose_service(fastrand::f64());
+    let service = admission
+        .service
+        .or_else(|| route.choose_service(fastrand::f64()).cloned());
     let service = service.ok_or(retryable(RefusalReason::UnknownService))?;
-    let rule = deployment.services.get(service);
+    let rule = deployment.services.get(&service);
     let token_counts =
         text_header(&head.headers, headers::TOKENS).and_then(headers::parse_token_counts);
     let content = RequestContent {
@@ -211,12 +262,13 @@
         headers: forwarded_headers(&head.headers),
         content: Rc::new(content),
         route: Arc::clone(route),
-        service: service.clone(),
+        service,
         engine_profile: rule.and_then(|rule| rule.engine),
         manifest_number: deployment.number.0,
         received_at,
         deadline: received_at + time_limit,
         tie_breaker: fastrand::u64(..),
+        relayed: admission.relayed,
         guard,
     })
 }
@@ -298,6 +350,7 @@
     for name in headers::RESERVED {
         forwarded.remove(name);
     }
+    relay::remove_headers(&mut forwarded);
     forwarded
 }
 
@@ -319,7 +372,7 @@
     headers.remove(TRANSFER_ENCODING);
 }
 
-fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+pub(super) fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(HeaderName::from_static(name), value);
     }
@@ -335,6 +388,6 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-fn parse_header<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+pub(super) fn parse_header<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
     text_header(headers, name)?.trim().parse().ok()
 }
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use merlinrudder_core::deployment::CallKind;
-use merlinrudder_core::directory::{Incarnation, ServerRecord};
+use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
 use merlinrudder_core::engine_placement::loads::PlacedPrompt;
@@ -17,19 +17,22 @@
 
 use super::placement_sync::LocalPlacement;
 use super::rate_limits;
+use super::relay::{self, RelayGuard};
 use super::request::CallerRequest;
 use super::reservation::EngineEndpoint;
 use super::state::Gateway;
+use super::tally::Tally;
+use super::target::{Excluded, Target};
 
 /// Servers selected for one attempt.
 ///
 /// The attempt counts as load of these servers until this is dropped.
 #[derive(Debug)]
 pub(super) struct SelectedServers {
-    /// Server that receives the request; of several engines, the one that generates the output.
-    pub(super) server: ServerId,
-    /// Start of the server's lifetime, in Unix milliseconds by its clock.
-    pub(super) born: u64,
+    /// Server that receives the request, or another VM that selects one.
+    ///
+    /// Of several engines, it is the one that generates the output.
+    pub(super) target: Target,
     pub(super) address: SocketAddr,
     /// Engines that prefill further parts of the prompt.
     pub(super) helpers: Vec<EngineEndpoint>,
@@ -45,16 +48,30 @@
     ///
     /// `None` if the server was selected by its running requests.
     pub(super) placement: Option<LocalPlacement>,
-    /// Counts the request as running at `server`; `None` with a `placement`.
+    /// Counts the request as running at the server; `None` with a `placement`.
     _call_guard: Option<RunningCallGuard>,
+    /// Counts the request as in progress by way of another VM.
+    _relay_guard: Option<RelayGuard>,
 }
 
 impl SelectedServers {
-    /// Returns the lifetime of the server that receives the request.
-    pub(super) fn incarnation(&self) -> Incarnation {
-        Incarnation {
-            server: self.server.clone(),
-            born: self.born,
+    /// Selects another VM, which selects the servers.
+    pub(super) fn by_way_of(
+        gateway: &Gateway,
+        target: Target,
+        address: SocketAddr,
+        guard: RelayGuard,
+    ) -> Self {
+        Self {
+            target,
+            address,
+            helpers: Vec::new(),
+            reserved_tokens: 0,
+            selected_at: gateway.now(),
+            predicted_wait: None,
+            placement: None,
+            _call_guard: None,
+            _relay_guard: Some(guard),
         }
     }
 }
@@ -84,16 +101,49 @@
     AwaitPermit,
     /// All servers have limits on their request rates; none of them takes the request soon.
     RateLimited,
+    /// This VM is cut off from the service, and no other VM reaches it.
+    NoPath,
     /// No server is left to select.
     NoServer,
 }
 
 /// Selects the servers of the next attempt, none of them in `excluded`.
 ///
+/// A VM that is cut off from the service selects another VM, and so does a request that found no
+/// connection several times. A request of another VM is not passed on.
+pub(super) fn select_servers(
+    gateway: &Rc<Gateway>,
+    call: &CallerRequest,
+    tally: &Tally,
+    excluded: &Excluded,
+    is_waiting: bool,
+) -> Selection {
+    let is_cut_off = gateway.reach.borrow().is_cut_off(&call.service);
+    if call.relayed.is_none() && (is_cut_off || tally.prefers_relay()) {
+        if let Some(selected) = relay::select(gateway, call, excluded) {
+            return Selection::Selected(selected);
+        }
+        if is_cut_off && !gateway.relays.borrow().is_empty() {
+            return Selection::NoPath;
+        }
+    } else if is_cut_off {
+        return Selection::NoPath;
+    }
+    let selection = select_reached(gateway, call, &excluded.here(), is_waiting);
+    let may_ask = call.relayed.is_none() && !excluded.unreached.is_empty();
+    if matches!(selection, Selection::NoServer) && may_ask {
+        let selected = relay::select(gateway, call, excluded);
+        return selected.map_or(Selection::NoServer, Selection::Selected);
+    }
+    selection
+}
+
+/// Selects servers that this VM reaches itself.
+///
 /// Engines are selected by the performance model of their service. Plain servers, and engines
 /// for a request without token counts, are selected by their share of busy slots. A request that
 /// waits for a permit, `is_waiting`, goes before those that come later.
-pub(super) fn select_servers(
+fn select_reached(
     gateway: &Rc<Gateway>,
     call: &CallerRequest,
     excluded: &[ServerId],
@@ -108,9 +158,11 @@
         Err(NoChoice::NoServer) => Selection::NoServer,
         Err(NoChoice::RateLimited) => permit_outlook(gateway, call, excluded, is_waiting),
         Ok(selection) => {
-            if let Selection::Selected(selected) = &selection {
+            if let Selection::Selected(selected) = &selection
+                && let Some(incarnation) = selected.target.incarnation()
+            {
                 let mut fleet = gateway.fleet.borrow_mut();
-                fleet.rates.spend(gateway.now(), &selected.server);
+                fleet.rates.spend(gateway.now(), &incarnation.server);
             }
             selection
         }
@@ -182,15 +234,14 @@
     let mut fleet = gateway.fleet.borrow_mut();
     let server = fleet.choose_server(gateway.now(), &call.service, excluded)?;
     let record = fleet.directory.get(&server).ok_or(NoChoice::NoServer)?;
-    let (address, born) = (record.address, record.born);
+    let (address, incarnation) = (record.address, record.incarnation());
     fleet.call_began(&server);
     let call_guard = RunningCallGuard {
         gateway: Rc::clone(gateway),
-        server: server.clone(),
+        server,
     };
     Ok(SelectedServers {
-        server,
-        born,
+        target: Target::Server(incarnation),
         address,
         helpers: Vec::new(),
         reserved_tokens: 0,
@@ -198,6 +249,7 @@
         predicted_wait: None,
         placement: None,
         _call_guard: Some(call_guard),
+        _relay_guard: None,
     })
 }
 
@@ -252,8 +304,7 @@
     };
     let local_placement = LocalPlacement::new(gateway, &call.service, placed_prompt);
     SelectedServers {
-        server: placement.lead,
-        born: lead.born,
+        target: Target::Server(lead.incarnation()),
         address: lead.address,
         helpers,
         reserved_tokens: placement.helper_tokens,
@@ -261,6 +312,7 @@
         predicted_wait: Some(placement.predicted_ttft),
         placement: Some(local_placement),
         _call_guard: None,
+        _relay_guard: None,
     }
 }
 
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -11,6 +11,8 @@
 use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::{ServiceName, VmId, ZoneName};
 use merlinrudder_core::rate_limit::RateLimits;
+use merlinrudder_core::reach::ReachTable;
+use merlinrudder_core::relays::RelayTable;
 use merlinrudder_core::retry::{RetryLimits, RetryWindow};
 use merlinrudder_core::time::Moment;
 use slog::{Logger, debug, o};
@@ -56,7 +58,13 @@
     pub(super) fleet: RefCell<Fleet>,
     /// Admitted requests whose outcome is not known yet.
     pub(super) open_requests: OpenRequests,
-    /// Idle connections to backend servers.
+    /// Services that this VM may be cut off from.
+    pub(super) reach: RefCell<ReachTable>,
+    /// Other VMs that make attempts for this one.
+    pub(super) relays: RefCell<RelayTable>,
+    /// Token that other VMs repeat with their requests.
+    pub(super) relay_token: u128,
+    /// Idle connections to backend servers and other VMs.
     pub(super) pool: ConnectionPool,
     /// Placements made here, and changes not yet sent to the other entry VMs.
     pub(super) outbox: RefCell<Outbox>,
@@ -81,7 +89,12 @@
 }
 
 impl Gateway {
-    pub(super) fn new(config: &GatewayConfig, links: Links, log: &Logger) -> Self {
+    pub(super) fn new(
+        config: &GatewayConfig,
+        relay_token: u128,
+        links: Links,
+        log: &Logger,
+    ) -> Self {
         let vm = config.local_peer.vm_id();
         let zone = ZoneName::from(config.local_peer.zone.as_str());
         let clock = Clock::start();
@@ -95,6 +108,9 @@
             manifest_pull: RefCell::default(),
             fleet: RefCell::new(Fleet::new(zone, rates)),
             open_requests: OpenRequests::default(),
+            reach: RefCell::default(),
+            relays: RefCell::default(),
+            relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
             outbox: RefCell::default(),
             permit_queues: RefCell::default(),
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -8,7 +8,6 @@
 use merlinrudder_core::deployment::CallKind;
 use merlinrudder_core::events::Event;
 use merlinrudder_core::health::ServerOutcome;
-use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::{RetryReason, RunState};
 use merlinrudder_core::time::Moment;
 use slog::info;
@@ -27,7 +26,8 @@
 use super::placement_sync;
 use super::request::CallerRequest;
 use super::state::{Gateway, StopStage};
-use super::stream_source::{SourceEnd, StreamEnd, StreamSource};
+use super::stream_source::{CUT, SourceEnd, StreamEnd, StreamSource};
+use super::target::Target;
 use crate::metrics;
 
 /// Events buffered for a caller that reads slowly.
@@ -39,7 +39,7 @@
 ///
 /// A response of an engine that is no success is forwarded as that of a plain call.
 pub(super) async fn serve(gateway: &Rc<Gateway>, call: CallerRequest) -> Response<ResponseBody> {
-    let mut attempts = Attempts::new();
+    let mut attempts = Attempts::new(&call);
     let mut failed = None;
     let upstream_response = loop {
         let upstream_response = match attempts.run_until_response(gateway, &call, None).await {
@@ -58,7 +58,9 @@
         }
     };
     let (sender, chunks) = mpsc::channel(EVENT_BUFFER_CAPACITY);
-    let response = forwarded_response(&upstream_response.head, ResponseBody::Streaming(chunks));
+    let body = ResponseBody::Streaming(chunks);
+    let target = &upstream_response.selected.target;
+    let response = forwarded_response(target, &upstream_response.head, body);
     let forwarder = StreamForwarder {
         gateway: Rc::clone(gateway),
         last_event: call.last_event,
@@ -79,7 +81,7 @@
 /// Latest placement of a stream, for its log line.
 struct PlacementInfo {
     /// Engine that generates the output.
-    server: ServerId,
+    target: Target,
     /// Number of engines that prefilled further parts of the prompt.
     helper_count: usize,
     /// Time from the receipt of the request to the placement.
@@ -92,7 +94,7 @@
     fn new(call: &CallerRequest, upstream_response: &UpstreamResponse) -> Self {
         let selected = &upstream_response.selected;
         Self {
-            server: selected.server.clone(),
+            target: selected.target.clone(),
             helper_count: selected.helpers.len(),
             placement_delay: selected.selected_at.since(call.received_at),
             predicted_wait: selected.predicted_wait,
@@ -161,7 +163,10 @@
                 }
                 StreamEnd::CallerGone | StreamEnd::Overdue | StreamEnd::Stopping => return end,
             }
-            self.attempts.tally.exclude(&upstream.selected.server);
+            self.attempts.tally.exclude(&upstream.selected.target);
+            if end == StreamEnd::Broken(CUT) && upstream.selected.target.incarnation().is_some() {
+                self.attempts.tally.count_lost_connection();
+            }
             drop(upstream);
             source = match self.resume().await {
                 Some(next) => next,
@@ -173,9 +178,11 @@
     /// Checks an end that only the closed connection marks: the engine may have crashed instead.
     async fn check_end(&self, source: &StreamSource, end: StreamEnd) -> StreamEnd {
         let upstream = &source.upstream;
-        let incarnation = upstream.selected.incarnation();
         let is_certain = end != StreamEnd::Complete || is_framed(&upstream.head);
-        if !is_certain && crash_watch::has_crashed(&self.gateway, &incarnation).await {
+        if !is_certain
+            && let Some(incarnation) = upstream.selected.target.incarnation()
+            && crash_watch::has_crashed(&self.gateway, incarnation).await
+        {
             return StreamEnd::Broken("server crashed");
         }
         end
@@ -184,15 +191,15 @@
     /// Goes on with the hedge that overtook a silent engine, whose request is cancelled.
     fn take_over(&mut self, source: &mut StreamSource, next: StreamSource) {
         info!(self.gateway.log, "Stream goes on with a hedge"; "request" => self.call.attempt_id_text(),
-            "silent" => %source.upstream.selected.server, "events" => self.event_count,
-            "server" => %next.upstream.selected.server);
+            "silent" => %source.upstream.selected.target, "events" => self.event_count,
+            "server" => %next.upstream.selected.target);
         // A long prefill delays all responses of an engine, so silence is not a failure.
         if let Some(run) = source.upstream.run.take() {
             run.broke();
         }
         self.attempts
             .tally
-            .exclude(&source.upstream.selected.server);
+            .exclude(&source.upstream.selected.target);
         self.resumed_on(&next);
         *source = next;
     }
@@ -214,8 +221,9 @@
             StreamEnd::Broken(_) => ServerOutcome::Failed,
             _ => ServerOutcome::Succeeded,
         };
-        let server = &upstream.selected.server;
-        placement_sync::record_request_outcome(&self.gateway, server, outcome);
+        if let Some(incarnation) = upstream.selected.target.incarnation() {
+            placement_sync::record_request_outcome(&self.gateway, &incarnation.server, outcome);
+        }
     }
 
     /// Selects another engine for a stream whose engine broke off; `None` if there is none.
@@ -240,7 +248,7 @@
         };
         if !next.head.status.is_success() {
             info!(self.gateway.log, "Stream not resumed"; "request" => self.call.attempt_id_text(),
-                "server" => %next.selected.server, "status" => next.head.status.as_u16());
+                "server" => %next.selected.target, "status" => next.head.status.as_u16());
             return None;
         }
         let source = StreamSource::new(next);
@@ -257,8 +265,8 @@
     fn log_interruption(&self, source: &StreamSource, reason: &str) {
         let selected = &source.upstream.selected;
         info!(self.gateway.log, "Stream interrupted"; "request" => self.call.attempt_id_text(),
-            "content" => %self.call.content.digest(), "server" => %selected.server,
-            "born" => selected.born, "reason" => reason, "events" => self.event_count);
+            "content" => %self.call.content.digest(), "server" => %selected.target,
+            "born" => selected.target.born(), "reason" => reason, "events" => self.event_count);
     }
 
     /// Forwards the events of one engine until its response ends, breaks or is overtaken.
@@ -334,7 +342,7 @@
             tally: &self.attempts.tally,
             last_event: self.last_event,
         };
-        let silent = vec![source.upstream.selected.server.clone()];
+        let silent = vec![source.upstream.selected.target.clone()];
         let mut hedges = context.hedge_until_answered(silent);
         let end = tokio::select! {
             biased;
@@ -383,7 +391,7 @@
         info!(self.gateway.log, "Stream ended"; "request" => self.call.attempt_id_text(),
             "route" => &*self.call.route.name, "outcome" => outcome, "events" => self.event_count,
             "prompt" => self.call.token_counts.map(|tokens| tokens.prompt),
-            "server" => %self.last_placement.server, "helpers" => self.last_placement.helper_count,
+            "server" => %self.last_placement.target, "helpers" => self.last_placement.helper_count,
             "placed_ms" => self.last_placement.placement_delay.as_millis(),
             "predicted_ms" => self.last_placement.predicted_wait.map(|wait| wait.as_millis()),
             "first_ms" => self.ttft.map(|first| first.as_millis()),
--- a/node/src/gateway/stream_source.rs
+++ b/node/src/gateway/stream_source.rs
@@ -6,6 +6,9 @@
 
 use super::exchange::{Prefetched, UpstreamResponse};
 
+/// Reason of a response whose connection was lost.
+pub(super) const CUT: &str = "cut";
+
 /// How forwarding the events of one engine ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum StreamEnd {
@@ -59,7 +62,7 @@
         }
         match self.upstream.body.frame().await {
             Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Some(Err(_error)) => Err(StreamEnd::Broken("cut")),
+            Some(Err(_error)) => Err(StreamEnd::Broken(CUT)),
             None if self.splitter.is_partial() => Err(StreamEnd::Broken("ended in an event")),
             None => Ok(None),
         }
--- a/node/src/gateway/tally.rs
+++ b/node/src/gateway/tally.rs
@@ -3,19 +3,27 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use merlinrudder_core::names::ServerId;
 use tokio::sync::Notify;
 
+use super::exchange::Failure;
 use super::request::CallerRequest;
+use super::target::{Excluded, Target};
 
 /// Hedges that servers refused, after which no more are sent for the request.
 const MAX_REFUSED_HEDGES: u32 = 5;
 
+/// Lost connections after which an attempt goes by way of another VM.
+const MAX_LOST_CONNECTIONS: u32 = 2;
+
 /// Attempts made for one request so far, and those in progress.
 #[derive(Debug, Default)]
 pub(super) struct Tally {
-    /// Servers that failed an attempt and are not selected again.
-    pub(super) excluded: RefCell<Vec<ServerId>>,
+    /// Servers and VMs that failed an attempt and are not selected again.
+    pub(super) excluded: RefCell<Excluded>,
+    /// Whether the request is the trial of a content that crashed servers.
+    pub(super) on_trial: Cell<bool>,
+    /// Attempts whose connection to a server could not be opened, or was lost.
+    lost_connections: Cell<u32>,
     /// Attempts that ended or were dropped and may have run the request; limited by the route.
     may_have_run: Cell<u32>,
     /// Attempts whose response is awaited or forwarded.
@@ -44,9 +52,29 @@
         self.refused_hedges.set(self.refused_hedges.get() + 1);
     }
 
-    /// Excludes a server from all further attempts.
-    pub(super) fn exclude(&self, server: &ServerId) {
-        self.excluded.borrow_mut().push(server.clone());
+    /// Excludes a target from all further attempts.
+    pub(super) fn exclude(&self, target: &Target) {
+        self.excluded.borrow_mut().push(target);
+    }
+
+    /// Excludes a target whose attempt failed.
+    pub(super) fn exclude_failed(&self, target: &Target, failure: Failure) {
+        self.excluded.borrow_mut().push_failed(target, failure);
+    }
+
+    /// Counts an attempt whose connection to a server failed.
+    pub(super) fn count_lost_connection(&self) {
+        self.lost_connections.set(self.lost_connections.get() + 1);
+    }
+
+    /// Whether the next attempt goes by way of another VM, whoever is at fault.
+    pub(super) fn prefers_relay(&self) -> bool {
+        self.lost_connections.get() >= MAX_LOST_CONNECTIONS
+    }
+
+    /// Whether an attempt has failed, so that the next one must not be lost to a bad connection.
+    pub(super) fn has_failed(&self) -> bool {
+        self.lost_connections.get() > 0 || self.may_have_run.get() > 0
     }
 
     /// Waits until at most `count` attempts are in progress.
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -13,12 +13,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::sockets;
 
 /// Timeout for opening a TCP connection to a backend server.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a new connection must stay open to be trusted.
+const HOLD_TIME: Duration = Duration::from_millis(20);
 /// Time to keep an idle connection if the server sends no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Fraction of the server's keep-alive timeout for which an idle connection is reused.
@@ -31,6 +33,8 @@
 pub(super) struct Connection {
     sender: Option<SendRequest<Full<Bytes>>>,
     address: SocketAddr,
+    /// Whether no request was sent on it before.
+    pub(super) is_new: bool,
     /// Task that drives the connection's I/O.
     driver: AbortHandle,
 }
@@ -55,7 +59,7 @@
 #[derive(Debug)]
 pub(super) struct ConnectionPool {
     /// Address of this VM, from which connections are opened.
-    local_ip: IpAddr,
+    pub(super) local_ip: IpAddr,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -88,11 +92,12 @@
     /// Keeps a connection whose response was read completely, up to `MAX_IDLE_CONNECTIONS`.
     ///
     /// `server_timeout` is the keep-alive timeout that the server sent, if any.
-    pub(super) fn put_back(&self, connection: Connection, server_timeout: Option<Duration>) {
+    pub(super) fn put_back(&self, mut connection: Connection, server_timeout: Option<Duration>) {
         let idle_timeout = server_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |server_timeout| {
             server_timeout.mul_f64(IDLE_TIMEOUT_FRACTION)
         });
         let expires_at = Instant::now() + idle_timeout;
+        connection.is_new = false;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address).or_default();
         connections.retain(IdleConnection::is_usable);
@@ -104,6 +109,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub(super) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
@@ -120,6 +130,14 @@
 }
 
 impl Connection {
+    /// Whether a new connection is still open after `HOLD_TIME`.
+    pub(super) async fn stays_open(&self) -> bool {
+        sleep(HOLD_TIME).await;
+        self.sender
+            .as_ref()
+            .is_some_and(|sender| !sender.is_closed())
+    }
+
     /// Sends a request and waits for the response head.
     pub(super) async fn send(
         &mut self,
@@ -178,6 +196,7 @@
     Ok(Connection {
         sender: Some(sender),
         address,
+        is_new: true,
         driver: driver.abort_handle(),
     })
 }
--- a/node/src/http_api/response.rs
+++ b/node/src/http_api/response.rs
@@ -119,6 +119,7 @@
         RefusalReason::VmLimit
         | RefusalReason::QueueFull
         | RefusalReason::NoServer
+        | RefusalReason::NoPath
         | RefusalReason::NoManifest
         | RefusalReason::Stopping
         | RefusalReason::NoQuorum
@@ -148,6 +149,7 @@
         RefusalReason::DeadlineUnmeetable => "The request could not finish within its time.",
         RefusalReason::DeadlinePassed => "The request's time is over.",
         RefusalReason::NoServer => "No backend server of this service is available.",
+        RefusalReason::NoPath => "No backend server of this service can be reached.",
         RefusalReason::NoManifest => "No manifest is in force yet.",
         RefusalReason::Stopping => "This VM is stopping.",
         RefusalReason::Quarantined => "This request crashed backend servers before.",
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -17,6 +17,7 @@
     encode_handshake,
 };
 use merlinrudder_wire::peers::WirePeer;
+use merlinrudder_wire::relay::WireRelay;
 use slog::{Logger, debug, info, o, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -139,6 +140,12 @@
         self.shared.table.vms_with(matches)
     }
 
+    /// Returns where a VM accepts requests of others; `None` if it does not or is not linked.
+    #[must_use]
+    pub fn relay(&self, vm: &VmId) -> Option<WireRelay> {
+        self.shared.table.features(vm)?.relay
+    }
+
     /// Returns all VMs with an open link.
     #[must_use]
     pub fn peers(&self) -> Vec<WirePeer> {
--- a/node/src/links/table.rs
+++ b/node/src/links/table.rs
@@ -106,6 +106,12 @@
         matching.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Returns the features of a VM with an open link.
+    pub(super) fn features(&self, vm: &VmId) -> Option<WireFeatures> {
+        let state = self.state();
+        state.connected.get(vm).map(|c| c.features.clone())
+    }
+
     pub(super) fn peers(&self) -> Vec<WirePeer> {
         let state = self.state();
         state
--- a/node/src/roles.rs
+++ b/node/src/roles.rs
@@ -53,6 +53,7 @@
         ready_addr: settings
             .readiness_address
             .context("the settings lack listen.ready, the address for readiness probes")?,
+        relay_addr: relay_address(settings.internal_address),
         seeds: seed_addresses(settings),
         retry_limits: settings.bounds.retries,
         stop_timeout: settings.bounds.stop_grace,
@@ -142,6 +143,11 @@
     SocketAddr::new(first.ip(), first.port() + offset)
 }
 
+/// Returns the address at which an entry VM accepts requests of other VMs.
+fn relay_address(first: SocketAddr) -> SocketAddr {
+    SocketAddr::new(first.ip(), first.port() + 2)
+}
+
 /// Returns the link addresses of the control VMs that the settings name as seeds.
 fn seed_addresses(settings: &NodeSettings) -> Vec<SocketAddr> {
     let port = link_address(settings.internal_address, true).port();
--- a/node/tests/integration/cut_off_vms.rs
+++ b/node/tests/integration/cut_off_vms.rs
@@ -7,11 +7,14 @@
 use std::time::{Duration, Instant};
 
 use merlinrudder_fakes::backend::{CutMode, ExecutionEnd, FakeBackend};
-use merlinrudder_fakes::http_client::send_customer_request;
+use merlinrudder_fakes::http_client::{
+    send_customer_request, send_request, send_request_with_headers,
+};
 use merlinrudder_fakes::nodes::{CONTROL_VMS, Nodes, wait_for};
+use merlinrudder_fakes::raw_server::RawServer;
 use nix::sys::signal::Signal;
 
-use crate::deployment::start_deployment;
+use crate::deployment::{register, start_deployment, start_with};
 use crate::load::{Call, start_servers, under_load};
 
 const ENTRY_VMS: u8 = 7;
@@ -248,3 +251,78 @@
         wait_for("ready VM", || nodes.is_ready(helper));
     }
 }
+
+#[test]
+fn a_caller_that_knows_the_address_for_other_vms_gets_nothing_there() {
+    let (servers, nodes) = start_slow();
+    for headers in [
+        "",
+        "merlinrudder-relay-token: 00000000000000000000000000000000\r\n",
+    ] {
+        let headers = format!(
+            "{headers}merlinrudder-relay-service: app\r\nmerlinrudder-relay-manifest: 1\r\n\
+             X-Merlinrudder-Tenant: t1\r\n"
+        );
+        let response = send_request_with_headers(
+            nodes.relay_address(3),
+            "GET /read/x",
+            "intruder",
+            "k1",
+            &headers,
+        );
+        assert_eq!(response.status, 403, "{response:?}");
+    }
+    assert!(executions(&servers, "intruder").is_empty());
+}
+
+#[test]
+fn headers_between_vms_that_a_caller_sends_reach_no_server_and_change_nothing() {
+    let server = RawServer::bind(|connection, request| {
+        write!(
+            connection,
+            "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {}\r\n\
+             X-Merlinrudder-Response-Seal: seal\r\nmerlinrudder-relay-reason: no_path\r\n\
+             merlinrudder-relay-run: not_run\r\nContent-Length: 5\r\n\r\nwhole",
+            request.attempt
+        )
+    })
+    .expect("raw server listens");
+    let nodes = start_with(1, |nodes| register(nodes, "i-1", server.address));
+    let headers = "merlinrudder-relay-excluded: i-1\r\nmerlinrudder-relay-trial: 1\r\n";
+    let response = send_request_with_headers(
+        nodes.callers_address(3),
+        "GET /read/x",
+        "plain",
+        "k1",
+        headers,
+    );
+    assert_eq!(
+        (response.status, response.whole),
+        (200, true),
+        "{response:?}"
+    );
+    assert!(
+        !response.head.contains("merlinrudder-relay"),
+        "{response:?}"
+    );
+}
+
+#[test]
+fn a_vm_that_is_cut_off_accuses_no_server_of_a_crash() {
+    let servers = start_servers(SERVERS);
+    let calls = under_load(&servers, 3, &["POST /stream/x", "GET /read/x"], |nodes| {
+        for _ in 0..6 {
+            cut(nodes, &servers, &[3], CutMode::Reset);
+            thread::sleep(Duration::from_millis(700));
+            cut(nodes, &servers, &[], CutMode::Reset);
+            thread::sleep(Duration::from_millis(700));
+        }
+        for control in 0..CONTROL_VMS {
+            let address = nodes.control_address(control);
+            let list = send_request(address, "GET /admin/quarantine", "", "");
+            assert!(list.body.contains("\"quarantined\":[]"), "{list:?}");
+        }
+    });
+    let accused = calls.iter().filter(|call| call.response.status == 429);
+    assert_eq!(accused.count(), 0);
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod mesh;
 pub mod peers;
 pub mod rates;
+pub mod relay;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -14,6 +14,7 @@
 use crate::membership::WireMembership;
 use crate::peers::{WirePeer, WirePlacements, WireServer};
 use crate::rates::WireRateMessage;
+use crate::relay::WireRelay;
 
 /// Protocol version; frames with another version are rejected.
 pub const MESH_VERSION: u8 = 1;
@@ -111,6 +112,10 @@
     ///
     /// Only sent to VMs with [`WireFeatures::rates`].
     Rates(WireRateMessage),
+    /// Services whose servers the sender does not reach.
+    ///
+    /// Only sent to VMs with [`WireFeatures::relay`].
+    CutOff(Vec<String>),
 }
 
 /// Abilities of a VM that earlier versions lack.
@@ -120,6 +125,8 @@
 pub struct WireFeatures {
     /// Whether the VM understands `Rates`.
     pub rates: bool,
+    /// Where it makes attempts for VMs that are cut off; `None` if it does not.
+    pub relay: Option<WireRelay>,
 }
 
 /// Introduction of a replica of the control log.
--- a/wire/tests/integration/round_trips.rs
+++ b/wire/tests/integration/round_trips.rs
@@ -27,6 +27,7 @@
 };
 use merlinrudder_wire::peers::WirePeer;
 use merlinrudder_wire::rates::WireRateMessage;
+use merlinrudder_wire::relay::WireRelay;
 
 fn claim_key() -> ClaimKey {
     ClaimKey {
@@ -179,7 +180,14 @@
         address: SocketAddr::from(([127, 0, 0, 1], 7341)),
         control: false,
     };
-    let features = WireFeatures { rates: true };
+    let relay = WireRelay {
+        address: SocketAddr::from(([127, 0, 0, 1], 7342)),
+        token: u128::MAX,
+    };
+    let features = WireFeatures {
+        rates: true,
+        relay: Some(relay),
+    };
     let frame = encode_handshake(&peer, &features);
     assert_eq!(decode_handshake(&frame), Ok((peer.clone(), features)));
     let earlier = encode_frame(&MeshMessage::Handshake(peer.clone()));
