bug: end answers of servers that never end

A stream of comments went on past the deadline of its request and kept the only thread of the VM busy for ten minutes, until the test was killed: a timeout around bytes that are always ready never fires. An event without an end grew until the deadline; 30 bodies without an end took 16 MiB each; informational responses were read until the deadline.

Change: an event and comments in a row end at 1 MiB, a head at 64 KiB, informational responses at 16; responses that are read whole share 16 MiB beyond 256 KiB of their own; the deadline is asked before each read of a stream. The connection is closed and the failure is the server's, like any broken answer.

Evidence: of eleven tests of endless_answers five failed before and one did not end; all pass (30 requests at once, memory grows by less than 128 MiB, each connection closed within 5 s).

--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -1,5 +1,8 @@
 //! Splits a byte stream into complete server-sent events, so that none is forwarded in part.
 
+/// Largest event, and most bytes of comments between two events.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// A complete server-sent event, including the blank line that ends it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
@@ -14,6 +17,8 @@
 pub struct EventSplitter {
     /// Bytes of the incomplete event; they contain no blank line.
     partial: Vec<u8>,
+    /// Bytes of comments since the last event.
+    comment_bytes: usize,
 }
 
 impl EventSplitter {
@@ -27,12 +32,23 @@
             if blank || ends_with_blank_line(&self.partial) {
                 let bytes = std::mem::take(&mut self.partial);
                 let id = event_id(&bytes);
+                self.comment_bytes = if is_comment(&bytes) {
+                    self.comment_bytes + bytes.len()
+                } else {
+                    0
+                };
                 events.push(Event { bytes, id });
             }
         }
         events
     }
 
+    /// Whether an event, or comments without an event, are longer than `MAX_EVENT_BYTES`.
+    #[must_use]
+    pub fn is_over_limit(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES || self.comment_bytes > MAX_EVENT_BYTES
+    }
+
     /// Returns whether an incomplete event is buffered.
     #[must_use]
     pub fn is_partial(&self) -> bool {
@@ -45,6 +61,12 @@
     bytes.ends_with(b"\n\r\n") || bytes.ends_with(b"\n\n")
 }
 
+/// Whether all lines of an event are comments or empty.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/core/tests/integration/events.rs
+++ b/core/tests/integration/events.rs
@@ -1,6 +1,6 @@
 //! Event streams that arrive in chunks split at arbitrary bytes.
 
-use merlinrudder_core::events::EventSplitter;
+use merlinrudder_core::events::{EventSplitter, MAX_EVENT_BYTES};
 use proptest::prelude::*;
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid:3\ndata: d\n\n";
@@ -17,6 +17,25 @@
     assert!(!splitter.is_partial());
 }
 
+#[test]
+fn an_event_and_comments_without_an_end_are_noticed() {
+    let line = [b"data: ".as_slice(), &vec![b'x'; 1000], b"\n"].concat();
+    let mut splitter = EventSplitter::default();
+    let lines = MAX_EVENT_BYTES / line.len();
+    for _ in 0..lines {
+        assert!(splitter.push(&line).is_empty() && !splitter.is_over_limit());
+    }
+    splitter.push(&line);
+    assert!(splitter.is_over_limit());
+    let mut splitter = EventSplitter::default();
+    for _ in 0..MAX_EVENT_BYTES / 8 {
+        assert_eq!(splitter.push(b": alive\n\n").len(), 1);
+    }
+    assert!(splitter.is_over_limit());
+    splitter.push(b": alive\nid: 1\n\n");
+    assert!(!splitter.is_over_limit());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(43), ..ProptestConfig::default() })]
 
--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -218,6 +218,17 @@
         Ok(())
     }
 
+    /// Returns the resident memory of a node's process in KiB; `None` if it is not running.
+    #[must_use]
+    pub fn resident_kib(&self, index: usize) -> Option<u64> {
+        let id = self.child(index).as_ref().map(Child::id)?;
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().split(' ').next()?.parse().ok()
+    }
+
     /// Whether the node's process has exited; the node can then be started again.
     #[must_use]
     pub fn has_ended(&self, index: usize) -> bool {
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod body;
+mod buffer_budget;
 mod buffered;
 mod crash_verdict;
 mod crash_watch;
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -154,7 +154,7 @@
     let time_left = call.time_left(gateway.now());
     let body = match std::mem::take(&mut upstream_response.prefetched) {
         Prefetched::Whole(body) => body,
-        _ => read_whole(&mut upstream_response.body, time_left).await?,
+        _ => read_whole(gateway, &mut upstream_response.body, time_left).await?,
     };
     return_to_pool(
         gateway,
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
@@ -20,6 +20,7 @@
 use slog::{debug, info};
 use tokio::time::timeout;
 
+use super::buffer_budget::{BufferBudget, BufferShare};
 use super::crash_watch::{self, RunGuard};
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
@@ -35,7 +36,6 @@
 use super::tally::{InProgress, Tally};
 use super::target::Target;
 use super::upstream::{Connection, SendFailure};
-use crate::constants::MAX_BUFFERED_RESPONSE_BYTES;
 
 /// Lower limit of the hang timeout, after which a missing response head is hedged.
 const MIN_HANG_TIMEOUT: Duration = Duration::from_millis(900);
@@ -397,10 +397,25 @@
 }
 
 /// Reads a body to its end; `None` if it is cut, too large or late.
-pub(super) async fn read_whole(body: &mut Incoming, time_left: Duration) -> Option<Bytes> {
-    let reading = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-    let body = timeout(time_left, reading).await.ok()?.ok()?;
-    Some(body.to_bytes())
+pub(super) async fn read_whole(
+    gateway: &Gateway,
+    body: &mut Incoming,
+    time_left: Duration,
+) -> Option<Bytes> {
+    let reading = read_within_budget(&gateway.buffer_budget, body);
+    timeout(time_left, reading).await.ok()?
+}
+
+/// Reads a body to its end, as far as the VM's buffers allow.
+async fn read_within_budget(budget: &BufferBudget, body: &mut Incoming) -> Option<Bytes> {
+    let mut share = BufferShare::new(budget);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let bytes = frame.ok()?.into_data().unwrap_or_default();
+        share.grow(whole.len() + bytes.len()).ok()?;
+        whole.extend_from_slice(&bytes);
+    }
+    Some(whole.freeze())
 }
 
 /// Updates the health of the target and the log after a failed attempt.
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -193,7 +193,9 @@
                 let bytes = timeout(time_left, first_event(body)).await;
                 bytes.unwrap_or_default().map(Prefetched::Beginning)
             }
-            _ => read_whole(body, time_left).await.map(Prefetched::Whole),
+            _ => read_whole(self.gateway, body, time_left)
+                .await
+                .map(Prefetched::Whole),
         };
         let Some(prefetched) = prefetched else {
             if let Some(run) = response.run.take().filter(|_| is_success) {
@@ -216,5 +218,8 @@
         if !splitter.push(&bytes).is_empty() {
             return Some(Bytes::from(beginning));
         }
+        if splitter.is_over_limit() {
+            return None;
+        }
     }
 }
--- a/node/src/gateway/reservation.rs
+++ b/node/src/gateway/reservation.rs
@@ -19,7 +19,6 @@
 use tokio::time::{sleep, timeout};
 
 use super::state::Gateway;
-use crate::constants::MAX_BUFFERED_RESPONSE_BYTES;
 
 /// Lease of a reservation.
 ///
@@ -29,6 +28,8 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1200);
 /// Timeout for a reserve or release order, including the connection.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Largest response to an order.
+const MAX_ORDER_RESPONSE_BYTES: usize = 64 * 1024;
 /// Attempts to release memory; after that the lease expires on its own.
 const RELEASE_ATTEMPTS: u32 = 3;
 
@@ -160,7 +161,7 @@
     let target = HeaderValue::try_from(endpoint.server.as_str()).ok()?;
     order_headers.insert(headers::TARGET, target);
     let (head, response_body) = connection.send(request).await.ok()?.into_parts();
-    Limited::new(response_body, MAX_BUFFERED_RESPONSE_BYTES)
+    Limited::new(response_body, MAX_ORDER_RESPONSE_BYTES)
         .collect()
         .await
         .ok()?;
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 
 use super::GatewayConfig;
+use super::buffer_budget::BufferBudget;
 use super::crash_watch::CrashWatch;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
@@ -66,6 +67,8 @@
     pub(super) relay_token: u128,
     /// Idle connections to backend servers and other VMs.
     pub(super) pool: ConnectionPool,
+    /// Memory for responses that are read whole.
+    pub(super) buffer_budget: BufferBudget,
     /// Placements made here, and changes not yet sent to the other entry VMs.
     pub(super) outbox: RefCell<Outbox>,
     /// Requests that wait for permits, and callers that were refused for lack of them.
@@ -112,6 +115,7 @@
             relays: RefCell::default(),
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
+            buffer_budget: BufferBudget::default(),
             outbox: RefCell::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -294,6 +294,9 @@
                     return SourceEnd::Ended(end);
                 }
             }
+            if source.splitter.is_over_limit() {
+                return SourceEnd::Ended(StreamEnd::Broken("an event is too long"));
+            }
         }
     }
 
@@ -325,6 +328,10 @@
     /// Returns `None` at the end of the engine's response.
     async fn next_bytes(&self, source: &mut StreamSource) -> Result<Option<Bytes>, SourceEnd> {
         let time_left = self.call.time_left(self.gateway.now());
+        // A timeout alone lets bytes pass that are always ready.
+        if time_left.is_zero() {
+            return Err(SourceEnd::Ended(StreamEnd::Overdue));
+        }
         let received = timeout(time_left, self.next_bytes_hedged(source)).await;
         received.unwrap_or(Err(SourceEnd::Ended(StreamEnd::Overdue)))
     }
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -3,6 +3,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -21,6 +24,10 @@
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which a new connection must stay open to be trusted.
 const HOLD_TIME: Duration = Duration::from_millis(20);
+/// Largest head of a response.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Informational responses to one request, such as 102.
+const MAX_INFORMATIONAL: u32 = 16;
 /// Time to keep an idle connection if the server sends no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Fraction of the server's keep-alive timeout for which an idle connection is reused.
@@ -141,12 +148,20 @@
     /// Sends a request and waits for the response head.
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<hyper::Response<Incoming>, SendFailure> {
         let Some(sender) = &mut self.sender else {
             return Err(SendFailure::NotSent("connection is closed".to_owned()));
         };
-        sender.send_request(request).await.map_err(|error| {
+        let too_many = limit_informational(&mut request);
+        let sent = tokio::select! {
+            sent = sender.send_request(request) => sent,
+            () = too_many.notified() => {
+                let detail = "too many informational responses";
+                return Err(SendFailure::MayHaveRun(detail.to_owned()));
+            }
+        };
+        sent.map_err(|error| {
             let detail = error.to_string();
             if error.is_canceled() {
                 SendFailure::NotSent(detail)
@@ -157,6 +172,18 @@
     }
 }
 
+/// Notifies once a request has got more than `MAX_INFORMATIONAL` informational responses.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let (notify, count) = (Arc::clone(&too_many), AtomicU32::new(0));
+    hyper::ext::on_informational(request, move |_response| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+            notify.notify_one();
+        }
+    });
+    too_many
+}
+
 impl Drop for Connection {
     /// Closes the socket at once, so the server can cancel a request in progress.
     fn drop(&mut self) {
@@ -186,7 +213,9 @@
         .map_err(|_elapsed| "connection attempt timed out".to_owned())?
         .map_err(|error| error.to_string())?;
     sockets::set_tcp_options(&stream).map_err(|error| error.to_string())?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
     let driver = spawn_local(async move {
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod crashing_requests;
 mod cut_off_vms;
 mod deployment;
+mod endless_answers;
 mod http_server;
 mod load;
 mod mesh;
