--- a/ctl/src/commands/soak.rs
+++ b/ctl/src/commands/soak.rs
@@ -27,6 +27,7 @@
     let culprits: usize = number_option(matches, "culprits")?;
     let parts: usize = number_option(matches, "parts")?;
     let silences = matches.get_flag("silences");
+    let (limits, cuts) = (matches.get_flag("limits"), matches.get_flag("cuts"));
     let entry_vms: u8 = number_option(matches, "entry-vms")?;
     let mut passed = true;
     for seed in first..first.saturating_add(seeds) {
@@ -37,6 +38,8 @@
             culprits,
             parts,
             silences,
+            limits,
+            cuts,
         };
         let report = soak::run(&program, options)?;
         println!("seed {seed}: {report}");
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -83,6 +83,18 @@
                 .action(ArgAction::SetTrue)
                 .help("Also let servers be silent for longer and answer without framing"),
         )
+        .arg(
+            Arg::new("limits")
+                .long("limits")
+                .action(ArgAction::SetTrue)
+                .help("Also let servers name limits on their request rates"),
+        )
+        .arg(
+            Arg::new("cuts")
+                .long("cuts")
+                .action(ArgAction::SetTrue)
+                .help("Also cut entry VMs off from all servers"),
+        )
         .arg(option("entry-vms", "NUMBER", "Number of entry VMs").default_value("3"))
 }
 
--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -4,7 +4,7 @@
 //! demand it disconnects, stalls, refuses, crashes or returns under a new id.
 
 mod answer;
-mod cuts;
+mod cut_off;
 mod listener;
 mod request;
 
@@ -15,11 +15,11 @@
 use std::time::{Duration, Instant};
 
 use answer::{Answer, Framing};
-pub use cuts::CutMode;
-use cuts::Cuts;
 use request::RequestHead;
 pub use request::{Execution, ExecutionEnd};
 
+use crate::cuts::Cuts;
+
 /// Events of a complete stream, with ids from 1.
 pub const STREAM_EVENTS: u64 = 12;
 
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod app;
 pub mod backend;
 pub mod completion;
+pub mod cuts;
 pub mod engine;
 pub mod faults;
 pub mod http_client;
--- a/fakes/src/proxy.rs
+++ b/fakes/src/proxy.rs
@@ -1,11 +1,13 @@
 //! A TCP proxy on loopback that can delay, block or cut its connections.
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
+use crate::cuts::{CutMode, Cuts, cut_mode, cuts, filter, reset_if_cut};
+
 /// Interval at which a connection checks the impairment while no data arrives.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of bytes that are copied at a time.
@@ -33,6 +35,9 @@
     /// Address at which it accepts connections, on a free port.
     pub address: SocketAddr,
     impairment: Arc<Mutex<Impairment>>,
+    /// Callers that are cut off.
+    cuts: Arc<Mutex<Cuts>>,
+    listener: Arc<TcpListener>,
 }
 
 impl Proxy {
@@ -45,10 +50,15 @@
         let proxy = Self {
             address: listener.local_addr()?,
             impairment: Arc::default(),
+            cuts: Arc::default(),
+            listener: Arc::new(listener),
         };
         let serving = proxy.clone();
         thread::spawn(move || {
-            for client in listener.incoming().flatten() {
+            for client in serving.listener.incoming().flatten() {
+                if reset_if_cut(&serving.lock_cuts(), &client) {
+                    continue;
+                }
                 // If the target refuses the connection, `client` is dropped and thereby closed.
                 let upstream = TcpStream::connect(target);
                 if let Ok(upstream) = upstream {
@@ -64,6 +74,17 @@
         *self.lock() = impairment;
     }
 
+    /// Replaces all cuts; callers at other addresses reach the server.
+    pub fn set_cuts(&self, addresses: &[IpAddr], mode: CutMode) {
+        let mut current = self.lock_cuts();
+        *current = cuts(addresses, mode);
+        filter(&*self.listener, &current);
+    }
+
+    fn lock_cuts(&self) -> std::sync::MutexGuard<'_, Cuts> {
+        self.cuts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Impairment> {
         self.impairment
             .lock()
@@ -87,6 +108,15 @@
     fn copy(&self, mut from: TcpStream, mut to: TcpStream, to_client: bool) {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
+            let mode = cut_mode(&self.lock_cuts(), if to_client { &to } else { &from });
+            match mode {
+                Some(CutMode::Reset) => break,
+                Some(CutMode::Drop) => {
+                    thread::sleep(POLL_INTERVAL);
+                    continue;
+                }
+                Some(CutMode::Refuse) | None => {}
+            }
             let impairment = *self.lock();
             match impairment {
                 Impairment::Disconnect => break,
--- a/fakes/src/soak.rs
+++ b/fakes/src/soak.rs
@@ -1,17 +1,20 @@
 //! A randomized soak test: injects faults into a deployment of processes and checks invariants.
 //!
 //! Callers, an operator and backend servers continue while processes are killed, paused, stopped
-//! and restarted, data folders are deleted, connections to backend servers are impaired, and backend
-//! servers crash, alone, together, or because of the request that they run.
+//! and restarted, data folders are deleted, connections to backend servers are impaired, entry VMs
+//! are cut off from all of them, and backend servers name limits or crash, alone, together, or because
+//! of the request that they run.
 //! The seed determines the faults and their times; how the processes react differs between runs.
 
 mod crashes;
+mod cut_off;
 mod cuts;
 mod faults;
+mod limits;
 mod parts;
 mod traffic;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -58,6 +61,10 @@
     pub parts: usize,
     /// Whether servers are also silent for longer, and answer without framing.
     pub silences: bool,
+    /// Whether servers also name limits on their request rates.
+    pub limits: bool,
+    /// Whether entry VMs are also cut off from all servers.
+    pub cuts: bool,
 }
 
 /// Counts and violated invariants of one soak test.
@@ -119,7 +126,7 @@
 struct SoakBackend {
     server: FakeBackend,
     proxy: Option<Proxy>,
-    /// Start and end of each past impairment of the proxy.
+    /// Start and end of each past impairment of connections to it.
     impairments: Mutex<Vec<(Instant, Instant)>>,
 }
 
@@ -150,6 +157,16 @@
     /// Whether a fault of each node is in progress.
     faulted: Vec<AtomicBool>,
     once_calls: Mutex<Vec<AtMostOnceCall>>,
+    /// Backend servers that name a limit now, by index.
+    limited_backends: Mutex<BTreeSet<usize>>,
+    /// Limits that were named and have ended.
+    named_limits: Mutex<Vec<limits::NamedLimit>>,
+    /// Entry VMs that are cut off now.
+    cut_entries: Mutex<Vec<usize>>,
+    /// Cuts of entry VMs that have ended.
+    cut_off: Mutex<Vec<cut_off::CutOff>>,
+    /// All requests of callers.
+    first_tries: Mutex<Vec<cut_off::FirstTry>>,
     /// Attempts of streams that were cut through undisturbed VMs, and when.
     cut_streams: Mutex<Vec<(String, Instant)>>,
     /// Attempts that crash servers, and whether the VMs were undisturbed during each.
@@ -192,6 +209,11 @@
             confirmed_version: AtomicU64::new(0),
             confirmations: AtomicU64::new(0),
             once_calls: Mutex::default(),
+            limited_backends: Mutex::default(),
+            named_limits: Mutex::default(),
+            cut_entries: Mutex::default(),
+            cut_off: Mutex::default(),
+            first_tries: Mutex::default(),
             cut_streams: Mutex::default(),
             crash_attempts: Mutex::default(),
             refused_since: Mutex::default(),
@@ -351,6 +373,8 @@
     crashes::check(&harness);
     parts::check(&harness);
     cuts::check(&harness);
+    limits::check(&harness);
+    cut_off::check(&harness);
     let violations = std::mem::take(&mut *lock(&harness.violations));
     let logs = if violations.is_empty() {
         String::new()
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use nix::sys::signal::Signal;
 
-use super::{PROXIED_BACKENDS, SoakHarness, SoakOptions, lock, traffic};
+use super::{PROXIED_BACKENDS, SoakHarness, SoakOptions, cut_off, limits, lock, traffic};
 use crate::backend::BackendFault;
 use crate::nodes::CONTROL_VMS;
 use crate::proxy::Impairment;
@@ -55,6 +55,10 @@
     CrashBackend,
     /// Half of the backend servers crash at the same moment.
     CrashHalf,
+    /// A backend server without a proxy names a limit on its request rate.
+    Limit,
+    /// Some entry VMs are cut off from all backend servers.
+    CutOff,
 }
 
 /// Pause of a stalled stream.
@@ -70,6 +74,12 @@
     FaultKind::Backend(BackendFault::Unframed),
 ];
 
+/// Further faults with the option `limits`.
+const LIMIT_KINDS: [FaultKind; 3] = [FaultKind::Limit; 3];
+
+/// Further faults with the option `cuts`.
+const CUT_KINDS: [FaultKind; 3] = [FaultKind::CutOff; 3];
+
 const FAULT_KINDS: [FaultKind; 17] = [
     FaultKind::KillEntry,
     FaultKind::PauseEntry,
@@ -123,14 +133,8 @@
 
 impl PlannedFault {
     fn random(rng: &mut Rng, harness: &SoakHarness) -> Self {
-        let silences: &[_] = if harness.options.silences {
-            &SILENCE_KINDS
-        } else {
-            &[]
-        };
-        let kind = rng.usize(..FAULT_KINDS.len() + silences.len());
-        let silence = kind.checked_sub(FAULT_KINDS.len());
-        let kind = silence.map_or_else(|| FAULT_KINDS[kind], |silence| silences[silence]);
+        let kinds = fault_kinds(harness.options);
+        let kind = kinds[rng.usize(..kinds.len())];
         let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
         let entry = rng.usize(CONTROL_VMS..harness.nodes.len());
         let control = rng.usize(..CONTROL_VMS);
@@ -146,7 +150,9 @@
             FaultKind::Connection(_)
             | FaultKind::Backend(_)
             | FaultKind::CrashBackend
-            | FaultKind::CrashHalf => Vec::new(),
+            | FaultKind::CrashHalf
+            | FaultKind::Limit
+            | FaultKind::CutOff => Vec::new(),
         };
         Self {
             kind,
@@ -161,6 +167,18 @@
     }
 }
 
+/// Returns the kinds of faults that a soak injects.
+fn fault_kinds(options: SoakOptions) -> Vec<FaultKind> {
+    let further: [(bool, &[FaultKind]); 3] = [
+        (options.silences, &SILENCE_KINDS),
+        (options.limits, &LIMIT_KINDS),
+        (options.cuts, &CUT_KINDS),
+    ];
+    let further = further.into_iter().filter(|(is_used, _)| *is_used);
+    let further = further.flat_map(|(_, kinds)| kinds);
+    FAULT_KINDS.iter().chain(further).copied().collect()
+}
+
 /// Injects random faults for the configured duration, then waits until all have ended.
 pub(super) fn inject(harness: &SoakHarness, options: SoakOptions) -> Result<()> {
     let mut rng = Rng::with_seed(options.seed);
@@ -263,6 +281,8 @@
             server.set_faults(&[fault; FAULTED_REQUESTS]);
         }
         FaultKind::CrashBackend => harness.backends[*backend].server.crash(),
+        FaultKind::Limit => limits::apply(harness, *backend, *duration),
+        FaultKind::CutOff => cut_off::apply(harness, *backend, *duration),
         FaultKind::CrashHalf => {
             for backend in harness.backends.iter().skip(*backend % 2).step_by(2) {
                 backend.server.crash();
--- a/fakes/src/soak/traffic.rs
+++ b/fakes/src/soak/traffic.rs
@@ -8,6 +8,7 @@
 use anyhow::{Result, bail};
 use fastrand::Rng;
 
+use super::cut_off::FirstTry;
 use super::{AtMostOnceCall, SoakHarness, crashes, cuts, lock, parts, sample_configuration};
 use crate::http_client::{Connection, HttpResponse, send_request_with_headers};
 use crate::nodes::{CONTROL_VMS, Heartbeat};
@@ -175,6 +176,13 @@
         let response = connections.send(harness, entry, method_path, &attempt, &headers);
         let left = timeout.saturating_sub(start.elapsed());
         let is_stream = method_path.contains("/stream/");
+        lock(&harness.first_tries).push(FirstTry {
+            entry,
+            start,
+            end: Instant::now(),
+            served: response.status == 200 && response.whole,
+            undisturbed: was_undisturbed && crashes::is_undisturbed(harness, entry),
+        });
         if is_stream && was_undisturbed && crashes::is_undisturbed(harness, entry) {
             cuts::record(harness, &attempt, &response, left);
         }
--- a/node/tests/integration/cut_off_vms.rs
+++ b/node/tests/integration/cut_off_vms.rs
@@ -6,7 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use merlinrudder_fakes::backend::{CutMode, ExecutionEnd, FakeBackend};
+use merlinrudder_fakes::backend::{ExecutionEnd, FakeBackend};
+use merlinrudder_fakes::cuts::CutMode;
 use merlinrudder_fakes::http_client::{
     send_customer_request, send_request, send_request_with_headers,
 };
--- a/node/tests/integration/soak.rs
+++ b/node/tests/integration/soak.rs
@@ -10,21 +10,23 @@
 /// Time in which faults are injected.
 const FAULT_TIME: Duration = Duration::from_secs(12);
 
-fn run_soak(seed: u64, silences: bool, parts: usize) {
+/// Returns the options of a soak without the faults that a test adds.
+fn options(seed: u64) -> SoakOptions {
+    SoakOptions {
+        seed,
+        duration: FAULT_TIME,
+        entry_vms: 3,
+        culprits: 1,
+        parts: 0,
+        silences: false,
+        limits: false,
+        cuts: false,
+    }
+}
+
+fn run_soak(options: SoakOptions) {
     let program = Path::new(env!("CARGO_BIN_EXE_merlinrudder"));
-    let time = FAULT_TIME;
-    let report = run(
-        program,
-        SoakOptions {
-            seed,
-            duration: time,
-            entry_vms: 3,
-            culprits: 1,
-            parts,
-            silences,
-        },
-    )
-    .expect("the soak runs");
+    let report = run(program, options).expect("the soak runs");
     assert!(
         report.violations.is_empty(),
         "{:#?}\n{}",
@@ -36,15 +38,32 @@
 
 #[test]
 fn no_guarantee_is_violated_in_a_short_soak() {
-    run_soak(1, false, 0);
+    run_soak(options(1));
 }
 
 #[test]
 fn no_guarantee_is_violated_by_silent_servers_in_a_short_soak() {
-    run_soak(1, true, 0);
+    run_soak(SoakOptions {
+        silences: true,
+        ..options(1)
+    });
 }
 
 #[test]
 fn no_guarantee_is_violated_beside_a_crashing_part_in_a_short_soak() {
-    run_soak(2, true, 2);
+    run_soak(SoakOptions {
+        silences: true,
+        parts: 2,
+        ..options(2)
+    });
+}
+
+#[test]
+fn no_guarantee_is_violated_by_limits_and_cut_off_vms_in_a_short_soak() {
+    run_soak(SoakOptions {
+        culprits: 0,
+        limits: true,
+        cuts: true,
+        ..options(4)
+    });
 }
