bug: forget the limits of servers that are gone

Found by reading: a server mostly starts again under a new id, so limits of servers that had left stayed for ever, with the loans that VMs renew while any limit is known. They are forgotten 10 s after they were last heard of, unless the server is known. The new test did not compile before (no such function).

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::deployment::Deployment;
-use crate::directory::{Directory, Merged, ServerRecord};
+use crate::directory::{Directory, Merged, ServerRecord, ServerStage};
 use crate::engine_model::{EngineProfile, as_float};
 use crate::engine_placement::decision::{PlacementDecision, decide_placement};
 use crate::engine_placement::loads::{LoadTable, PlacedPrompt, PlacementKey};
@@ -188,6 +188,16 @@
         }
     }
 
+    /// Forgets the limits of servers that are gone.
+    pub fn forget_gone_limits(&mut self, now: Moment) {
+        let directory = &self.directory;
+        let is_known = |server: &ServerId| {
+            let record = directory.get(server);
+            record.is_some_and(|record| record.stage != ServerStage::Gone)
+        };
+        self.rates.forget_gone(now, is_known);
+    }
+
     /// Returns the servers with limits that would get work without them.
     fn limited_servers(
         &self,
--- a/core/src/rate_limit.rs
+++ b/core/src/rate_limit.rs
@@ -25,6 +25,10 @@
 use crate::names::{ServerId, VmId};
 use crate::time::Moment;
 
+/// Time for which the limit of a server is kept that this VM does not know.
+///
+/// A VM that has just started may hear of a limit before it hears of the server.
+const GONE_RETENTION: Duration = Duration::from_secs(10);
 /// Wait before a coordinator without shares is asked again.
 const NO_SHARE_WAIT: Duration = Duration::from_millis(400);
 
@@ -112,6 +116,17 @@
         self.buckets.forget(server);
     }
 
+    /// Forgets the limits of servers that are gone, unless they were heard of a moment ago.
+    pub fn forget_gone(&mut self, now: Moment, is_known: impl Fn(&ServerId) -> bool) {
+        let named = self.limits.named().into_iter();
+        let gone = named.filter(|newest| {
+            now.since(newest.heard_at) > GONE_RETENTION && !is_known(&newest.incarnation.server)
+        });
+        for observation in gone.collect::<Vec<_>>() {
+            self.forget(&observation.incarnation.server);
+        }
+    }
+
     /// Whether a server has a limit.
     #[must_use]
     pub fn is_limited(&self, server: &ServerId) -> bool {
--- a/core/tests/integration/rate_limits.rs
+++ b/core/tests/integration/rate_limits.rs
@@ -4,6 +4,8 @@
 
 use fastrand::Rng;
 use merlinrudder_core::directory::Incarnation;
+use merlinrudder_core::names::VmId;
+use merlinrudder_core::rate_limit::RateLimits;
 use merlinrudder_core::rate_limit::limits::{LimitChange, LimitTable, Observation, Rate};
 use merlinrudder_core::rate_limit::return_times::ReturnTimes;
 use merlinrudder_core::time::Moment;
@@ -217,3 +219,19 @@
     assert_eq!(last, Some(Duration::from_secs(10)));
     assert_eq!(times.promise(now, 0.0), Duration::from_secs(10));
 }
+
+#[test]
+fn limits_of_servers_that_are_gone_are_forgotten() {
+    let mut rates = RateLimits::new(at(0), VmId::from("entry"), 1);
+    rates.observe(at(1000), observation(1, Some(4.0), 900, 1000));
+    rates.forget_gone(at(5000), |_| false);
+    assert!(rates.is_limited(&server()));
+    rates.forget_gone(at(20_000), |_| true);
+    assert!(rates.is_limited(&server()));
+    rates.forget_gone(at(20_000), |_| false);
+    assert!(!rates.is_limited(&server()) && !rates.has_limits());
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
--- a/node/src/gateway/rate_limits.rs
+++ b/node/src/gateway/rate_limits.rs
@@ -178,7 +178,9 @@
         sleep(TICK_INTERVAL).await;
         let mut fleet = gateway.fleet.borrow_mut();
         if fleet.rates.has_limits() {
-            fleet.rates.tick(gateway.now());
+            let now = gateway.now();
+            fleet.forget_gone_limits(now);
+            fleet.rates.tick(now);
             drop(fleet);
             flush(&gateway);
         }
