bug: ask no further VM without a retry if a server refused by way of another one

Found by reading: an answer queue_full or rate_limited of another VM counted as no path, so up to five VMs were asked at no cost, and each was left out for a second. Only reasons without a server count so now.

--- a/node/src/gateway/relay.rs
+++ b/node/src/gateway/relay.rs
@@ -14,6 +14,18 @@
 use super::state::Gateway;
 use super::target::{Excluded, Target};
 
+/// Reasons for which a VM refuses requests without having asked a server.
+const NO_SERVER_REASONS: [RefusalReason; 8] = [
+    RefusalReason::NoManifest,
+    RefusalReason::NoPath,
+    RefusalReason::NoServer,
+    RefusalReason::ServiceNotAllowed,
+    RefusalReason::Stopping,
+    RefusalReason::UnknownCustomer,
+    RefusalReason::UnknownPath,
+    RefusalReason::UnknownService,
+];
+
 /// Counts a request as in progress by way of a VM until this is dropped.
 #[derive(Debug)]
 pub(super) struct RelayGuard {
@@ -109,9 +121,11 @@
     if text_header(head, relay::RUN) != Some(RunState::NotRun.as_str()) {
         return Err(Failure::Broken);
     }
-    Err(if reason == RefusalReason::ServerRefused.code() {
-        Failure::Refused
-    } else {
+    let reason = RefusalReason::from_code(reason);
+    let reached_none = reason.is_some_and(|reason| NO_SERVER_REASONS.contains(&reason));
+    Err(if reached_none {
         Failure::NoPath
+    } else {
+        Failure::Refused
     })
 }
