--- a/wire/src/rates.rs
+++ b/wire/src/rates.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// A rate that is none counts as 0: the server is in need.
+    /// A rate that is no number counts as 0, as the server asked for less than it got.
     fn into_core(self, now: Moment) -> Observation {
         let rate = self.rate.map(|rate| Rate::new(rate).unwrap_or_default());
         Observation {
