--- a/fakes/src/raw_server.rs
+++ b/fakes/src/raw_server.rs
@@ -12,6 +12,8 @@
     pub attempt: String,
     /// Requests on the same connection before this one.
     pub earlier: usize,
+    /// Addresses of the engines that the sender names as helpers, with reservation ids.
+    pub helpers: String,
 }
 
 /// Handle of a running raw server.
@@ -65,19 +67,20 @@
 ) -> std::io::Result<()> {
     let mut reader = BufReader::new(connection.try_clone()?);
     let mut earlier = 0;
-    while let Some(attempt) = read_request(&mut reader)? {
+    while let Some(request) = read_request(&mut reader)? {
+        let request = RawRequest { earlier, ..request };
         let mut attempts = recorded.lock().unwrap_or_else(PoisonError::into_inner);
-        attempts.push(attempt.clone());
+        attempts.push(request.attempt.clone());
         drop(attempts);
-        answer(&mut connection, &RawRequest { attempt, earlier })?;
+        answer(&mut connection, &request)?;
         earlier += 1;
     }
     Ok(())
 }
 
-/// Reads a request; returns its attempt id, or `None` if the connection has closed.
-fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<String>> {
-    let (mut attempt, mut length) = (String::new(), 0);
+/// Reads a request; returns `None` if the connection has closed.
+fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<RawRequest>> {
+    let (mut request, mut length) = (RawRequest::default(), 0);
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -88,7 +91,10 @@
         }
         match line.trim().split_once(':') {
             Some((name, value)) if name.eq_ignore_ascii_case("x-merlinrudder-attempt-id") => {
-                value.trim().clone_into(&mut attempt);
+                value.trim().clone_into(&mut request.attempt);
+            }
+            Some((name, value)) if name.eq_ignore_ascii_case("x-merlinrudder-helpers") => {
+                value.trim().clone_into(&mut request.helpers);
             }
             Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
                 length = value.trim().parse().unwrap_or(0);
@@ -97,5 +103,5 @@
         }
     }
     std::io::copy(&mut reader.take(length), &mut std::io::sink())?;
-    Ok(Some(attempt))
+    Ok(Some(request))
 }
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -146,13 +146,12 @@
                 Err(failed) => failed,
             };
             record_failure(context, &target, failure);
-            if failure != Failure::NoMemory {
-                // A helper without memory says nothing of the selected server.
+            if !failure.is_of_helper() {
                 self.tally.exclude_failed(&target, failure);
             }
             self.authorize_retry(gateway, call, failure)?;
             crash_verdict::await_evidence(gateway, call, failure.run_state()).await;
-            if matches!(failure, Failure::Refused | Failure::NoMemory) {
+            if failure == Failure::Refused || failure.is_of_helper() {
                 sleep(REFUSAL_BACKOFF).await;
             }
         }
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -30,7 +30,7 @@
 use super::refusal::Origin;
 use super::relay;
 use super::request::{CallerRequest, ServerHeaders, text_header};
-use super::reservation::Reservation;
+use super::reservation::{EngineEndpoint, Reservation};
 use super::selection::SelectedServers;
 use super::state::Gateway;
 use super::tally::{InProgress, Tally};
@@ -86,6 +86,8 @@
     Replaced,
     /// A helper did not reserve the memory for its part of the prompt.
     NoMemory,
+    /// The server refused the request because a helper failed, which it names.
+    HelperFailed,
     /// The connection broke, or the response does not belong to this request.
     Broken,
     /// Another server answered while this one was silent.
@@ -98,13 +100,21 @@
     /// Whether the server may have run the request.
     pub(super) const fn run_state(self) -> RunState {
         match self {
-            Self::Unreachable | Self::NoPath | Self::Refused | Self::Replaced | Self::NoMemory => {
-                RunState::NotRun
-            }
+            Self::Unreachable
+            | Self::NoPath
+            | Self::Refused
+            | Self::Replaced
+            | Self::NoMemory
+            | Self::HelperFailed => RunState::NotRun,
             Self::Broken | Self::Overtaken | Self::Overdue => RunState::MayHaveRun,
         }
     }
 
+    /// Whether the failure is that of a helper, and says nothing of the selected server.
+    pub(super) const fn is_of_helper(self) -> bool {
+        matches!(self, Self::NoMemory | Self::HelperFailed)
+    }
+
     /// Returns the outcome to record for the health of the selected server, if any.
     ///
     /// A missed deadline says nothing about the server: the request may have had little time left.
@@ -113,7 +123,7 @@
             Self::Unreachable => Some(ServerOutcome::Unreachable),
             Self::Refused => Some(ServerOutcome::Full),
             Self::Replaced | Self::Broken | Self::Overtaken => Some(ServerOutcome::Failed),
-            Self::NoPath | Self::NoMemory | Self::Overdue => None,
+            Self::NoPath | Self::NoMemory | Self::HelperFailed | Self::Overdue => None,
         }
     }
 }
@@ -252,7 +262,7 @@
             Target::Server(incarnation) => {
                 let check = check_response_head(call, &head);
                 record_head(gateway, call, incarnation, &connection, now, &head, check);
-                check
+                check.map_err(|failure| blame_helper(context, &selected.helpers, &head, failure))
             }
             Target::Vm { server, .. } => {
                 let check = relay::check_answer(&head.headers);
@@ -292,6 +302,29 @@
     }
 }
 
+/// Returns `HelperFailed` in place of a refusal that names a helper, which is then left out.
+fn blame_helper(
+    context: AttemptContext<'_>,
+    helpers: &[EngineEndpoint],
+    head: &Parts,
+    failure: Failure,
+) -> Failure {
+    let named = text_header(&head.headers, headers::AT_SERVER).unwrap_or_default();
+    let is_named = |helper: &&EngineEndpoint| {
+        helper.server.as_str() == named || helper.address.to_string() == named
+    };
+    match helpers.iter().find(is_named) {
+        Some(helper) if failure == Failure::Refused => {
+            let AttemptContext { gateway, tally, .. } = context;
+            tally.exclude_server(&helper.server);
+            let mut fleet = gateway.fleet.borrow_mut();
+            fleet.record_outcome(gateway.now(), &helper.server, ServerOutcome::Failed);
+            Failure::HelperFailed
+        }
+        _ => failure,
+    }
+}
+
 /// Records what the head of an answer shows of its server.
 fn record_head(
     gateway: &Gateway,
@@ -324,7 +357,7 @@
 /// Reserves memory at the helpers if the placement needs it.
 ///
 /// # Errors
-/// Returns `NoMemory` if a helper refuses; that helper is recorded as full.
+/// Returns `NoMemory` if a helper refuses or does not answer, which is recorded for its health.
 async fn reserve_helper_memory(
     gateway: &Rc<Gateway>,
     selected: &SelectedServers,
@@ -334,12 +367,14 @@
     }
     let reserved =
         Reservation::open(gateway, selected.helpers.clone(), selected.reserved_tokens).await;
-    let refused = match reserved {
+    let failures = match reserved {
         Ok(reservation) => return Ok(Some(reservation)),
-        Err(refused) => refused,
+        Err(failures) => failures,
     };
     let mut fleet = gateway.fleet.borrow_mut();
-    fleet.record_outcome(gateway.now(), &refused, ServerOutcome::Full);
+    for failure in failures {
+        fleet.record_outcome(gateway.now(), &failure.server, failure.outcome);
+    }
     Err(Failure::NoMemory)
 }
 
--- a/node/src/gateway/reservation.rs
+++ b/node/src/gateway/reservation.rs
@@ -3,6 +3,7 @@
 //! A reservation is a short lease that is renewed while its request runs, so it expires soon after
 //! this process dies. Its id is random, so that no later process uses the same id by chance.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Uri};
+use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::ServerId;
 use merlinrudder_platform::{headers, orders};
 use slog::{info, warn};
@@ -53,12 +55,13 @@
     /// Reserves memory for `tokens` tokens at each endpoint.
     ///
     /// # Errors
-    /// Returns a server that refused or did not answer; memory reserved at the others is released.
+    /// Returns how each server failed that refused or did not answer; memory reserved at the others
+    /// is released.
     pub(super) async fn open(
         gateway: &Rc<Gateway>,
         endpoints: Vec<EngineEndpoint>,
         tokens: u64,
-    ) -> Result<Self, ServerId> {
+    ) -> Result<Self, Vec<HelperFailure>> {
         let id = format!("{:032x}", fastrand::u128(..));
         let (sender, dropped) = oneshot::channel();
         let orders: Vec<_> = endpoints
@@ -77,22 +80,62 @@
             dropped,
         );
         spawn_local(renewal);
-        let mut refused = None;
+        let mut failures = Vec::new();
         for (endpoint, order) in endpoints.iter().zip(orders) {
-            if !order.await.unwrap_or(false) {
-                refused = Some(endpoint.server.clone());
-            }
+            let outcome = match order.await {
+                Ok(Ok(())) => continue,
+                Ok(Err(failure)) => failure.outcome(),
+                Err(_ended) => ServerOutcome::Failed,
+            };
+            let server = endpoint.server.clone();
+            failures.push(HelperFailure { server, outcome });
         }
+        let failed: Vec<_> = failures.iter().map(ToString::to_string).collect();
         info!(gateway.log, "Memory reservation requested"; "ticket" => &id, "tokens" => tokens,
-            "holders" => join_names(&endpoints),
-            "refused" => refused.as_ref().map(ToString::to_string));
-        match refused {
+            "holders" => join_names(&endpoints), "failed" => failed.join(" "));
+        if !failures.is_empty() {
             // Dropping the sender releases the memory at the other engines.
-            Some(refused) => Err(refused),
-            None => Ok(Self {
-                id,
-                _drop_signal: sender,
-            }),
+            return Err(failures);
+        }
+        Ok(Self {
+            id,
+            _drop_signal: sender,
+        })
+    }
+}
+
+/// A helper at which no memory could be reserved.
+#[derive(Debug)]
+pub(super) struct HelperFailure {
+    pub(super) server: ServerId,
+    /// What it shows of the health of the server.
+    pub(super) outcome: ServerOutcome,
+}
+
+impl fmt::Display for HelperFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{:?}", self.server, self.outcome)
+    }
+}
+
+/// Why an order was not accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OrderFailure {
+    /// No connection to the engine could be opened.
+    Unreachable,
+    /// The engine refused the order.
+    Refused,
+    /// The engine did not answer within `ORDER_TIMEOUT`, or broke off.
+    Silent,
+}
+
+impl OrderFailure {
+    /// Returns the outcome to record for the health of the engine.
+    const fn outcome(self) -> ServerOutcome {
+        match self {
+            Self::Unreachable => ServerOutcome::Unreachable,
+            Self::Refused => ServerOutcome::Full,
+            Self::Silent => ServerOutcome::Failed,
         }
     }
 }
@@ -132,7 +175,9 @@
 /// Releases the memory at one engine, with up to `RELEASE_ATTEMPTS` attempts.
 async fn release(gateway: Rc<Gateway>, endpoint: EngineEndpoint, id: String) {
     for _ in 0..RELEASE_ATTEMPTS {
-        if send_order(&gateway, &endpoint, orders::release(&id)).await {
+        let released = send_order(&gateway, &endpoint, orders::release(&id)).await;
+        if matches!(released, Ok(()) | Err(OrderFailure::Refused)) {
+            // An engine refuses to release what it does not hold.
             return;
         }
     }
@@ -140,31 +185,48 @@
         "server" => %endpoint.server);
 }
 
-/// Sends an order; returns whether the engine accepted it within `ORDER_TIMEOUT`.
-async fn send_order(gateway: &Rc<Gateway>, endpoint: &EngineEndpoint, body: String) -> bool {
+/// Sends an order, and waits at most `ORDER_TIMEOUT` for the answer.
+async fn send_order(
+    gateway: &Rc<Gateway>,
+    endpoint: &EngineEndpoint,
+    body: String,
+) -> Result<(), OrderFailure> {
     let result = timeout(ORDER_TIMEOUT, try_order(gateway, endpoint, body)).await;
-    result.ok().flatten().unwrap_or(false)
+    result.unwrap_or(Err(OrderFailure::Silent))
 }
 
-/// Sends an order without a timeout; `None` if the exchange fails.
-async fn try_order(gateway: &Rc<Gateway>, endpoint: &EngineEndpoint, body: String) -> Option<bool> {
-    let mut connection = gateway.pool.connect(endpoint.address, false).await.ok()?;
+/// Sends an order without a timeout.
+async fn try_order(
+    gateway: &Rc<Gateway>,
+    endpoint: &EngineEndpoint,
+    body: String,
+) -> Result<(), OrderFailure> {
+    let request = order_request(endpoint, body).ok_or(OrderFailure::Refused)?;
+    let connecting = gateway.pool.connect(endpoint.address, false).await;
+    let mut connection = connecting.map_err(|_error| OrderFailure::Unreachable)?;
+    let sent = connection.send(request).await;
+    let (head, response_body) = sent.map_err(|_error| OrderFailure::Silent)?.into_parts();
+    let body = Limited::new(response_body, MAX_ORDER_RESPONSE_BYTES);
+    let read = body.collect().await;
+    read.map_err(|_error| OrderFailure::Silent)?;
+    super::exchange::return_to_pool(gateway, connection, &head);
+    if head.status.is_success() {
+        Ok(())
+    } else {
+        Err(OrderFailure::Refused)
+    }
+}
+
+/// Builds the request of an order; `None` if a header value is invalid.
+fn order_request(endpoint: &EngineEndpoint, body: String) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(orders::ORDER_PATH);
     let order_headers = request.headers_mut();
-    order_headers.insert(
-        HOST,
-        HeaderValue::try_from(endpoint.address.to_string()).ok()?,
-    );
+    let host = HeaderValue::try_from(endpoint.address.to_string()).ok()?;
+    order_headers.insert(HOST, host);
     order_headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let target = HeaderValue::try_from(endpoint.server.as_str()).ok()?;
     order_headers.insert(headers::TARGET, target);
-    let (head, response_body) = connection.send(request).await.ok()?.into_parts();
-    Limited::new(response_body, MAX_ORDER_RESPONSE_BYTES)
-        .collect()
-        .await
-        .ok()?;
-    super::exchange::return_to_pool(gateway, connection, &head);
-    Some(head.status.is_success())
+    Some(request)
 }
--- a/node/src/gateway/tally.rs
+++ b/node/src/gateway/tally.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use merlinrudder_core::names::ServerId;
 use tokio::sync::Notify;
 
 use super::exchange::Failure;
@@ -57,6 +58,11 @@
         self.excluded.borrow_mut().push(target);
     }
 
+    /// Excludes a server from all further attempts, as the target and as a helper.
+    pub(super) fn exclude_server(&self, server: &ServerId) {
+        self.excluded.borrow_mut().servers.push(server.clone());
+    }
+
     /// Excludes a target whose attempt failed.
     pub(super) fn exclude_failed(&self, target: &Target, failure: Failure) {
         self.excluded.borrow_mut().push_failed(target, failure);
