bug: learn from lost links between VMs that a zone is cut off

A prompt over many engines has one behind the cut nearly always.

Cause: an entry VM leaves a zone out once a quarter of its servers refused connections to it within 2.5 s: seven of 26 there, at a VM with two requests a second. It learned of the cut when it was over.

Links are watched by heartbeats, so all links to a zone are lost within about a second. A zone whose last link is lost and that lost two or more within two seconds is left out for five seconds, longer if a connection to it fails then, and until a VM or a server there is reached.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -16,6 +16,7 @@
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
 use crate::rate_limit::RateLimits;
 use crate::time::Moment;
+use crate::zone_links::ZoneLinks;
 
 /// Time without a heartbeat after which a server gets no work: five usual heartbeat periods.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(6);
@@ -57,6 +58,8 @@
     pub health: HealthTable,
     /// Limits on the request rates of servers, and permits of this VM.
     pub rates: RateLimits,
+    /// Links to VMs by availability zone, which show that a zone is cut off.
+    pub zone_links: ZoneLinks,
     /// Plain calls in progress from this VM, by server.
     calls: BTreeMap<ServerId, u32>,
     load_reports: BTreeMap<ServerId, ReportedLoad>,
@@ -76,6 +79,7 @@
             directory: Directory::default(),
             loads: LoadTable::default(),
             health: HealthTable::default(),
+            zone_links: ZoneLinks::default(),
             calls: BTreeMap::new(),
             load_reports: BTreeMap::new(),
             receives_heartbeats: false,
@@ -260,6 +264,14 @@
     /// Records the outcome of a request at a server.
     pub fn record_outcome(&mut self, now: Moment, server: &ServerId, outcome: ServerOutcome) {
         self.health.record_outcome(now, server, outcome);
+        let Some(record) = self.directory.get(server) else {
+            return;
+        };
+        match outcome {
+            ServerOutcome::Succeeded => self.zone_links.record_answer(&record.zone),
+            ServerOutcome::Unreachable => self.zone_links.record_unreachable(now, &record.zone),
+            ServerOutcome::Failed | ServerOutcome::Full => {}
+        }
     }
 
     /// Removes the placements of an entry VM whose link was lost.
@@ -326,7 +338,7 @@
         })
     }
 
-    /// Returns the other zones in which too many servers are unreachable from here.
+    /// Returns the other zones that are cut off, or in which too many servers are unreachable.
     ///
     /// A single unreachable server may be dead. Several in one zone at once indicate a network
     /// partition, and each further attempt would cost a caller the time of a connection attempt.
@@ -342,9 +354,9 @@
             *lost += u32::from(self.health.is_unreachable(now, &record.id));
         }
         let unreachable = counts.into_iter().filter(|(zone, (all, lost))| {
-            **zone != self.zone
-                && *lost >= MIN_UNREACHABLE_SERVERS
-                && *lost * UNREACHABLE_DIVISOR >= *all
+            let is_refusing =
+                *lost >= MIN_UNREACHABLE_SERVERS && *lost * UNREACHABLE_DIVISOR >= *all;
+            **zone != self.zone && (is_refusing || self.zone_links.is_cut_off(now, zone))
         });
         unreachable.map(|(zone, _)| zone).collect()
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -48,3 +48,4 @@
 pub mod suspects;
 pub mod time;
 pub mod units;
+pub mod zone_links;
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -22,3 +22,4 @@
 mod retry;
 mod suspects;
 mod util;
+mod zone_links;
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -41,6 +41,10 @@
 ///
 /// With a link to a control VM, missing heartbeats count against a server.
 fn link_up(gateway: &Rc<Gateway>, peer: &WirePeer) {
+    let zone = ZoneName::from(peer.zone.as_str());
+    let mut fleet = gateway.fleet.borrow_mut();
+    fleet.zone_links.opened(peer.vm_id(), zone);
+    drop(fleet);
     let crashes = gateway.crashes.borrow();
     crashes.exchange.link_up(&gateway.links, &peer.vm_id());
     drop(crashes);
@@ -78,6 +82,9 @@
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.receives_heartbeats = has_control_link;
     fleet.entry_lost(now, vm);
+    if let Some(zone) = fleet.zone_links.lost(now, vm) {
+        info!(gateway.log, "All links to an availability zone lost"; "zone" => %zone);
+    }
     drop(fleet);
     rate_limits::update_vms(gateway);
 }
