bug: count the prefill of a resumed stream as ended at its first event

Found by reading. The first event of a stream was told to other VMs once for the whole stream. After a resumption the new placement stayed in prefill in all load tables until the answer ended, so its engines looked busy for longer. And a stream whose caller left or whose deadline passed counted as a success of its server, which ends a suspension, also where the server had been silent. Neither has a test of its own; node tests of streams pass.

--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -1,5 +1,6 @@
 //! Shares placements among entry VMs, so that each knows the load of all engines.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +39,8 @@
 pub(super) struct LocalPlacement {
     gateway: Rc<Gateway>,
     number: u64,
+    /// Whether the first event of its engine has arrived.
+    is_prefilled: Cell<bool>,
 }
 
 impl LocalPlacement {
@@ -55,11 +58,15 @@
         Self {
             gateway: Rc::clone(gateway),
             number,
+            is_prefilled: Cell::new(false),
         }
     }
 
-    /// Records that the first event has arrived: the prompt is completely prefilled.
-    pub(super) fn record_first_event(&self) {
+    /// Records that an event has arrived; the first one shows that the prompt is prefilled.
+    pub(super) fn record_event(&self) {
+        if self.is_prefilled.replace(true) {
+            return;
+        }
         let gateway = &self.gateway;
         let mut outbox = gateway.outbox.borrow_mut();
         if let Some((_, _, first_received)) = outbox.active.get_mut(&self.number) {
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -219,7 +219,9 @@
         }
         let outcome = match end {
             StreamEnd::Broken(_) => ServerOutcome::Failed,
-            _ => ServerOutcome::Succeeded,
+            StreamEnd::Complete => ServerOutcome::Succeeded,
+            // These ends come from the caller or this VM, and show nothing of the server.
+            StreamEnd::CallerGone | StreamEnd::Overdue | StreamEnd::Stopping => return,
         };
         if let Some(incarnation) = upstream.selected.target.incarnation() {
             placement_sync::record_request_outcome(&self.gateway, &incarnation.server, outcome);
@@ -279,10 +281,8 @@
                 Err(end) => return end,
             };
             for event in source.splitter.push(&bytes) {
-                if let Some(placement) = &source.upstream.selected.placement
-                    && self.ttft.is_none()
-                {
-                    placement.record_first_event();
+                if let Some(placement) = &source.upstream.selected.placement {
+                    placement.record_event();
                 }
                 let now = self.gateway.now();
                 let gap = self
