bug: let the work of a long prompt count for it, not only against it

Cause: a long prompt was charged six units of value for each second of its prefill while engines were busy. Work grows with the square of the length and value with the length, so the longest ones could not pay whatever they waited, until 45 % of their time had passed; then they were late and were refused.

Now the cost of engine time is at most half of what the prompt gains, its value is at least five for each second of prefill, it waits for engines with less to prefill only up to 0.3 of its objective, and it is decided at a fifth of its time, so that a refused caller may still be served elsewhere.

--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -1,8 +1,11 @@
 //! Decides whether a prompt is placed now, waits, or is refused.
 //!
 //! In a burst of long prompts not all can meet their objective. Two that are prefilled in the same
-//! pass slow down every request in it, although one of them has time to wait for the other. The
-//! longest prompts cost other callers more than they gain, until the burst is over.
+//! pass slow down every request in it, although one of them has time to wait for the other.
+//!
+//! The work of a prompt grows with the square of its length, and its value with the length: judged
+//! by value alone, the longest prompts would wait for the end of each burst and then be refused.
+//! Their work therefore counts for them as well, and is a limited reason against them.
 
 use super::{
     LATE_VALUE_FRACTION, Placement, PlacementRequest, millis, miss_probability, prompt_value,
@@ -14,15 +17,22 @@
 /// Fraction of the objective up to which a long prompt may wait.
 ///
 /// The time waited and the predicted time to first token count together.
-const MAX_TTFT_FRACTION: f64 = 0.55;
+const MAX_TTFT_FRACTION: f64 = 0.3;
 /// Shortest prefill time of a prompt for which waiting pays, in milliseconds.
 const MIN_PREFILL_MS: f64 = 120.0;
 /// Value of a second of engine time to other requests while all engines are prefilling.
 const BUSY_ENGINE_VALUE: f64 = 6.0;
+/// Largest cost of engine time, as a fraction of what a prompt gains.
+///
+/// More would make the length of a prompt alone a reason to refuse it.
+const MAX_ENGINE_COST_FRACTION: f64 = 0.5;
+/// Least value of a prompt for each second of its prefill.
+const MIN_PREFILL_VALUE: f64 = 5.0;
 /// Fraction of its total time that a prompt may wait for a burst to end.
 ///
-/// The rest is left for another attempt or another VM.
-const MAX_WAIT_FRACTION: f64 = 0.45;
+/// A prompt that is placed later than that is seldom answered before its caller leaves, and one that
+/// is refused by then can still be served after its caller has come back.
+const MAX_WAIT_FRACTION: f64 = 0.2;
 
 /// What happens to a prompt for which engines were chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -54,9 +64,11 @@
     if placement.external_cost > MAX_EXTERNAL_COST && ttft < objective * MAX_TTFT_FRACTION {
         return PlacementDecision::Wait;
     }
-    let value = prompt_value(request.prompt_tokens);
+    let seconds = prefill / 1000.0;
+    let value = prompt_value(request.prompt_tokens).max(seconds * MIN_PREFILL_VALUE);
     let gain = value * (1.0 - miss_probability(ttft, objective) * (1.0 - LATE_VALUE_FRACTION));
-    let engine_cost = prefill / 1000.0 * BUSY_ENGINE_VALUE * busy_fraction;
+    let engine_cost = seconds * BUSY_ENGINE_VALUE * busy_fraction;
+    let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
     if placement.external_cost + engine_cost <= gain {
         return PlacementDecision::Place;
     }
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -15,6 +15,7 @@
 mod events;
 mod fleets;
 mod log_fuzz;
+mod long_prompt_bursts;
 mod manifest_pull;
 mod membership;
 mod rate_limits;
--- a/core/tests/integration/util.rs
+++ b/core/tests/integration/util.rs
@@ -1,8 +1,10 @@
 //! Simulation of control log replicas with an unreliable network and disks that lose records.
 
+pub mod burst_sim;
 mod codec;
 mod commands;
 mod crashes;
+pub mod engine_sim;
 mod network;
 mod oracle;
 pub mod rate_sim;
--- a/core/tests/integration/zone_links.rs
+++ b/core/tests/integration/zone_links.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::health::ServerOutcome;
@@ -123,7 +122,7 @@
     for engine in placement.helpers.iter().chain([&placement.lead]) {
         assert!(!engine.as_str().starts_with('c'), "{placement:?}");
     }
-    let answering: ServerRecord = server("c", 20);
+    let answering = server("c", 20);
     fleet.record_outcome(at(1200), &answering.id, ServerOutcome::Succeeded);
     let later = at(1200) + Duration::from_millis(1);
     let (placement, _) = place(&mut fleet, later, 2, &huge);
--- a/node/tests/integration/failing_helpers.rs
+++ b/node/tests/integration/failing_helpers.rs
@@ -57,9 +57,10 @@
             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{{}}"
         );
     }
-    let events: String = (1..=EVENTS)
+    let events: Vec<_> = (1..=EVENTS)
         .map(|id| format!("id: {id}\ndata: x\n\n"))
         .collect();
+    let events = events.concat();
     write!(
         connection,
         "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {}\r\nX-Merlinrudder-Response-Seal: seal\r\n\
