--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -108,6 +108,7 @@
         let features = WireFeatures {
             rates: true,
             relay: Some(relay),
+            ..WireFeatures::default()
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use merlinrudder_core::consensus::message::ReplicaId;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::announce::WireAnnouncement;
@@ -120,13 +121,46 @@
 
 /// Abilities of a VM that earlier versions lack.
 ///
-/// They follow `Handshake` in its frame, where an earlier version ignores them.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+/// They follow `Handshake` in its frame, where an earlier version ignores them. New fields are appended, and read as
+/// absent if the frame ends before them.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct WireFeatures {
     /// Whether the VM understands `Rates`.
     pub rates: bool,
     /// Where it makes attempts for VMs that are cut off; `None` if it does not.
     pub relay: Option<WireRelay>,
+    /// Whether it understands `Evacuations` and the log command for them.
+    pub evacuations: bool,
+    /// Whether it understands `ColdServers`.
+    pub cold: bool,
+    /// Whether it understands `Capacities`.
+    pub capacity: bool,
+}
+
+impl WireFeatures {
+    /// Decodes the features of a VM of this version or an earlier one.
+    fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let (rates, mut rest) = postcard::take_from_bytes(bytes)?;
+        let mut features = Self {
+            rates,
+            ..Self::default()
+        };
+        features.relay = take_appended(&mut rest)?;
+        features.evacuations = take_appended(&mut rest)?;
+        features.cold = take_appended(&mut rest)?;
+        features.capacity = take_appended(&mut rest)?;
+        Ok(features)
+    }
+}
+
+/// Decodes the next appended field; its default if the bytes end before it.
+fn take_appended<T: Default + DeserializeOwned>(rest: &mut &[u8]) -> Result<T, DecodeError> {
+    if rest.is_empty() {
+        return Ok(T::default());
+    }
+    let (value, after) = postcard::take_from_bytes(rest)?;
+    *rest = after;
+    Ok(value)
 }
 
 /// Introduction of a replica of the control log.
@@ -208,7 +242,7 @@
 pub fn decode_handshake(frame: &[u8]) -> Result<(WirePeer, WireFeatures), DecodeError> {
     match postcard::take_from_bytes(message_bytes(frame)?)? {
         (MeshMessage::Handshake(peer), []) => Ok((peer, WireFeatures::default())),
-        (MeshMessage::Handshake(peer), rest) => Ok((peer, postcard::from_bytes(rest)?)),
+        (MeshMessage::Handshake(peer), rest) => Ok((peer, WireFeatures::decode(rest)?)),
         _ => Err(DecodeError::new("the first message is not Handshake")),
     }
 }
--- a/wire/tests/integration/round_trips.rs
+++ b/wire/tests/integration/round_trips.rs
@@ -187,6 +187,9 @@
     let features = WireFeatures {
         rates: true,
         relay: Some(relay),
+        evacuations: true,
+        cold: true,
+        capacity: true,
     };
     let frame = encode_handshake(&peer, &features);
     assert_eq!(decode_handshake(&frame), Ok((peer.clone(), features)));
@@ -195,3 +198,27 @@
     let decoded = decode_handshake(&earlier);
     assert_eq!(decoded, Ok((peer, WireFeatures::default())));
 }
+
+/// Guards against a new build that rejects the link of a build without the appended features.
+#[test]
+fn features_recorded_from_an_earlier_version_lack_the_appended_ones() {
+    let peer = WirePeer {
+        vm: "entry-1".to_owned(),
+        zone: "z1".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7341)),
+        control: false,
+    };
+    let relay = WireRelay {
+        address: SocketAddr::from(([127, 0, 0, 1], 7342)),
+        token: 1,
+    };
+    let mut frame = encode_frame(&MeshMessage::Handshake(peer.clone()));
+    // `rates` and `relay` as version 11fb428 encoded them, and nothing after them.
+    frame.extend([1, 1, 0, 127, 0, 0, 1, 0xae, 0x39, 1]);
+    let features = WireFeatures {
+        rates: true,
+        relay: Some(relay),
+        ..WireFeatures::default()
+    };
+    assert_eq!(decode_handshake(&frame), Ok((peer, features)));
+}
