--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -123,6 +123,10 @@
 ///
 /// They follow `Handshake` in its frame, where an earlier version ignores them. New fields are appended, and read as
 /// absent if the frame ends before them.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each field is one independent ability"
+)]
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct WireFeatures {
     /// Whether the VM understands `Rates`.
