feature: check a configuration before it is sent

Cause: operators learn of entries without effect, contradicting limits and unwanted differences only after a configuration is in force.

--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -1,6 +1,7 @@
 //! Implementations of the subcommands.
 
 mod admin;
+mod check_config;
 mod demo;
 mod fake;
 mod load;
@@ -30,6 +31,7 @@
     };
     match name {
         "check" => admin::check(sub),
+        "check-config" => check_config::run(sub),
         "publish" => admin::publish(sub),
         "status" => admin::status(sub),
         "keys" => keys(sub),
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -13,6 +13,7 @@
         .about("Administer merlinrudder and run experiments with it")
         .subcommand_required(true)
         .subcommand(check())
+        .subcommand(check_config())
         .subcommand(publish())
         .subcommand(status())
         .subcommand(keys())
@@ -104,6 +105,28 @@
         .arg(required_path("manifest", "Manifest document"))
 }
 
+fn check_config() -> Command {
+    Command::new("check-config")
+        .about("Check a configuration of the hosting platform before it is sent")
+        .long_about(
+            "Check a configuration of the hosting platform before it is sent: errors, entries that \
+             no request can match, limits that contradict each other, and what differs from another \
+             version. Exit status: 0 if nothing was found, 1 if something was, 2 if a file cannot \
+             be read. Differences alone are no finding.",
+        )
+        .arg(required_path("config", "Configuration document"))
+        .arg(
+            option("against", "FILE", "Version in force, to show what differs from it")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print one JSON object"),
+        )
+}
+
 fn publish() -> Command {
     let command = Command::new("publish")
         .about("Publish a manifest and show on which VMs it is in force")
