--- a/core/src/census.rs
+++ b/core/src/census.rs
@@ -28,6 +28,12 @@
         self.complete = true;
     }
 
+    /// Returns the other VMs that count; `None` until they are known.
+    pub fn others(&mut self, now: Moment) -> Option<Vec<VmId>> {
+        self.sharers(now)?;
+        Some(self.last_seen.keys().cloned().collect())
+    }
+
     /// Returns how many VMs share a limit, this one included; `None` until that is known.
     ///
     /// A VM that is cut off may still run and use its share, so it counts for a while.
--- a/core/src/deployment.rs
+++ b/core/src/deployment.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::cold::plan::ColdRule;
 use crate::engine_model::EngineProfile;
 use crate::manifest::ManifestNumber;
 use crate::names::{CustomerName, ServiceName};
@@ -94,6 +95,8 @@
     pub max_connections: u32,
     /// Performance model of the engines; `None` for a plain service.
     pub engine: Option<EngineProfile>,
+    /// How its servers are spared while they are cold; `None` if they need not be.
+    pub cold: Option<ColdRule>,
 }
 
 /// A customer, identified by API keys.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::cold::plan::ColdBounds;
+use crate::cold::{ColdOutlook, ColdTable, Warmth};
 use crate::deployment::Deployment;
 use crate::directory::{Directory, Merged, ServerRecord, ServerStage};
 use crate::engine_model::{EngineProfile, as_float};
@@ -44,6 +46,8 @@
     NoServer,
     /// All that are left have limits on their request rates, and no permit is at hand.
     RateLimited,
+    /// All that are left are cold, and this VM may not send to any of them now.
+    Cold,
 }
 
 /// Servers, engine loads and server health as one entry VM sees them.
@@ -58,6 +62,8 @@
     pub health: HealthTable,
     /// Limits on the request rates of servers, and permits of this VM.
     pub rates: RateLimits,
+    /// Cold servers, and when this VM may send to them.
+    pub cold: ColdTable,
     /// Links to VMs by availability zone, which show that a zone is cut off.
     pub zone_links: ZoneLinks,
     /// Plain calls in progress from this VM, by server.
@@ -75,6 +81,7 @@
     pub fn new(zone: ZoneName, rates: RateLimits) -> Self {
         Self {
             zone,
+            cold: ColdTable::new(rates.vm().clone(), ColdBounds::default()),
             rates,
             directory: Directory::default(),
             loads: LoadTable::default(),
@@ -92,6 +99,9 @@
         let earlier = self.directory.get(&id).map(|known| known.born);
         let merged = self.directory.merge(heard_at, record);
         let known = self.directory.get(&id);
+        if let Some(known) = known {
+            self.cold.record_lifetime(heard_at, &id, known.born);
+        }
         if merged == Merged::Changed && known.map(|known| known.born) != earlier {
             self.health.forget(&id);
             self.rates.forget(&id);
@@ -137,7 +147,8 @@
             .map(|server| Candidate {
                 server,
                 penalty: self.health.failure_rate(now, &server.id) * value,
-                may_help: !self.rates.is_limited(&server.id),
+                may_help: !self.rates.is_limited(&server.id)
+                    && self.cold.warmth(now, server) == Warmth::Warm,
             })
             .collect();
         let placer = Placer {
@@ -243,6 +254,64 @@
         self.rates.fair_rate(limited.iter())
     }
 
+    /// Lets the servers of a zone count as cold until their later heartbeats say otherwise.
+    ///
+    /// Called when an evacuation of the zone ends: its servers may have become cold just before.
+    pub fn zone_reopened(&mut self, now: Moment, zone: &ZoneName) {
+        let records = self.directory.records().map(|(record, _)| record);
+        let in_zone = records.filter(|record| record.zone == *zone);
+        self.cold.reopen(now, in_zone);
+    }
+
+    /// Forgets the coldness of servers that are gone.
+    pub fn forget_gone_cold(&mut self) {
+        let directory = &self.directory;
+        self.cold.forget_gone(|id| directory.get(id).is_some());
+    }
+
+    /// Returns the ready servers of all services that are cold.
+    #[must_use]
+    pub fn cold_servers(&self, now: Moment) -> Vec<&ServerRecord> {
+        let records = self.directory.records().map(|(record, _)| record);
+        let cold = records.filter(|record| {
+            record.stage == ServerStage::Ready
+                && matches!(self.cold.warmth(now, record), Warmth::Cold(_))
+        });
+        cold.collect()
+    }
+
+    /// Whether a service has servers that were not tried, and all of them are cold.
+    #[must_use]
+    pub fn are_all_cold(&self, now: Moment, service: &ServiceName, tried: &[ServerId]) -> bool {
+        let mut left = self.untried(service, tried).peekable();
+        let is_cold = |record| matches!(self.cold.warmth(now, record), Warmth::Cold(_));
+        left.peek().is_some() && left.all(is_cold)
+    }
+
+    /// Returns what callers of a service can expect whose servers are all cold.
+    ///
+    /// `ahead` requests take turns before the next one.
+    #[must_use]
+    pub fn cold_outlook(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        tried: &[ServerId],
+        ahead: usize,
+    ) -> ColdOutlook {
+        self.cold.outlook(now, self.untried(service, tried), ahead)
+    }
+
+    /// Returns the ready servers of a service, except those in `tried`.
+    fn untried<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        tried: &'a [ServerId],
+    ) -> impl Iterator<Item = &'a ServerRecord> + 'a {
+        let ready = self.directory.ready(service).map(|(record, _)| record);
+        ready.filter(|record| !tried.contains(&record.id))
+    }
+
     /// Counts a plain call to a server as in progress.
     pub fn call_began(&mut self, server: &ServerId) {
         *self.calls.entry(server.clone()).or_default() += 1;
@@ -291,7 +360,7 @@
 
     /// Returns the servers of a service that may get work, except those in `tried`.
     ///
-    /// Servers with a limit need a permit. Prefers servers that send heartbeats, are not suspended
+    /// Servers with a limit need a permit, and cold ones a turn of this VM. Prefers servers that send heartbeats, are not suspended
     /// and are not in an unreachable zone. If there are none, zones are ignored; if there are still
     /// none, every ready server is used.
     fn eligible_servers<'a>(
@@ -318,6 +387,10 @@
         if ready.is_empty() {
             return Err(NoChoice::RateLimited);
         }
+        let ready = self.cold.admitted(now, ready, |(record, _)| *record);
+        if ready.is_empty() {
+            return Err(NoChoice::Cold);
+        }
         let healthy: Vec<_> = ready
             .iter()
             .filter(|(record, heard_at)| {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod census;
 pub mod claims;
+pub mod cold;
 pub mod completions;
 pub mod consensus;
 pub mod control;
--- a/core/src/rate_limit.rs
+++ b/core/src/rate_limit.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Returns this VM.
+    #[must_use]
+    pub const fn vm(&self) -> &VmId {
+        &self.vm
+    }
+
     /// Sets the linked entry VMs and the number of VMs among which limits are divided.
     pub fn set_vms(&mut self, linked: impl Iterator<Item = VmId>, sharers: Option<usize>) {
         self.vms = linked.chain([self.vm.clone()]).collect();
--- a/core/src/rate_limit/return_times.rs
+++ b/core/src/rate_limit/return_times.rs
@@ -19,7 +19,13 @@
 impl ReturnTimes {
     /// Returns when the next caller may return; `rate` requests are served a second.
     pub fn promise(&mut self, now: Moment, rate: f64) -> Duration {
-        let wait = self.next.since(now).clamp(MIN_WAIT, MAX_WAIT);
+        self.promise_after(now, Duration::ZERO, rate)
+    }
+
+    /// Returns when the next caller may return, not before `earliest` has passed.
+    pub fn promise_after(&mut self, now: Moment, earliest: Duration, rate: f64) -> Duration {
+        let wait = self.next.since(now).max(earliest);
+        let wait = wait.clamp(MIN_WAIT, MAX_WAIT);
         let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_WAIT);
         self.next = now + wait + interval.min(MAX_WAIT);
         wait
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -265,6 +265,7 @@
             | MeshMessage::Handshake(_)
             | MeshMessage::Rates(_)
             | MeshMessage::CutOff(_)
+            | MeshMessage::ColdServers(_)
             | MeshMessage::CrashReports(_)
             | MeshMessage::NewestManifest { .. }
             | MeshMessage::Peers(_)
--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -5,6 +5,7 @@
 
 mod api;
 mod calls;
+mod cold;
 mod crashes;
 mod input;
 mod servers;
@@ -76,7 +77,10 @@
         let handler = Arc::new(move |event| link_inputs.send(Input::Link(event)));
         let links = Links::bind(
             config.local_peer.clone(),
-            WireFeatures::default(),
+            WireFeatures {
+                cold: true,
+                ..WireFeatures::default()
+            },
             handler,
             log,
         )
--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -93,7 +93,9 @@
         ControlCall::PutConfig => put_config(&body, inputs, log).await,
         ControlCall::GetConfig => get_config(inputs).await,
         ControlCall::Heartbeat(id) => match instances::read_heartbeat(&id, &body) {
-            Ok(record) => submit(inputs, |reply| Input::Heartbeat(record, reply)).await,
+            Ok((record, report)) => {
+                submit(inputs, |reply| Input::Heartbeat(record, report, reply)).await
+            }
             Err(error) => {
                 info!(log, "Rejected a heartbeat"; "server" => %id, "error" => %error);
                 text_response(StatusCode::BAD_REQUEST, &error.to_string())
--- a/node/src/controller/input.rs
+++ b/node/src/controller/input.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
+use merlinrudder_core::cold::reports::ColdReport;
 use merlinrudder_core::control::PublishedManifest;
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::names::ServerId;
@@ -25,7 +26,7 @@
     /// An operator reads the newest manifest.
     Read(Reply<Arc<[u8]>>),
     /// A backend server sent a heartbeat.
-    Heartbeat(ServerRecord, Reply<()>),
+    Heartbeat(ServerRecord, ColdReport, Reply<()>),
     /// A backend server deregisters.
     ///
     /// The number is the start of its incarnation in Unix milliseconds, if it is given.
--- a/node/src/controller/servers.rs
+++ b/node/src/controller/servers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use merlinrudder_core::cold::reports::{ColdReport, ColdReports};
 use merlinrudder_core::directory::{Directory, Merged, ServerRecord, ServerStage};
 use merlinrudder_core::names::ServerId;
 use merlinrudder_core::time::Moment;
@@ -20,7 +21,9 @@
 /// Known backend servers, and those to include in the next refresh.
 #[derive(Debug, Default)]
 pub(super) struct ServerTracker {
-    directory: Directory,
+    pub(super) directory: Directory,
+    /// How cold the servers are, as far as their heartbeats were heard here or at a VM that tells.
+    pub(super) cold: ColdReports,
     /// Servers whose heartbeats this VM received itself since the last refresh.
     refreshed: BTreeSet<ServerId>,
     next_refresh: Moment,
@@ -46,10 +49,21 @@
 
 impl Controller {
     /// Handles a heartbeat of a backend server.
-    pub(super) fn handle_heartbeat(&mut self, now: Moment, record: ServerRecord, reply: Reply<()>) {
+    pub(super) fn handle_heartbeat(
+        &mut self,
+        now: Moment,
+        record: ServerRecord,
+        report: &ColdReport,
+        reply: Reply<()>,
+    ) {
+        let cold_change = self.record_cold(now, report, true);
         let leaving = record.stage != ServerStage::Ready;
         let id = record.id.clone();
         let merged = self.servers.directory.merge(now, record);
+        // A changed record is sent with what is known of its coldness.
+        if merged != Merged::Changed {
+            self.send_cold_change(now, report, cold_change, true);
+        }
         self.handle_merge(now, &id, merged, true);
         self.reply_to_server(now, leaving, reply);
     }
@@ -85,11 +99,14 @@
         }
         self.servers.next_refresh = now + REFRESH_INTERVAL;
         self.servers.directory.expire(now);
+        let directory = &self.servers.directory;
+        self.servers.cold.retain(|id| directory.get(id).is_some());
         let refreshed_ids = std::mem::take(&mut self.servers.refreshed);
         let records = self.servers.records_for(now, &refreshed_ids);
         if records.is_empty() {
             return;
         }
+        self.send_cold(&self.servers.cold_among(now, &refreshed_ids), |_| true);
         let message = MeshMessage::Servers(records);
         for peer in self.links.peers() {
             self.send(&peer.vm_id(), &message);
@@ -131,6 +148,9 @@
             "address" => %record.address, "stage" => ?record.stage, "born" => record.born,
             "first_hand" => first_hand);
         let message = MeshMessage::Servers(vec![WireServer::new(now, now, record)]);
+        let report = self.servers.cold.report(now, id, record.born);
+        let report: Vec<_> = report.into_iter().collect();
+        self.send_cold(&report, |peer| first_hand || !peer.control);
         let peers = self.links.peers();
         for peer in peers.iter().filter(|peer| first_hand || !peer.control) {
             self.send(&peer.vm_id(), &message);
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -107,7 +107,9 @@
             }
             Input::Publish(published, reply) => self.handle_publish(now, published, reply),
             Input::Read(reply) => self.handle_read(now, reply),
-            Input::Heartbeat(record, reply) => self.handle_heartbeat(now, record, reply),
+            Input::Heartbeat(record, report, reply) => {
+                self.handle_heartbeat(now, record, &report, reply);
+            }
             Input::Deregister(id, born, reply) => self.handle_deregister(now, &id, born, reply),
             Input::ListQuarantine(reply) => {
                 // The operator may have disconnected.
@@ -219,6 +221,7 @@
         self.resolve_initial_vms();
         let vm = peer.vm_id();
         self.crashes.link_up(&self.links, &vm);
+        self.send_all_cold(now, &vm);
         let servers = self.servers.all_records(now);
         self.send(&vm, &MeshMessage::Servers(servers));
         self.send(&vm, &self.newest_manifest(now));
@@ -282,6 +285,7 @@
             }
             MeshMessage::CrashReports(reports) => self.handle_crash_reports(now, from, reports),
             MeshMessage::Servers(servers) => self.handle_servers(now, servers),
+            MeshMessage::ColdServers(servers) => self.handle_cold_servers(now, servers),
             MeshMessage::Peers(peers) => {
                 for peer in peers.iter().filter(|peer| peer.control) {
                     self.links.dial(peer.address, false);
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -7,6 +7,7 @@
 mod body;
 mod buffer_budget;
 mod buffered;
+mod cold;
 mod crash_verdict;
 mod crash_watch;
 mod exchange;
@@ -36,6 +37,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use merlinrudder_core::cold::plan::ColdBounds;
 use merlinrudder_core::retry::RetryLimits;
 use merlinrudder_wire::mesh::WireFeatures;
 use merlinrudder_wire::peers::WirePeer;
@@ -78,6 +80,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Retry budget of each service, shared by all entry VMs.
     pub retry_limits: RetryLimits,
+    /// Limit on the requests that reach a cold server.
+    pub cold_bounds: ColdBounds,
     /// Longest time from the stop signal to the end of the process.
     pub stop_timeout: Duration,
 }
@@ -108,6 +112,7 @@
         let features = WireFeatures {
             rates: true,
             relay: Some(relay),
+            cold: true,
             ..WireFeatures::default()
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
@@ -118,6 +123,7 @@
         spawn_local(link_events::run(Rc::clone(&gateway), receiver));
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
+        spawn_local(cold::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
         spawn_local(reach::run(Rc::clone(&gateway)));
         for (listener, sender) in [
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -51,7 +51,7 @@
     pub(super) tally: Rc<Tally>,
     /// Failed attempts that did not run the request; limited by `MAX_NOT_RUN_FAILURES`.
     not_run: u32,
-    /// Set while the request waits for a permit.
+    /// Set while the request waits for a permit, or for a turn at a cold server.
     permit_waiter: Option<PermitWaiter>,
 }
 
@@ -116,7 +116,9 @@
             let is_waiting = self.permit_waiter.is_some();
             let selected = match select_servers(gateway, call, &self.tally, &excluded, is_waiting) {
                 Selection::Selected(selected) => selected,
-                Selection::Wait | Selection::AwaitPermit if self.is_refused_by_stop(gateway) => {
+                Selection::Wait | Selection::AwaitPermit | Selection::AwaitTurn
+                    if self.is_refused_by_stop(gateway) =>
+                {
                     return Err(self.refusal(RefusalReason::Stopping));
                 }
                 Selection::Wait => {
@@ -127,6 +129,13 @@
                     sleep(PERMIT_POLL_INTERVAL).await;
                     continue;
                 }
+                Selection::AwaitTurn => {
+                    self.permit_waiter
+                        .get_or_insert_with(|| PermitWaiter::new(gateway, &call.service));
+                    sleep(PERMIT_POLL_INTERVAL).await;
+                    continue;
+                }
+                Selection::Cold(wait) => return Err(self.cold_refusal(wait)),
                 Selection::AwaitPermit | Selection::RateLimited => {
                     return Err(self.rate_refusal(gateway, call));
                 }
@@ -256,6 +265,14 @@
         refusal
     }
 
+    /// Builds the refusal of a request for which all servers are too cold.
+    fn cold_refusal(&mut self, wait: Duration) -> Refusal {
+        self.permit_waiter = None;
+        let mut refusal = self.refusal(RefusalReason::RateLimited);
+        refusal.retry_after = refusal.retry_after.map(|_| wait);
+        refusal
+    }
+
     /// Whether a planned stop refuses the request instead of letting it wait.
     ///
     /// One that may have run waits on: its caller cannot simply send it again elsewhere.
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::cold;
 use super::crash_verdict;
 use super::crash_watch;
 use super::placement_sync;
@@ -50,6 +51,7 @@
     drop(crashes);
     if peer.control {
         gateway.fleet.borrow_mut().receives_heartbeats = true;
+        cold::control_link_up(gateway, &peer.vm_id());
     } else {
         let mut entry_vms = gateway.entry_vms.borrow_mut();
         entry_vms.record(gateway.now(), peer.vm_id());
@@ -95,9 +97,12 @@
             let now = gateway.now();
             for server in servers {
                 let heard_at = server.heard_at(now);
-                merge_server(gateway, heard_at, server.into());
+                let record = ServerRecord::from(server);
+                cold::record_heartbeat(gateway, from, &record);
+                merge_server(gateway, heard_at, record);
             }
         }
+        MeshMessage::ColdServers(servers) => cold::receive(gateway, servers),
         MeshMessage::Peers(peers) => handle_peers(gateway, &peers),
         MeshMessage::NewestManifest { number, current } => {
             handle_newest_manifest(gateway, from, number, current);
@@ -134,6 +139,7 @@
     }
     entry_vms.mark_complete();
     drop(entry_vms);
+    cold::update_vms(gateway);
     rate_limits::update_vms(gateway);
 }
 
@@ -219,6 +225,7 @@
         Ok(deployment) => {
             info!(gateway.log, "Manifest in force"; "number" => number, "bytes" => bytes.len(),
                 "services" => deployment.services.len());
+            cold::update_rules(gateway, &deployment);
             *gateway.deployment.borrow_mut() = Some(Arc::new(deployment));
         }
         // Unexpected: every manifest was validated before it was accepted.
--- a/node/src/gateway/rate_limits.rs
+++ b/node/src/gateway/rate_limits.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::header::HeaderMap;
+use merlinrudder_core::cold::ColdOutlook;
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::names::{ServiceName, VmId};
 use merlinrudder_core::rate_limit::limits::{LimitChange, Observation, Rate};
@@ -27,7 +28,7 @@
 /// Interval at which loans of shares are renewed.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Requests that wait for permits, and callers that were refused for lack of them, by service.
+/// Requests that wait for permits or turns, and callers that were refused for lack of them, by service.
 #[derive(Debug, Default)]
 pub(super) struct PermitQueues {
     waiting: BTreeMap<ServiceName, usize>,
@@ -80,6 +81,17 @@
     times.promise(now, rate)
 }
 
+/// Returns when a caller may come back for which all servers of a service are cold.
+pub(super) fn return_after_turn(
+    gateway: &Gateway,
+    service: &ServiceName,
+    outlook: &ColdOutlook,
+) -> Duration {
+    let mut queues = gateway.permit_queues.borrow_mut();
+    let times = queues.return_times.entry(service.clone()).or_default();
+    times.promise_after(gateway.now(), outlook.wait, outlook.rate)
+}
+
 /// Head of an answer of a server.
 pub(super) struct AnswerHead<'a> {
     pub(super) incarnation: &'a Incarnation,
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -15,6 +15,7 @@
 use merlinrudder_core::time::Moment;
 use merlinrudder_platform::headers;
 
+use super::cold;
 use super::placement_sync::LocalPlacement;
 use super::rate_limits;
 use super::relay::{self, RelayGuard};
@@ -101,6 +102,10 @@
     AwaitPermit,
     /// All servers have limits on their request rates; none of them takes the request soon.
     RateLimited,
+    /// All servers are cold; this VM has a turn at one of them within the time that the request may wait.
+    AwaitTurn,
+    /// All servers are cold; the request may come back after this time.
+    Cold(Duration),
     /// This VM is cut off from the service, and no other VM reaches it.
     NoPath,
     /// No server is left to select.
@@ -153,16 +158,22 @@
     if has_earlier_waiter(gateway, call, excluded, is_waiting) {
         return permit_outlook(gateway, call, excluded, is_waiting);
     }
+    if !is_waiting && cold::has_earlier_waiter(gateway, call, excluded) {
+        return cold::outlook(gateway, call, excluded, is_waiting);
+    }
     let selection = select_admitted(gateway, call, excluded);
+    cold::count_left_out(gateway);
     match selection {
         Err(NoChoice::NoServer) => Selection::NoServer,
         Err(NoChoice::RateLimited) => permit_outlook(gateway, call, excluded, is_waiting),
+        Err(NoChoice::Cold) => cold::outlook(gateway, call, excluded, is_waiting),
         Ok(selection) => {
             if let Selection::Selected(selected) = &selection
                 && let Some(incarnation) = selected.target.incarnation()
             {
                 let mut fleet = gateway.fleet.borrow_mut();
                 fleet.rates.spend(gateway.now(), &incarnation.server);
+                fleet.cold.count_sent(gateway.now(), &incarnation.server);
             }
             selection
         }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use merlinrudder_core::census::Census;
+use merlinrudder_core::cold::ColdTable;
 use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::manifest_pull::ManifestPull;
@@ -102,14 +103,16 @@
         let zone = ZoneName::from(config.local_peer.zone.as_str());
         let clock = Clock::start();
         let rates = RateLimits::new(clock.now(), vm.clone(), fastrand::u64(..));
+        let mut fleet = Fleet::new(zone.clone(), rates);
+        fleet.cold = ColdTable::new(vm.clone(), config.cold_bounds);
         Self {
             vm,
-            zone: zone.clone(),
+            zone,
             clock,
             links,
             deployment: RefCell::new(None),
             manifest_pull: RefCell::default(),
-            fleet: RefCell::new(Fleet::new(zone, rates)),
+            fleet: RefCell::new(fleet),
             open_requests: OpenRequests::default(),
             reach: RefCell::default(),
             relays: RefCell::default(),
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -146,6 +146,13 @@
         self.shared.table.features(vm)?.relay
     }
 
+    /// Whether a linked VM tells which servers are cold.
+    #[must_use]
+    pub fn tells_cold(&self, vm: &VmId) -> bool {
+        let features = self.shared.table.features(vm);
+        features.is_some_and(|features| features.cold)
+    }
+
     /// Returns all VMs with an open link.
     #[must_use]
     pub fn peers(&self) -> Vec<WirePeer> {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -14,6 +14,7 @@
 const ANNOUNCEMENTS: &str = "merlinrudder_announcements_total";
 const DROPPED_EVENTS: &str = "merlinrudder_dropped_events_total";
 const LIMITED_ANSWERS: &str = "merlinrudder_limited_answers_total";
+const COLD_LEFT_OUT: &str = "merlinrudder_cold_left_out_total";
 const MESH_SENT: &str = "merlinrudder_mesh_sent_bytes_total";
 const MESH_DROPPED: &str = "merlinrudder_mesh_dropped_total";
 
@@ -90,6 +91,16 @@
     counter!(LIMITED_ANSWERS).increment(1);
 }
 
+/// Counts servers left out of a choice because they are cold.
+pub fn count_cold_left_out(servers: u64) {
+    counter!(COLD_LEFT_OUT).increment(servers);
+}
+
+/// Sets the gauge of ready servers that are cold.
+pub fn set_cold_gauge(servers: usize) {
+    set_gauge("merlinrudder_cold_servers", servers);
+}
+
 /// Adds to the bytes sent to other VMs.
 pub fn count_mesh_sent(bytes: usize) {
     counter!(MESH_SENT).increment(bytes as u64);
--- a/node/src/roles.rs
+++ b/node/src/roles.rs
@@ -56,6 +56,7 @@
         relay_addr: relay_address(settings.internal_address),
         seeds: seed_addresses(settings),
         retry_limits: settings.bounds.retries,
+        cold_bounds: settings.bounds.cold,
         stop_timeout: settings.bounds.stop_grace,
     };
     let mut signals = Signals::new()?;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::{WireFromDispatcher, WireToDispatcher};
 use crate::error::DecodeError;
 use crate::membership::WireMembership;
-use crate::peers::{WirePeer, WirePlacements, WireServer};
+use crate::peers::{WireColdServer, WirePeer, WirePlacements, WireServer};
 use crate::rates::WireRateMessage;
 use crate::relay::WireRelay;
 
@@ -117,6 +117,10 @@
     ///
     /// Only sent to VMs with [`WireFeatures::relay`].
     CutOff(Vec<String>),
+    /// How cold backend servers are whose records follow in `Servers`.
+    ///
+    /// Only sent to VMs with [`WireFeatures::cold`].
+    ColdServers(Vec<WireColdServer>),
 }
 
 /// Abilities of a VM that earlier versions lack.
--- a/wire/src/peers.rs
+++ b/wire/src/peers.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use merlinrudder_core::cold::reports::ColdReport;
 use merlinrudder_core::directory::{ServerRecord, ServerStage};
 use merlinrudder_core::engine_placement::loads::PlacedPrompt;
 use merlinrudder_core::names::{ServerId, ServiceName, VmId, ZoneName};
@@ -104,6 +105,40 @@
     }
 }
 
+/// How much longer a backend server is cold, as its newest heartbeat says.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireColdServer {
+    id: String,
+    /// Start of the incarnation, in Unix milliseconds by the server's clock.
+    born: u64,
+    /// Sequence number of the heartbeat.
+    sequence: u64,
+    /// Time left when the message is sent, in milliseconds; 0 if the server is warm.
+    left_ms: u64,
+}
+
+impl From<ColdReport> for WireColdServer {
+    fn from(report: ColdReport) -> Self {
+        Self {
+            id: report.server.to_string(),
+            born: report.born,
+            sequence: report.sequence,
+            left_ms: millis(report.left),
+        }
+    }
+}
+
+impl From<WireColdServer> for ColdReport {
+    fn from(wire: WireColdServer) -> Self {
+        Self {
+            server: ServerId::from(wire.id),
+            born: wire.born,
+            sequence: wire.sequence,
+            left: Duration::from_millis(wire.left_ms),
+        }
+    }
+}
+
 /// Changes of an entry VM's placements on engines.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WirePlacements {
