--- a/core/src/cold.rs
+++ b/core/src/cold.rs
@@ -330,7 +330,11 @@
         match self.warmth(now, record) {
             Warmth::Warm => true,
             Warmth::Ramping(since) => {
-                let halvings = if now.since(since) * 2 < RAMP_TIME { 2 } else { 4 };
+                let halvings = if now.since(since) * 2 < RAMP_TIME {
+                    2
+                } else {
+                    4
+                };
                 let plan = self.plan(now, record);
                 plan.is_some_and(|plan| self.is_due(now, &record.id, plan.spacing / halvings))
             }
--- a/core/src/cold/reports.rs
+++ b/core/src/cold/reports.rs
@@ -75,11 +75,7 @@
         let is_same = known.is_some_and(|known| known.sequence == report.sequence);
         let until = if !report.left.is_zero() {
             let until = Some(now + report.left);
-            if is_same {
-                until.max(was_until)
-            } else {
-                until
-            }
+            if is_same { until.max(was_until) } else { until }
         } else if was_cold && !is_same {
             Some(now)
         } else {
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the core state machines, without a real clock, network or disk.
 
 mod claims;
+mod cold_bound;
+mod cold_servers;
 mod consensus;
 mod control;
 mod crash_blame;
--- a/core/tests/integration/util.rs
+++ b/core/tests/integration/util.rs
@@ -2,6 +2,7 @@
 
 pub mod burst_sim;
 mod codec;
+pub mod cold_sim;
 mod commands;
 mod crashes;
 pub mod engine_sim;
--- a/core/tests/integration/util/cold_sim.rs
+++ b/core/tests/integration/util/cold_sim.rs
@@ -147,12 +147,16 @@
             let heard = self.now + self.rng.u64(0..=delay_ms);
             self.news.push((heard, vm, News::Record(record.clone())));
             let told = self.now + self.rng.u64(0..=delay_ms);
-            let left = (self.now + left_ms).saturating_sub(self.now);
-            let report = report(record, record.sequence, left);
+            let report = report(record, record.sequence, left_ms);
             self.news.push((told, vm, News::Report(report)));
         }
     }
 
+    /// Tells one VM at once.
+    pub fn tell(&mut self, vm: usize, news: News) {
+        self.news.push((self.now, vm, news));
+    }
+
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis;
         while self.now < end {
--- a/node/src/gateway/cold.rs
+++ b/node/src/gateway/cold.rs
@@ -121,7 +121,9 @@
         fleet.forget_gone_cold();
         fleet.cold.update_ranks();
         let cold = fleet.cold_servers(gateway.now()).into_iter();
-        let cold: BTreeMap<_, _> = cold.map(|record| (record.id.clone(), record.born)).collect();
+        let cold: BTreeMap<_, _> = cold
+            .map(|record| (record.id.clone(), record.born))
+            .collect();
         drop(fleet);
         for (server, born) in cold.iter().filter(|(id, _)| !before.contains_key(*id)) {
             info!(gateway.log, "Backend server is cold"; "server" => %server, "born" => born);
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the server: settings, mesh certificates, HTTP ports, platform roles and a soak.
 
 mod backend_server;
+mod cold_servers;
 mod crash_quarantine;
 mod crashing_parts;
 mod crashing_requests;
