--- a/core/src/cold.rs
+++ b/core/src/cold.rs
@@ -33,7 +33,7 @@
 const GROWTH_PERCENT: usize = 10;
 /// Longest time for which the servers of a reopened zone count as cold without a report.
 const REOPENED_TIME: Duration = Duration::from_secs(3);
-/// Time after the reopening of a zone before which a report counts as sent earlier.
+/// Time after the reopening of a zone before which a heartbeat counts as sent earlier.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Period of the turns of a VM that was never told the number of VMs.
 const BLIND_PERIOD: Duration = Duration::from_secs(30);
@@ -158,17 +158,26 @@
     }
 
     /// Records a report on a server; returns what it changes.
+    ///
+    /// It does not end the time since a reopening, as it may repeat an earlier heartbeat.
     pub fn record_report(&mut self, now: Moment, report: &ColdReport) -> ColdChange {
-        let change = self.reports.record(now, report);
-        if change != ColdChange::Stale {
-            self.end_reopening(now, &report.server, report.born, report.sequence);
-        }
-        change
+        self.reports.record(now, report)
     }
 
-    /// Records that a heartbeat newer than those before did not report the server as cold.
-    pub fn record_heartbeat(&mut self, now: Moment, record: &ServerRecord) {
-        self.end_reopening(now, &record.id, record.born, record.sequence);
+    /// Records a heartbeat that a VM heard at `heard_at` which reports cold servers.
+    ///
+    /// If it was sent after the reopening of the server's zone, reports alone tell from now on whether
+    /// the server is cold.
+    pub fn record_heartbeat(&mut self, heard_at: Moment, record: &ServerRecord) {
+        let is_later = |reopening: Reopening| {
+            record.sequence > reopening.sequence && heard_at >= reopening.at + REPORT_DELAY
+        };
+        let server = self.servers.get_mut(&record.id);
+        if let Some(server) = server.filter(|known| known.born == record.born)
+            && server.reopening.is_some_and(is_later)
+        {
+            server.reopening = None;
+        }
     }
 
     /// Records a lifetime of a server that was running at `heard_at`.
@@ -387,19 +396,6 @@
         let in_turn = (now.as_millis() + offset) % period < duration_millis(BLIND_TURN);
         self.others.is_none() && in_turn && self.is_due(now, id, BLIND_PERIOD / 2)
     }
-
-    /// Ends the time since a reopening if a heartbeat was sent later.
-    fn end_reopening(&mut self, now: Moment, id: &ServerId, born: u64, sequence: u64) {
-        let is_later = |reopening: Reopening| {
-            sequence > reopening.sequence && now.since(reopening.at) >= REPORT_DELAY
-        };
-        let server = self.servers.get_mut(id).filter(|known| known.born == born);
-        if let Some(server) = server
-            && server.reopening.is_some_and(is_later)
-        {
-            server.reopening = None;
-        }
-    }
 }
 
 /// Returns how many of the other VMs rank before this one for a server.
--- a/core/tests/integration/cold_servers.rs
+++ b/core/tests/integration/cold_servers.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
-use merlinrudder_core::cold::Warmth;
+use merlinrudder_core::cold::plan::ColdBounds;
 use merlinrudder_core::cold::reports::{ColdChange, ColdReports};
+use merlinrudder_core::cold::{ColdTable, Warmth};
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::fleet::{Fleet, NoChoice};
 use merlinrudder_core::names::{VmId, ZoneName};
 use merlinrudder_core::rate_limit::return_times::ReturnTimes;
 
+use crate::fleets;
 use crate::util::cold_sim::{
-    START_MS, at, fleet, fullest_second, others, report, send, server, service,
+    RULE, START_MS, at, fleet, fullest_second, others, report, send, server, service,
 };
 
 /// Returns a VM that has known for long that it is one of three.
@@ -142,12 +144,8 @@
 #[test]
 fn servers_count_as_warm_where_nothing_is_ever_told_or_the_service_has_no_rule() {
     let mut untold = fleet(0);
-    untold.cold = merlinrudder_core::cold::ColdTable::new(
-        VmId::from("entry-0"),
-        merlinrudder_core::cold::plan::ColdBounds::default(),
-    );
-    let rule = crate::util::cold_sim::RULE;
-    untold.cold.set_rules([(service(), rule)].into_iter());
+    untold.cold = ColdTable::new(VmId::from("entry-0"), ColdBounds::default());
+    untold.cold.set_rules([(service(), RULE)].into_iter());
     untold.merge(at(START_MS), server(0));
     assert_eq!(sends(&mut untold, START_MS, START_MS + 100).len(), 100);
     let mut without_rule = settled();
@@ -228,6 +226,11 @@
         if let Some(left) = left {
             let cold = report(&server(0), 3, left);
             fleet.cold.record_report(at(START_MS + 1_300), &cold);
+            let record = ServerRecord {
+                sequence: 3,
+                ..server(0)
+            };
+            fleet.cold.record_heartbeat(at(START_MS + 1_300), &record);
         }
         assert!(is_cold(&fleet, START_MS + ends - 1, &server(0)));
         assert!(!is_cold(&fleet, START_MS + ends, &server(0)));
@@ -295,3 +298,29 @@
     assert_eq!(fleet.cold.take_left_out(), 0);
     assert_eq!(fleet.cold_servers(at(START_MS + 1)), [&server(0)]);
 }
+
+/// Guards against orders of helpers and reservations, which would reach a cold server as well.
+#[test]
+fn a_cold_engine_takes_whole_prompts_only() {
+    let choose = |left: u64| {
+        let mut fleet = fleets::fleet(8);
+        fleet
+            .cold
+            .set_rules([(fleets::service(), RULE)].into_iter());
+        fleet.cold.set_vms(at(0), Some(others(0, 3)));
+        for number in 0..8 {
+            let report = report(&fleets::server("a", number), 1, left);
+            fleet.cold.record_report(at(START_MS), &report);
+        }
+        let chosen = fleet.choose_engines(
+            at(START_MS),
+            &fleets::service(),
+            &fleets::profile(),
+            &fleets::long(),
+            &[],
+        );
+        chosen.expect("engines are eligible").0.helpers.len()
+    };
+    assert!(choose(0) > 0);
+    assert_eq!(choose(3_000), 0);
+}
--- a/node/src/gateway/cold.rs
+++ b/node/src/gateway/cold.rs
@@ -8,6 +8,7 @@
 use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::names::{ServerId, VmId};
+use merlinrudder_core::time::Moment;
 use merlinrudder_wire::peers::WireColdServer;
 use slog::info;
 use tokio::time::sleep;
@@ -40,10 +41,17 @@
 }
 
 /// Records the heartbeat that a record shows, if its sender would have told of a cold server.
-pub(super) fn record_heartbeat(gateway: &Gateway, from: &VmId, record: &ServerRecord) {
+///
+/// That VM heard it at `heard_at`.
+pub(super) fn record_heartbeat(
+    gateway: &Gateway,
+    from: &VmId,
+    heard_at: Moment,
+    record: &ServerRecord,
+) {
     let mut fleet = gateway.fleet.borrow_mut();
     if fleet.cold.has_rules() && gateway.links.tells_cold(from) {
-        fleet.cold.record_heartbeat(gateway.now(), record);
+        fleet.cold.record_heartbeat(heard_at, record);
     }
 }
 
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -98,7 +98,7 @@
             for server in servers {
                 let heard_at = server.heard_at(now);
                 let record = ServerRecord::from(server);
-                cold::record_heartbeat(gateway, from, &record);
+                cold::record_heartbeat(gateway, from, heard_at, &record);
                 merge_server(gateway, heard_at, record);
             }
         }
--- a/wire/tests/integration/round_trips.rs
+++ b/wire/tests/integration/round_trips.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use merlinrudder_core::claims::{ClaimKey, ClaimState, RecordedAnswer};
+use merlinrudder_core::cold::reports::ColdReport;
 use merlinrudder_core::consensus::message::{
     Entry, HardState, Index, Payload, Record, ReplicaId, Snapshot, Term,
 };
 use merlinrudder_core::control::{Command, ControlState, PublishedManifest};
-use merlinrudder_core::directory::Incarnation;
+use merlinrudder_core::directory::{Incarnation, ServerRecord, ServerStage};
 use merlinrudder_core::manifest::ManifestNumber;
-use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId};
+use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId, ZoneName};
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason};
 use merlinrudder_core::rate_limit::bucket::Turn;
 use merlinrudder_core::rate_limit::lending::{Loan, Shard, Stamp};
@@ -23,9 +24,10 @@
 use merlinrudder_wire::control::{decode_command, decode_state, encode_command, encode_state};
 use merlinrudder_wire::dispatch::{FromDispatcher, WireFromDispatcher};
 use merlinrudder_wire::mesh::{
-    MeshMessage, WireFeatures, decode_frame, decode_handshake, encode_frame, encode_handshake,
+    MeshMessage, WireFeatures, decode_frame, decode_handshake, encode, encode_frame,
+    encode_handshake,
 };
-use merlinrudder_wire::peers::WirePeer;
+use merlinrudder_wire::peers::{WireColdServer, WirePeer, WireServer};
 use merlinrudder_wire::rates::WireRateMessage;
 use merlinrudder_wire::relay::WireRelay;
 
@@ -172,6 +174,45 @@
     }
 }
 
+#[test]
+fn reports_on_cold_servers_survive_the_way_to_another_vm() {
+    for left in [0, 1, 2_999, u64::MAX] {
+        let report = ColdReport {
+            server: ServerId::from("i-1"),
+            born: 1_712_000_000_000,
+            sequence: 4,
+            left: Duration::from_millis(left),
+        };
+        let wire = MeshMessage::ColdServers(vec![WireColdServer::from(report.clone())]);
+        let decoded = decode_frame(&encode_frame(&wire)).expect("a valid frame");
+        let MeshMessage::ColdServers(decoded) = decoded else {
+            panic!("{decoded:?}");
+        };
+        let decoded: Vec<_> = decoded.into_iter().map(ColdReport::from).collect();
+        assert_eq!(decoded, [report]);
+    }
+}
+
+/// Guards against a record that a VM of an earlier version cannot read.
+#[test]
+fn records_of_servers_have_the_bytes_of_earlier_versions() {
+    let record = ServerRecord {
+        id: ServerId::from("i-1"),
+        born: 5,
+        sequence: 2,
+        service: ServiceName::from("app"),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        zone: ZoneName::from("z0"),
+        slots: 8,
+        stage: ServerStage::Ready,
+    };
+    let heard_at = Moment::from_millis(4_000);
+    let wire = WireServer::new(Moment::from_millis(5_000), heard_at, &record);
+    let mut bytes = vec![3, b'i', b'-', b'1', 5, 2, 3, b'a', b'p', b'p'];
+    bytes.extend([0, 127, 0, 0, 1, 80, 2, b'z', b'0', 8, 0, 0xe8, 7]);
+    assert_eq!(encode(&wire), bytes);
+}
+
 #[test]
 fn a_handshake_tells_features_which_an_earlier_version_ignores() {
     let peer = WirePeer {
