--- a/core/tests/integration/cold_bound.rs
+++ b/core/tests/integration/cold_bound.rs
@@ -123,9 +123,9 @@
 
 #[test]
 fn a_zone_that_returns_cold_attracts_no_burst_and_costs_no_caller_an_answer() {
-    // 122 calls a second, and at once six times as many.
-    for demand in [122.0 / 75.0, 10.0] {
-        let mut sim = ColdSim::new(whole_views(75), demand, 7);
+    // 122 calls a second, and several times what the cold servers take.
+    for demand in [122.0 / 145.0, OVERLOAD] {
+        let mut sim = ColdSim::new(whole_views(145), demand, 7);
         let (cold, warm): (Vec<_>, Vec<_>) =
             servers().into_iter().partition(|s| s.zone.as_str() == "z2");
         for record in &warm {
@@ -179,14 +179,14 @@
 /// A server that becomes cold again is held back from when VMs hear of it.
 #[test]
 fn a_server_that_becomes_cold_again_is_held_back() {
-    let mut sim = ColdSim::new(whole_views(75), OVERLOAD, 8);
+    let mut sim = ColdSim::new(whole_views(145), OVERLOAD, 8);
     for record in servers() {
         sim.add_server(&record, 0, 20);
     }
     sim.run(1_000);
     let again: Vec<_> = servers().into_iter().take(5).collect();
     for record in &again {
-        for vm in 0..75 {
+        for vm in 0..145 {
             let told = News::Report(report(record, 9, COLD_MS));
             sim.tell(vm, told);
         }
