--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -59,6 +59,7 @@
         placement_sync::send_all(gateway, &peer.vm_id());
         rate_limits::link_up(gateway, &peer.vm_id());
         relay_link_up(gateway, peer);
+        update_sight(gateway);
     }
 }
 
@@ -89,6 +90,7 @@
     }
     drop(fleet);
     rate_limits::update_vms(gateway);
+    update_sight(gateway);
 }
 
 fn handle_message(gateway: &Rc<Gateway>, from: &VmId, message: MeshMessage) {
@@ -141,6 +143,16 @@
     drop(entry_vms);
     cold::update_vms(gateway);
     rate_limits::update_vms(gateway);
+    update_sight(gateway);
+}
+
+/// Updates whether the placements of most other entry VMs are known here.
+fn update_sight(gateway: &Gateway) {
+    let linked = gateway.links.peers();
+    let linked = linked.iter().filter(|peer| !peer.control).count();
+    let sharers = gateway.entry_vms.borrow_mut().sharers(gateway.now());
+    let sees_placements = sharers.is_some_and(|sharers| linked * 2 >= sharers - 1);
+    gateway.fleet.borrow_mut().sees_placements = sees_placements;
 }
 
 /// Merges a record of a backend server, which was current at `heard_at`.
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -105,6 +105,7 @@
         let rates = RateLimits::new(clock.now(), vm.clone(), fastrand::u64(..));
         let mut fleet = Fleet::new(zone.clone(), rates);
         fleet.cold = ColdTable::new(vm.clone(), config.cold_bounds);
+        fleet.sees_placements = false;
         Self {
             vm,
             zone,
