feature: one link for each pair of entry VMs

Both VMs of a pair dialled, so a fleet of 75 opened 6,000 links at once and sent each heartbeat twice. The VM with the lower link address dials now; the other one helps once there was no link for 2 s. Seeds and control VMs are dialled as before. The gauge merlinrudder_open_links counts the links of a VM.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod fleet;
 pub mod health;
 pub mod in_flight;
+pub mod link_policy;
 pub mod manifest;
 pub mod manifest_pull;
 pub mod membership;
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -127,8 +127,10 @@
     let mut entry_vms = gateway.entry_vms.borrow_mut();
     let linked = gateway.links.peers();
     for peer in peers.iter().chain(&linked) {
-        gateway.links.dial(peer.address, false);
-        if !peer.control && peer.vm_id() != gateway.vm {
+        if peer.control {
+            gateway.links.dial(peer.address, false);
+        } else if peer.vm_id() != gateway.vm {
+            gateway.links.dial_pair(peer.address);
             entry_vms.record(now, peer.vm_id());
         }
     }
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -2,7 +2,8 @@
 //!
 //! A link is a TCP connection that carries length-prefixed frames in both directions. Either side
 //! sends heartbeats and closes a link on which nothing arrives, so a dead connection is detected
-//! while it is idle. The side that dialled connects again.
+//! while it is idle. The side that dialled connects again. Of two entry VMs, the one with the lower
+//! address dials, and the other one helps if no link opens.
 
 mod table;
 
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use anyhow::{Result, anyhow, bail};
+use merlinrudder_core::link_policy::dial_delay;
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::{
     MAX_FRAME_BYTES, MeshMessage, WireFeatures, decode_frame, decode_handshake, encode_frame,
@@ -22,7 +24,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 
 use self::table::{FrameQueue, LinkTable};
@@ -116,11 +118,25 @@
     /// on the runtime of `bind`.
     pub fn dial(&self, address: SocketAddr, seed: bool) {
         let is_local = address == self.shared.local_peer.address;
-        if !is_local && self.shared.table.start_dialling(address) {
+        if !is_local && self.shared.table.start_dialling(address).is_some() {
             tokio::spawn(dial(Arc::clone(&self.shared), address, seed));
         }
     }
 
+    /// Keeps one link to a VM that knows this one as well, and dials it too.
+    ///
+    /// The VM with the lower address dials whenever there is no link, the other one only after
+    /// `DIAL_HELP_DELAY` without one. An unreachable address is given up after
+    /// `MAX_CONNECT_FAILURES`. Must be called on the runtime of `bind`.
+    pub fn dial_pair(&self, address: SocketAddr) {
+        if address == self.shared.local_peer.address {
+            return;
+        }
+        if let Some(lost) = self.shared.table.start_dialling(address) {
+            tokio::spawn(dial_pair(Arc::clone(&self.shared), address, lost));
+        }
+    }
+
     /// Queues a message for a VM.
     ///
     /// It is dropped and counted if no link to the VM has room in its queue.
@@ -146,6 +162,12 @@
         self.shared.table.features(vm)?.relay
     }
 
+    /// Returns the number of open links; of two VMs that dialled each other both links count.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.shared.table.count()
+    }
+
     /// Returns all VMs with an open link.
     #[must_use]
     pub fn peers(&self) -> Vec<WirePeer> {
@@ -157,7 +179,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, remote)) => {
-                tokio::spawn(serve(Arc::clone(&shared), stream, remote));
+                let shared = Arc::clone(&shared);
+                tokio::spawn(async move { serve(&shared, stream, remote).await });
             }
             Err(error) => {
                 warn!(shared.log, "Failed to accept link"; "error" => %error);
@@ -170,23 +193,56 @@
 async fn dial(shared: Arc<Shared>, address: SocketAddr, seed: bool) {
     let mut failures = 0;
     while seed || failures < MAX_CONNECT_FAILURES {
-        let connected = timeout(LINK_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        if let Ok(Ok(stream)) = connected {
-            failures = 0;
-            serve(Arc::clone(&shared), stream, address).await;
-            sleep(RECONNECT_DELAY).await;
-        } else {
-            failures += 1;
-            sleep(CONNECT_RETRY_DELAY).await;
+        failures = dial_once(&shared, address, failures).await;
+    }
+    give_up(&shared, address);
+}
+
+/// Dials whenever no link is open to a VM for the delay that its address asks for.
+async fn dial_pair(shared: Arc<Shared>, address: SocketAddr, lost: Arc<Notify>) {
+    let delay = dial_delay(shared.local_peer.address, address);
+    let mut failures = 0;
+    while failures < MAX_CONNECT_FAILURES {
+        wait_unlinked(&shared, address, delay, &lost).await;
+        failures = dial_once(&shared, address, failures).await;
+    }
+    give_up(&shared, address);
+}
+
+/// Waits until a VM has had no link for `delay`; `lost` tells when it loses its last one.
+async fn wait_unlinked(shared: &Shared, address: SocketAddr, delay: Duration, lost: &Notify) {
+    loop {
+        while shared.table.is_linked(address) {
+            lost.notified().await;
+        }
+        // A link that was opened and lost meanwhile restarts the delay.
+        let has_waited = timeout(delay, lost.notified()).await.is_err();
+        if has_waited && !shared.table.is_linked(address) {
+            return;
         }
     }
+}
+
+/// Connects, and runs the link until it is closed; returns the failed attempts in a row.
+async fn dial_once(shared: &Shared, address: SocketAddr, failures: u32) -> u32 {
+    let connected = timeout(LINK_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    if let Ok(Ok(stream)) = connected {
+        serve(shared, stream, address).await;
+        sleep(RECONNECT_DELAY).await;
+        return 0;
+    }
+    sleep(CONNECT_RETRY_DELAY).await;
+    failures + 1
+}
+
+fn give_up(shared: &Shared, address: SocketAddr) {
     shared.table.stop_dialling(address);
     info!(shared.log, "Gave up an unreachable address"; "address" => %address);
 }
 
 /// Runs a link until it is closed, and logs why.
-async fn serve(shared: Arc<Shared>, stream: TcpStream, remote: SocketAddr) {
-    if let Err(error) = run_link(&shared, stream).await {
+async fn serve(shared: &Shared, stream: TcpStream, remote: SocketAddr) {
+    if let Err(error) = run_link(shared, stream).await {
         debug!(shared.log, "Link ended"; "remote" => %remote, "error" => %error);
     }
 }
@@ -206,6 +262,7 @@
     let (sender, frames) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let queue = FrameQueue::new(sender);
     let (id, is_first) = shared.table.open(&peer, features, queue);
+    metrics::set_open_links(shared.table.count());
     if is_first {
         info!(shared.log, "Link open"; "peer" => %vm, "address" => %peer.address);
         (shared.handler)(LinkEvent::Up(peer));
@@ -214,7 +271,9 @@
         result = read_messages(shared, &vm, &mut reader) => result,
         result = write_frames(&mut writer, frames) => result,
     };
-    if shared.table.close(&vm, id) {
+    let was_last = shared.table.close(&vm, id);
+    metrics::set_open_links(shared.table.count());
+    if was_last {
         let reason = result.as_ref().err().map(ToString::to_string);
         info!(shared.log, "Link lost"; "peer" => %vm, "reason" => reason);
         (shared.handler)(LinkEvent::Down(vm));
--- a/node/src/links/table.rs
+++ b/node/src/links/table.rs
@@ -1,13 +1,13 @@
 //! Table of the open links by VM.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::WireFeatures;
 use merlinrudder_wire::peers::WirePeer;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// Sending end of the frame queue of one link.
 #[derive(Debug)]
@@ -31,8 +31,8 @@
     last_id: u64,
     /// VMs with at least one open link.
     connected: BTreeMap<VmId, ConnectedPeer>,
-    /// Addresses that a task keeps connecting to.
-    dialled: BTreeSet<SocketAddr>,
+    /// Addresses that a task keeps connecting to; each is notified when its VM loses its last link.
+    dialled: BTreeMap<SocketAddr, Arc<Notify>>,
 }
 
 #[derive(Debug)]
@@ -41,7 +41,7 @@
     peer: WirePeer,
     /// Its features, as that link told them.
     features: WireFeatures,
-    /// Frame queues by link id; two VMs that dial each other have two links.
+    /// Frame queues by link id; two VMs may dial each other at the same time.
     links: BTreeMap<u64, FrameQueue>,
 }
 
@@ -78,11 +78,15 @@
             return false;
         };
         connected.links.remove(&id);
-        let was_last = connected.links.is_empty();
-        if was_last {
-            state.connected.remove(vm);
+        if !connected.links.is_empty() {
+            return false;
+        }
+        let address = connected.peer.address;
+        state.connected.remove(vm);
+        if let Some(lost) = state.dialled.get(&address) {
+            lost.notify_one();
         }
-        was_last
+        true
     }
 
     /// Queues a frame on the newest link with room; returns false if there is none.
@@ -121,9 +125,30 @@
             .collect()
     }
 
-    /// Marks an address as being dialled; returns false if it already was.
-    pub(super) fn start_dialling(&self, address: SocketAddr) -> bool {
-        self.state().dialled.insert(address)
+    pub(super) fn count(&self) -> usize {
+        let state = self.state();
+        let connected = state.connected.values();
+        connected.map(|connected| connected.links.len()).sum()
+    }
+
+    /// Whether a link is open to the VM that accepts links at an address.
+    pub(super) fn is_linked(&self, address: SocketAddr) -> bool {
+        let state = self.state();
+        let mut connected = state.connected.values();
+        connected.any(|connected| connected.peer.address == address)
+    }
+
+    /// Marks an address as being dialled; `None` if it already was.
+    ///
+    /// Returns what is notified when the VM at that address loses its last link.
+    pub(super) fn start_dialling(&self, address: SocketAddr) -> Option<Arc<Notify>> {
+        let mut state = self.state();
+        if state.dialled.contains_key(&address) {
+            return None;
+        }
+        let lost = Arc::new(Notify::new());
+        state.dialled.insert(address, Arc::clone(&lost));
+        Some(lost)
     }
 
     pub(super) fn stop_dialling(&self, address: SocketAddr) {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -100,6 +100,11 @@
     counter!(MESH_DROPPED).increment(1);
 }
 
+/// Sets the gauge of open links to other VMs.
+pub fn set_open_links(links: usize) {
+    set_gauge("merlinrudder_open_links", links);
+}
+
 /// Sets the gauges of requests in flight, and of those at this VM's dispatcher.
 pub fn set_load_gauges(in_flight: usize, waiting: usize, running: usize) {
     set_gauge("merlinrudder_requests_held", in_flight);
