feature: ask control VMs for the crash history, not every entry VM

Each VM got the whole history from all others at a start, and logged a line for each crash in it: 12,000 lines at a start of 75 entry VMs. Entry VMs tell each other that they understand reports by PullQuarantineList with HISTORY_NOT_WANTED, which a VM of the version before answers with its history, as until now. Crashes older than a minute are counted in one log line.

--- a/core/src/crash_history.rs
+++ b/core/src/crash_history.rs
@@ -39,6 +39,8 @@
 const SUSPICION_LIFETIME: Duration = Duration::from_hours(1);
 /// Time after which a content is forgotten in any case.
 const RECORD_LIFETIME: Duration = Duration::from_hours(48);
+/// Age from which a crash that becomes known is part of a history.
+const RECENT_CRASH_AGE: Duration = Duration::from_mins(1);
 /// Maximum number of contents and parts kept; beyond it, those with the fewest crashes go first.
 pub const MAX_CONTENTS: usize = 4096;
 /// Maximum number of crashes kept for one content.
@@ -70,6 +72,14 @@
     pub run: CrashedRun,
 }
 
+impl CrashReport {
+    /// Whether the crash is a matter of the moment, not one of a history that is caught up on.
+    #[must_use]
+    pub fn is_recent(&self, now: Moment) -> bool {
+        now.since(self.run.ended) < RECENT_CRASH_AGE
+    }
+}
+
 /// Whether a content or part may be sent to backend servers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashVerdict {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod events;
 pub mod fleet;
 pub mod health;
+pub mod history_pull;
 pub mod in_flight;
 pub mod link_policy;
 pub mod manifest;
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -218,7 +218,7 @@
         }
         self.resolve_initial_vms();
         let vm = peer.vm_id();
-        self.crashes.link_up(&self.links, &vm);
+        self.crashes.pull(&self.links, &vm);
         let servers = self.servers.all_records(now);
         self.send(&vm, &MeshMessage::Servers(servers));
         self.send(&vm, &self.newest_manifest(now));
@@ -277,8 +277,8 @@
             }
             MeshMessage::ProposeReply { id, result } => self.handle_proposal_result(id, result),
             MeshMessage::PullManifest { have } => self.send_manifest(now, from, have),
-            MeshMessage::PullQuarantineList { .. } => {
-                self.crashes.answer_pull(now, &self.links, from);
+            MeshMessage::PullQuarantineList { have } => {
+                self.crashes.answer_pull(now, &self.links, from, have);
             }
             MeshMessage::CrashReports(reports) => self.handle_crash_reports(now, from, reports),
             MeshMessage::Servers(servers) => self.handle_servers(now, servers),
--- a/node/src/crash_exchange.rs
+++ b/node/src/crash_exchange.rs
@@ -8,7 +8,7 @@
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_wire::crashes::WireCrashReport;
-use merlinrudder_wire::mesh::MeshMessage;
+use merlinrudder_wire::mesh::{HISTORY_NOT_WANTED, MeshMessage};
 use slog::{Logger, info, warn};
 
 use crate::links::Links;
@@ -30,12 +30,20 @@
 }
 
 impl CrashExchange {
-    /// Asks a VM for its reports, whose link has just opened.
-    pub(crate) fn link_up(&self, links: &Links, vm: &VmId) {
+    /// Asks a linked VM for its reports.
+    pub(crate) fn pull(&self, links: &Links, vm: &VmId) {
         let have = self.history.len() as u64;
         links.send(vm, &MeshMessage::PullQuarantineList { have });
     }
 
+    /// Tells a VM whose link has just opened that this one understands crash reports.
+    ///
+    /// Only an earlier version answers with its reports.
+    pub(crate) fn introduce(links: &Links, vm: &VmId) {
+        let have = HISTORY_NOT_WANTED;
+        links.send(vm, &MeshMessage::PullQuarantineList { have });
+    }
+
     pub(crate) fn link_down(&mut self, vm: &VmId) {
         self.subscribers.remove(vm);
     }
@@ -45,10 +53,13 @@
         self.subscribers.contains(vm)
     }
 
-    /// Answers a VM with all reports; also without any, so that it knows this VM as a subscriber.
-    pub(crate) fn answer_pull(&mut self, now: Moment, links: &Links, from: &VmId) {
+    /// Answers a VM with all reports, unless it wants none.
+    ///
+    /// Also answers without any, so that the VM knows this one as a subscriber.
+    pub(crate) fn answer_pull(&mut self, now: Moment, links: &Links, from: &VmId, have: u64) {
         self.subscribers.insert(from.clone());
-        let reports: Vec<_> = self.history.reports().collect();
+        let reports = self.history.reports();
+        let reports: Vec<_> = reports.filter(|_| have != HISTORY_NOT_WANTED).collect();
         if reports.is_empty() {
             links.send(from, &MeshMessage::CrashReports(Vec::new()));
         }
@@ -119,11 +130,18 @@
         let mut sendable: BTreeSet<_> = reports.iter().map(|report| report.content).collect();
         sendable.retain(|content| self.quarantined_until(now, content).is_none());
         reports.retain(|report| self.history.merge(report));
-        for report in &reports {
+        let (recent, old): (Vec<_>, Vec<_>) =
+            reports.iter().partition(|report| report.is_recent(now));
+        for report in recent {
             info!(log, "Crash of a backend server recorded"; "content" => %report.content,
                 "server" => %report.incarnation.server, "born" => report.incarnation.born,
                 "cleared" => report.run.cleared);
         }
+        if !old.is_empty() {
+            let cleared = old.iter().filter(|report| report.run.cleared).count();
+            info!(log, "Earlier crashes of backend servers recorded"; "reports" => old.len(),
+                "cleared" => cleared);
+        }
         for content in sendable {
             self.log_quarantine(now, &content, log);
         }
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -119,6 +119,7 @@
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
+        spawn_local(crash_watch::pull_without_control(Rc::clone(&gateway)));
         spawn_local(reach::run(Rc::clone(&gateway)));
         for (listener, sender) in [
             (caller_listener, Sender::Caller),
--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -9,6 +9,7 @@
 use merlinrudder_core::crash_detector::{BrokenRun, CrashDetector, SETTLE_TIME};
 use merlinrudder_core::crash_history::CrashReport;
 use merlinrudder_core::directory::{Incarnation, ServerStage};
+use merlinrudder_core::history_pull::HistoryPull;
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::ContentDigest;
@@ -34,6 +35,8 @@
 const MAX_CONTROL_PROBES: usize = 4;
 /// Margin by which a report waits longer than the settle time, as times are whole milliseconds.
 const SETTLE_MARGIN: Duration = Duration::from_millis(5);
+/// Interval at which the links to control VMs are looked at.
+const CONTROL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which old entries of the crash history are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -48,6 +51,8 @@
     last_run: u64,
     /// Contents and parts on trial, each with the time until which its result is awaited.
     pub(super) trials: BTreeMap<ContentDigest, Moment>,
+    /// Whom to ask for the history while no control VM is linked.
+    history_pull: HistoryPull,
     /// Lifetimes of servers that are being probed.
     probing: BTreeSet<Incarnation>,
 }
@@ -183,6 +188,35 @@
     spawn_local(report_later(Rc::clone(gateway)));
 }
 
+/// Asks a control VM for its history; tells an entry VM that this one understands reports.
+pub(super) fn link_up(gateway: &Gateway, peer: &WirePeer) {
+    if peer.control {
+        let mut watch = gateway.crashes.borrow_mut();
+        watch.history_pull.control_linked();
+        watch.exchange.pull(&gateway.links, &peer.vm_id());
+    } else {
+        CrashExchange::introduce(&gateway.links, &peer.vm_id());
+    }
+}
+
+/// Asks entry VMs for the history while no control VM is linked, until the process exits.
+pub(super) async fn pull_without_control(gateway: Rc<Gateway>) {
+    loop {
+        sleep(CONTROL_CHECK_INTERVAL).await;
+        let peers = gateway.links.peers();
+        let mut watch = gateway.crashes.borrow_mut();
+        if peers.iter().any(|peer| peer.control) {
+            watch.history_pull.control_linked();
+            continue;
+        }
+        let entry_vms = peers.iter().map(WirePeer::vm_id);
+        for vm in watch.history_pull.due(gateway.now(), entry_vms) {
+            info!(gateway.log, "Crash history requested from an entry VM"; "from" => %vm);
+            watch.exchange.pull(&gateway.links, &vm);
+        }
+    }
+}
+
 /// Merges the reports of another VM.
 pub(super) fn receive(gateway: &Gateway, from: &VmId, reports: Vec<WireCrashReport>) {
     let mut watch = gateway.crashes.borrow_mut();
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -45,9 +45,7 @@
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.zone_links.opened(peer.vm_id(), zone);
     drop(fleet);
-    let crashes = gateway.crashes.borrow();
-    crashes.exchange.link_up(&gateway.links, &peer.vm_id());
-    drop(crashes);
+    crash_watch::link_up(gateway, peer);
     if peer.control {
         gateway.fleet.borrow_mut().receives_heartbeats = true;
     } else {
@@ -107,10 +105,11 @@
             activate_manifest(gateway, number, &bytes);
             pull_manifest(gateway);
         }
-        MeshMessage::PullQuarantineList { .. } => {
+        MeshMessage::PullQuarantineList { have } => {
             let now = gateway.now();
             let mut crashes = gateway.crashes.borrow_mut();
-            crashes.exchange.answer_pull(now, &gateway.links, from);
+            let exchange = &mut crashes.exchange;
+            exchange.answer_pull(now, &gateway.links, from, have);
         }
         MeshMessage::TrialStarted(content) => crash_verdict::receive_trial(gateway, content),
         MeshMessage::CrashReports(reports) => crash_watch::receive(gateway, from, reports),
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -21,6 +21,8 @@
 pub const MESH_VERSION: u8 = 1;
 /// Maximum frame size; a snapshot of the control state is the largest message.
 pub const MAX_FRAME_BYTES: usize = 512 * 1024 * 1024;
+/// Value of `PullQuarantineList::have` of a VM that gets the crash history elsewhere.
+pub const HISTORY_NOT_WANTED: u64 = u64::MAX;
 
 /// Message from one VM to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -77,10 +79,15 @@
     },
     /// Asks for quarantined contents that the sender does not know.
     ///
+    /// With `HISTORY_NOT_WANTED` it only tells that the sender understands the answer, which then holds no
+    /// reports; a VM of an earlier version answers with all of them.
+    ///
     /// A VM that keeps a crash history answers with `CrashReports`, and only sends that message and
     /// `TrialStarted` to VMs which have sent either of the first two. A VM of an earlier version sends neither.
     PullQuarantineList {
         /// Version of the list that the sender knows; the number of its contents unless it is full.
+        ///
+        /// `HISTORY_NOT_WANTED` if the sender asks other VMs.
         have: u64,
     },
     /// SHA-256 digests of all quarantined contents, oldest first.
