feature: send the list of all VMs when it changed, not every 2 s

Each control VM sent the list to all VMs every 2 s, and after each link that opened: with 145 entry VMs 150 entries to 150 VMs. Messages to many VMs are encoded once.

--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -8,6 +8,7 @@
 use merlinrudder_core::consensus::message::{Message, ReplicaId};
 use merlinrudder_core::control::Command;
 use merlinrudder_core::names::VmId;
+use merlinrudder_core::peer_list::PeerListSchedule;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::{MeshMessage, WireProposeResult};
 use merlinrudder_wire::peers::WirePeer;
@@ -27,8 +28,6 @@
 
 /// Interval at which entry VMs are sent the number of the newest manifest.
 const ADVERTISE_INTERVAL: Duration = Duration::from_millis(400);
-/// Interval at which the linked VMs are sent the list of known VMs.
-const PEERS_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without contact after which a follower counts as cut off from the leader.
 const LEADER_CONTACT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -50,7 +49,8 @@
     /// Manifest number last sent to the entry VMs.
     advertised: u64,
     next_advertise: Moment,
-    next_peers: Moment,
+    /// When the linked VMs are sent the list of known VMs.
+    peer_list: PeerListSchedule,
     was_leader: bool,
     pub(super) log: Logger,
 }
@@ -90,7 +90,7 @@
             initial_addrs,
             advertised: 0,
             next_advertise: now,
-            next_peers: now,
+            peer_list: PeerListSchedule::default(),
             was_leader: false,
             log,
         })
@@ -134,7 +134,7 @@
         if now >= self.next_advertise {
             self.advertise_manifest(now);
         }
-        if now >= self.next_peers {
+        if self.peer_list.is_due(now) {
             self.send_peers(now);
         }
         let is_leader = self.replica.consensus.is_leader();
@@ -209,9 +209,7 @@
         }
     }
 
-    /// Sends a newly linked VM all servers and the manifest number.
-    ///
-    /// The next tick sends the list of known VMs to all linked VMs.
+    /// Sends a newly linked VM all servers, the manifest number and the list of known VMs.
     fn handle_link_up(&mut self, now: Moment, peer: &WirePeer) {
         if peer.control {
             self.links.dial(peer.address, false);
@@ -222,7 +220,8 @@
         let servers = self.servers.all_records(now);
         self.send(&vm, &MeshMessage::Servers(servers));
         self.send(&vm, &self.newest_manifest(now));
-        self.next_peers = now;
+        self.send(&vm, &MeshMessage::Peers(self.known_peers()));
+        self.peer_list.opened((vm, peer.address));
     }
 
     /// Resolves the addresses of the initial control VMs to ids, once all have links.
@@ -379,17 +378,21 @@
         }
     }
 
-    /// Sends the list of known VMs to all linked VMs.
-    fn send_peers(&mut self, now: Moment) {
-        self.next_peers = now + PEERS_INTERVAL;
+    /// Returns all linked VMs and this one.
+    fn known_peers(&self) -> Vec<WirePeer> {
         let mut peers = self.links.peers();
         peers.push(self.local_peer.clone());
-        let message = MeshMessage::Peers(peers.clone());
-        for peer in &peers {
-            if peer.vm != self.local_peer.vm {
-                self.send(&peer.vm_id(), &message);
-            }
-        }
+        peers
+    }
+
+    /// Sends the list of known VMs to all linked VMs.
+    fn send_peers(&mut self, now: Moment) {
+        let peers = self.known_peers();
+        let listed = peers.iter().map(|peer| (peer.vm_id(), peer.address));
+        self.peer_list.sent(now, listed);
+        let others = peers.iter().filter(|peer| **peer != self.local_peer);
+        let others: Vec<_> = others.map(WirePeer::vm_id).collect();
+        self.links.send_all(&others, &MeshMessage::Peers(peers));
     }
 
     /// Sends the newest manifest, if it is newer than `have`.
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -143,12 +143,18 @@
     ///
     /// It is dropped and counted if no link to the VM has room in its queue.
     pub fn send(&self, to: &VmId, message: &MeshMessage) {
+        self.send_all(std::slice::from_ref(to), message);
+    }
+
+    /// Queues a message for several VMs, as `send` does; encodes it once.
+    pub fn send_all(&self, vms: &[VmId], message: &MeshMessage) {
         let frame = encode_frame(message);
-        let bytes = frame.len();
-        if self.shared.table.send(to, frame) {
-            metrics::count_mesh_sent(bytes);
-        } else {
-            metrics::count_mesh_dropped();
+        for vm in vms {
+            if self.shared.table.send(vm, frame.clone()) {
+                metrics::count_mesh_sent(frame.len());
+            } else {
+                metrics::count_mesh_dropped();
+            }
         }
     }
 
