feature: a starting entry VM serves callers before it links to other entry VMs

At a start of all VMs, links to all other entry VMs opened while callers waited for the configuration.

Tested in core; the link tests of the node cover the dialling.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod membership;
 pub mod names;
 pub mod outcome;
+pub mod pair_start;
 pub mod peer_list;
 pub mod placement;
 pub mod queue;
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -20,6 +20,7 @@
 mod long_prompt_bursts;
 mod manifest_pull;
 mod membership;
+mod pair_start;
 mod peer_list;
 mod rate_limits;
 mod reach;
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -116,6 +116,7 @@
         }
         let gateway = Rc::new(Gateway::new(&config, relay.token, links, log));
         spawn_local(link_events::run(Rc::clone(&gateway), receiver));
+        spawn_local(link_events::release_later(Rc::clone(&gateway)));
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -1,5 +1,6 @@
 //! Handles links and messages from control VMs and other entry VMs.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use merlinrudder_core::directory::{Merged, ServerRecord};
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::{VmId, ZoneName};
+use merlinrudder_core::pair_start::MAX_HOLD_TIME;
 use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
 use merlinrudder_wire::peers::WirePeer;
@@ -124,20 +126,46 @@
 fn handle_peers(gateway: &Gateway, peers: &[WirePeer]) {
     let now = gateway.now();
     let mut entry_vms = gateway.entry_vms.borrow_mut();
+    let mut addresses = Vec::new();
     let linked = gateway.links.peers();
     for peer in peers.iter().chain(&linked) {
         if peer.control {
             gateway.links.dial(peer.address, false);
         } else if peer.vm_id() != gateway.vm {
-            gateway.links.dial_pair(peer.address);
+            addresses.push(peer.address);
             entry_vms.record(now, peer.vm_id());
         }
     }
     entry_vms.mark_complete();
     drop(entry_vms);
+    let addresses = gateway.pair_start.borrow_mut().learnt(addresses);
+    dial_entry_vms(gateway, addresses);
     rate_limits::update_vms(gateway);
 }
 
+/// Dials entry VMs in a random order, so that VMs that start together do not all dial the same ones.
+fn dial_entry_vms(gateway: &Gateway, mut addresses: Vec<SocketAddr>) {
+    fastrand::shuffle(&mut addresses);
+    for address in addresses {
+        gateway.links.dial_pair(address);
+    }
+}
+
+/// Dials the entry VMs that were learnt while this VM started.
+fn release_entry_links(gateway: &Gateway) {
+    let addresses = gateway.pair_start.borrow_mut().release();
+    if !addresses.is_empty() {
+        info!(gateway.log, "Opening links to entry VMs"; "vms" => addresses.len());
+        dial_entry_vms(gateway, addresses);
+    }
+}
+
+/// Ends the hold of links to entry VMs in any case.
+pub(super) async fn release_later(gateway: Rc<Gateway>) {
+    sleep(MAX_HOLD_TIME).await;
+    release_entry_links(&gateway);
+}
+
 /// Merges a record of a backend server, which was current at `heard_at`.
 ///
 /// A later lifetime shows that an earlier one, which has not said goodbye, has crashed.
@@ -176,6 +204,7 @@
         if current && newest > 0 && !gateway.manifest_confirmed.replace(true) {
             info!(gateway.log, "Manifest confirmed as the newest"; "number" => local_number,
                 "by" => %from);
+            release_entry_links(gateway);
         }
         return;
     }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::{ServiceName, VmId, ZoneName};
+use merlinrudder_core::pair_start::PairStart;
 use merlinrudder_core::rate_limit::RateLimits;
 use merlinrudder_core::reach::ReachTable;
 use merlinrudder_core::relays::RelayTable;
@@ -77,6 +78,8 @@
     pub(super) crashes: RefCell<CrashWatch>,
     /// Entry VMs that share the retry budgets.
     pub(super) entry_vms: RefCell<Census>,
+    /// Entry VMs that are dialled once callers can be served.
+    pub(super) pair_start: RefCell<PairStart>,
     /// Requests and retries of each service at this VM, for the retry budget.
     retry_windows: RefCell<BTreeMap<ServiceName, RetryWindow>>,
     retry_limits: RetryLimits,
@@ -120,6 +123,7 @@
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
+            pair_start: RefCell::default(),
             retry_windows: RefCell::default(),
             retry_limits: config.retry_limits,
             manifest_confirmed: Cell::new(false),
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -25,7 +25,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use self::table::{LinkSignals, LinkTable, OpenLink};
@@ -48,6 +48,8 @@
 ///
 /// A message is dropped if no link to its VM has room.
 const MAX_QUEUED_MESSAGES: usize = 1024;
+/// Links to other entry VMs that this VM opens at the same time.
+const MAX_PAIR_DIALS: usize = 16;
 /// Size of the read buffer of a link.
 const READ_BUFFER_BYTES: usize = 4096;
 
@@ -75,6 +77,8 @@
     local_peer: WirePeer,
     features: WireFeatures,
     table: LinkTable,
+    /// Permits to open a link to another entry VM.
+    pair_dials: Semaphore,
     handler: LinkEventHandler,
     log: Logger,
 }
@@ -106,6 +110,7 @@
             local_peer,
             features,
             table: LinkTable::default(),
+            pair_dials: Semaphore::new(MAX_PAIR_DIALS),
             handler,
             log,
         });
@@ -128,7 +133,8 @@
     /// Keeps one link to a VM that knows this one as well, and dials it too.
     ///
     /// The VM with the lower address dials whenever there is no link, the other one only after
-    /// `DIAL_HELP_DELAY` without one. An unreachable address is given up after
+    /// `DIAL_HELP_DELAY` without one. At most `MAX_PAIR_DIALS` are opened at a time, in the order of
+    /// the calls. An unreachable address is given up after
     /// `MAX_CONNECT_FAILURES`. Must be called on the runtime of `bind`.
     pub fn dial_pair(&self, address: SocketAddr) {
         if address == self.shared.local_peer.address {
@@ -188,7 +194,7 @@
         match listener.accept().await {
             Ok((stream, remote)) => {
                 let shared = Arc::clone(&shared);
-                tokio::spawn(async move { serve(&shared, stream, remote).await });
+                tokio::spawn(async move { serve(&shared, stream, remote, None).await });
             }
             Err(error) => {
                 warn!(shared.log, "Failed to accept link"; "error" => %error);
@@ -201,7 +207,7 @@
 async fn dial(shared: Arc<Shared>, address: SocketAddr, seed: bool) {
     let mut failures = 0;
     while seed || failures < MAX_CONNECT_FAILURES {
-        failures = dial_once(&shared, address, failures).await;
+        failures = dial_once(&shared, address, failures, None).await;
     }
     give_up(&shared, address);
 }
@@ -212,7 +218,12 @@
     let mut failures = 0;
     while failures < MAX_CONNECT_FAILURES {
         wait_unlinked(&shared, address, delay, &lost).await;
-        failures = dial_once(&shared, address, failures).await;
+        // The semaphore is never closed, so this does not fail.
+        let permit = shared.pair_dials.acquire().await.ok();
+        // The other VM may have opened a link while this one waited for the permit.
+        if !shared.table.is_linked(address) {
+            failures = dial_once(&shared, address, failures, permit).await;
+        }
     }
     give_up(&shared, address);
 }
@@ -232,13 +243,21 @@
 }
 
 /// Connects, and runs the link until it is closed; returns the failed attempts in a row.
-async fn dial_once(shared: &Shared, address: SocketAddr, failures: u32) -> u32 {
+///
+/// `permit` is returned once the link is open or has failed.
+async fn dial_once(
+    shared: &Shared,
+    address: SocketAddr,
+    failures: u32,
+    permit: Option<SemaphorePermit<'_>>,
+) -> u32 {
     let connected = timeout(LINK_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     if let Ok(Ok(stream)) = connected {
-        serve(shared, stream, address).await;
+        serve(shared, stream, address, permit).await;
         sleep(RECONNECT_DELAY).await;
         return 0;
     }
+    drop(permit);
     sleep(CONNECT_RETRY_DELAY).await;
     failures + 1
 }
@@ -249,14 +268,25 @@
 }
 
 /// Runs a link until it is closed, and logs why.
-async fn serve(shared: &Shared, stream: TcpStream, remote: SocketAddr) {
-    if let Err(error) = run_link(shared, stream).await {
+async fn serve(
+    shared: &Shared,
+    stream: TcpStream,
+    remote: SocketAddr,
+    permit: Option<SemaphorePermit<'_>>,
+) {
+    if let Err(error) = run_link(shared, stream, permit).await {
         debug!(shared.log, "Link ended"; "remote" => %remote, "error" => %error);
     }
 }
 
 /// Exchanges `Handshake` messages, then messages in both directions until the link fails.
-async fn run_link(shared: &Shared, stream: TcpStream) -> Result<()> {
+///
+/// Returns the `permit` to open it after the handshakes.
+async fn run_link(
+    shared: &Shared,
+    stream: TcpStream,
+    permit: Option<SemaphorePermit<'_>>,
+) -> Result<()> {
     sockets::set_tcp_options(&stream)?;
     let (reader, mut writer) = stream.into_split();
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, reader);
@@ -267,6 +297,7 @@
     let frame = reading.await.map_err(|_elapsed| anyhow!("silent"))??;
     let frame = frame.ok_or_else(|| anyhow!("the first frame is empty"))?;
     let (peer, features) = decode_handshake(&frame)?;
+    drop(permit);
     let vm = peer.vm_id();
     let (sender, frames) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let limits = if shared.local_peer.control || peer.control {
