feature: batch placement changes longer for other zones of a large fleet

Each change went to all entry VMs after 8 ms, though a VM rarely places on engines of another zone. In fleets of more than 30 entry VMs, those of other zones get changes after up to 40 ms, unless one names an engine of their zone. Each batch is encoded once for all VMs of a zone.

Tests in core: near and far zones, order, the longest delay, void placements, lost links.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod pair_start;
 pub mod peer_list;
 pub mod placement;
+pub mod placement_batches;
 pub mod queue;
 pub mod rate_limit;
 pub mod reach;
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -22,6 +22,7 @@
 mod membership;
 mod pair_start;
 mod peer_list;
+mod placement_batches;
 mod rate_limits;
 mod reach;
 mod retry;
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -54,7 +54,7 @@
         let mut entry_vms = gateway.entry_vms.borrow_mut();
         entry_vms.record(gateway.now(), peer.vm_id());
         drop(entry_vms);
-        placement_sync::send_all(gateway, &peer.vm_id());
+        placement_sync::link_up(gateway, peer);
         rate_limits::link_up(gateway, &peer.vm_id());
         relay_link_up(gateway, peer);
     }
@@ -79,6 +79,7 @@
     gateway.manifest_pull.borrow_mut().disconnected(vm);
     gateway.crashes.borrow_mut().exchange.link_down(vm);
     gateway.relays.borrow_mut().remove(vm);
+    placement_sync::link_down(gateway, vm);
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.receives_heartbeats = has_control_link;
     fleet.entry_lost(now, vm);
--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -3,35 +3,43 @@
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::Duration;
 
 use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
 use merlinrudder_core::health::ServerOutcome;
-use merlinrudder_core::names::{ServerId, ServiceName, VmId};
+use merlinrudder_core::names::{ServerId, ServiceName, VmId, ZoneName};
+use merlinrudder_core::placement_batches::{ChangeKind, PlacementBatches};
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::MeshMessage;
-use merlinrudder_wire::peers::{WirePlacement, WirePlacementChange, WirePlacements};
+use merlinrudder_wire::peers::{WirePeer, WirePlacement, WirePlacementChange, WirePlacements};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::state::Gateway;
 
-/// Delay for which changes are collected into one message.
-const BATCH_DELAY: Duration = Duration::from_millis(8);
-
 /// Placements made by this VM, and changes not yet sent to others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Outbox {
     /// Number of the newest placement; numbers are unique while the process runs.
     last_number: u64,
-    /// Active placements by number, and whether their first event has arrived.
-    active: BTreeMap<u64, (ServiceName, PlacedPrompt, bool)>,
-    /// Changes for the next message, in order.
-    unsent: Vec<WirePlacementChange>,
+    /// Active placements by number.
+    active: BTreeMap<u64, ActivePlacement>,
+    /// Linked entry VMs, and the changes for their next messages.
+    batches: PlacementBatches<WirePlacementChange>,
     /// Wakes the task that sends the changes.
     wake: Rc<Notify>,
 }
 
+/// A placement that has not ended.
+#[derive(Debug)]
+struct ActivePlacement {
+    service: ServiceName,
+    placed: PlacedPrompt,
+    /// Zones of its engines.
+    zones: BTreeSet<ZoneName>,
+    /// Whether its first event has arrived.
+    is_prefilled: bool,
+}
+
 /// A placement made by this VM.
 ///
 /// Dropping it ends the placement here and at the other entry VMs.
@@ -52,8 +60,15 @@
         let number = outbox.last_number;
         add_to_load_table(gateway, now, &gateway.vm, number, service, &placed);
         let wire_placement = WirePlacement::new(now, number, service, &placed);
-        outbox.push(WirePlacementChange::Made(wire_placement));
-        let active_placement = (service.clone(), placed, false);
+        let engines = std::iter::once(&placed.lead).chain(&placed.helpers);
+        let zones = zones_of(gateway, engines);
+        outbox.push(now, &WirePlacementChange::Made(wire_placement), &zones);
+        let active_placement = ActivePlacement {
+            service: service.clone(),
+            placed,
+            zones,
+            is_prefilled: false,
+        };
         outbox.active.insert(number, active_placement);
         Self {
             gateway: Rc::clone(gateway),
@@ -69,10 +84,12 @@
         }
         let gateway = &self.gateway;
         let mut outbox = gateway.outbox.borrow_mut();
-        if let Some((_, _, first_received)) = outbox.active.get_mut(&self.number) {
-            *first_received = true;
+        if let Some(active) = outbox.active.get_mut(&self.number) {
+            active.is_prefilled = true;
+            let zones = active.zones.clone();
+            let change = WirePlacementChange::FirstEvent(self.number);
+            outbox.push(gateway.now(), &change, &zones);
         }
-        outbox.push(WirePlacementChange::FirstEvent(self.number));
         let key = placement_key(&gateway.vm, self.number);
         gateway.fleet.borrow_mut().loads.mark_prefilled(&key);
     }
@@ -82,18 +99,50 @@
     fn drop(&mut self) {
         let gateway = &self.gateway;
         let mut outbox = gateway.outbox.borrow_mut();
-        outbox.active.remove(&self.number);
-        outbox.push(WirePlacementChange::Ended(self.number));
+        if let Some(active) = outbox.active.remove(&self.number) {
+            let change = WirePlacementChange::Ended(self.number);
+            outbox.push(gateway.now(), &change, &active.zones);
+        }
         let key = placement_key(&gateway.vm, self.number);
         gateway.fleet.borrow_mut().loads.remove(gateway.now(), &key);
     }
 }
 
 impl Outbox {
-    /// Queues a change and wakes the sending task.
-    fn push(&mut self, change: WirePlacementChange) {
-        self.unsent.push(change);
-        self.wake.notify_one();
+    /// Creates the outbox of a VM in a zone.
+    pub(super) fn new(zone: ZoneName) -> Self {
+        Self {
+            last_number: 0,
+            active: BTreeMap::new(),
+            batches: PlacementBatches::new(zone),
+            wake: Rc::default(),
+        }
+    }
+
+    /// Queues a change that names engines in `zones`, and wakes the sending task if need be.
+    fn push(&mut self, now: Moment, change: &WirePlacementChange, zones: &BTreeSet<ZoneName>) {
+        if self.batches.push(now, change, zones) {
+            self.wake.notify_one();
+        }
+    }
+}
+
+/// Returns the zones of those engines that are known.
+fn zones_of<'a>(
+    gateway: &Gateway,
+    engines: impl Iterator<Item = &'a ServerId>,
+) -> BTreeSet<ZoneName> {
+    let fleet = gateway.fleet.borrow();
+    let records = engines.filter_map(|engine| fleet.directory.get(engine));
+    records.map(|record| record.zone.clone()).collect()
+}
+
+fn change_kind(change: &WirePlacementChange) -> ChangeKind {
+    match change {
+        WirePlacementChange::Made(placement) => ChangeKind::Made(placement.number),
+        WirePlacementChange::FirstEvent(number) => ChangeKind::Updated(*number),
+        WirePlacementChange::Ended(number) => ChangeKind::Ended(*number),
+        WirePlacementChange::ServerFailed(_) => ChangeKind::Other,
     }
 }
 
@@ -112,7 +161,8 @@
     let is_certain = !gateway.reach.borrow().is_uncertain();
     if server_outcome == ServerOutcome::Failed && is_certain {
         let change = WirePlacementChange::ServerFailed(server.to_string());
-        gateway.outbox.borrow_mut().push(change);
+        let zones = zones_of(gateway, std::iter::once(server));
+        gateway.outbox.borrow_mut().push(now, &change, &zones);
     }
 }
 
@@ -120,32 +170,53 @@
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let wake = Rc::clone(&gateway.outbox.borrow().wake);
     loop {
-        wake.notified().await;
-        sleep(BATCH_DELAY).await;
-        let changes = std::mem::take(&mut gateway.outbox.borrow_mut().unsent);
-        if changes.is_empty() {
-            continue;
+        let next_due = gateway.outbox.borrow().batches.next_due();
+        match next_due {
+            None => wake.notified().await,
+            // An earlier batch wakes the task as well; whatever ends the wait, it looks again.
+            Some(due) => {
+                let wait = due.since(gateway.now());
+                drop(timeout(wait, wake.notified()).await);
+            }
         }
-        let is_snapshot = false;
-        let message = MeshMessage::Placements(WirePlacements {
-            is_snapshot,
-            changes,
-        });
-        for peer in gateway.links.peers().iter().filter(|peer| !peer.control) {
-            gateway.links.send(&peer.vm_id(), &message);
+        let now = gateway.now();
+        let due = gateway
+            .outbox
+            .borrow_mut()
+            .batches
+            .take_due(now, change_kind);
+        for batch in due {
+            let message = MeshMessage::Placements(WirePlacements {
+                is_snapshot: false,
+                changes: batch.changes,
+            });
+            gateway.links.send_all(&batch.vms, &message);
         }
     }
 }
 
-/// Sends all active placements to an entry VM whose link has just opened.
-pub(super) fn send_all(gateway: &Gateway, to: &VmId) {
+/// Sends all active placements to an entry VM whose link has just opened, and changes from now on.
+pub(super) fn link_up(gateway: &Gateway, peer: &WirePeer) {
+    let zone = ZoneName::from(peer.zone.as_str());
+    let mut outbox = gateway.outbox.borrow_mut();
+    outbox.batches.opened(peer.vm_id(), zone);
+    drop(outbox);
+    send_all(gateway, &peer.vm_id());
+}
+
+/// Sends a VM nothing more until its link opens again.
+pub(super) fn link_down(gateway: &Gateway, vm: &VmId) {
+    gateway.outbox.borrow_mut().batches.lost(vm);
+}
+
+fn send_all(gateway: &Gateway, to: &VmId) {
     let now = gateway.now();
     let outbox = gateway.outbox.borrow();
     let mut changes = Vec::new();
-    for (number, (service, placed, first_received)) in &outbox.active {
-        let wire_placement = WirePlacement::new(now, *number, service, placed);
+    for (number, active) in &outbox.active {
+        let wire_placement = WirePlacement::new(now, *number, &active.service, &active.placed);
         changes.push(WirePlacementChange::Made(wire_placement));
-        if *first_received {
+        if active.is_prefilled {
             changes.push(WirePlacementChange::FirstEvent(*number));
         }
     }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -107,6 +107,7 @@
         let rates = RateLimits::new(clock.now(), vm.clone(), fastrand::u64(..));
         Self {
             vm,
+            outbox: RefCell::new(Outbox::new(zone.clone())),
             zone: zone.clone(),
             clock,
             links,
@@ -119,7 +120,6 @@
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
             buffer_budget: BufferBudget::default(),
-            outbox: RefCell::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
