feature: spread the Retry-After of a VM without configuration; tests of links

Callers refused with no_manifest after a start of all VMs were told 400 to 600 ms; now 300 ms to 1 s. A late check of idle links counts as up to 250 ms of silence instead of 100 ms, and links between entry VMs close after 1.2 s: on a busy machine a silent VM was noticed after 1.66 s.

Tests with real links to an entry and a control VM: who is asked for the crash history, and who without control VMs; reports for this version and the one before; one log line for old crashes; when a starting VM dials others; lists of VMs on changes only; the spread of refusals.

--- a/core/src/link_policy.rs
+++ b/core/src/link_policy.rs
@@ -41,7 +41,7 @@
     /// closes a link after 1 s without a byte.
     pub const ENTRY: Self = Self {
         heartbeat_after: Duration::from_millis(400),
-        close_after: Duration::from_millis(1250),
+        close_after: Duration::from_millis(1200),
     };
 }
 
@@ -49,8 +49,9 @@
 pub const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time that counts as silence between two checks.
 ///
-/// A VM that was stopped itself has not read what arrived meanwhile.
-const MAX_SILENCE_STEP: Duration = Duration::from_millis(100);
+/// A VM that was stopped itself has not read what arrived meanwhile. A VM with a tenth of a core is
+/// late by up to 100 ms at each check, which must count.
+const MAX_SILENCE_STEP: Duration = Duration::from_millis(250);
 
 /// What an idle link needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/node/src/gateway/refusal.rs
+++ b/node/src/gateway/refusal.rs
@@ -16,6 +16,10 @@
 /// It keeps callers from returning all at once.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
+/// Shortest and longest `Retry-After` of a VM that has just started.
+const START_RETRY_AFTER: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_secs(1));
+
 /// Returns the HTTP status of a refusal.
 ///
 /// Statuses that promise that nothing ran, such as 503, are only used where that is so.
@@ -64,3 +68,14 @@
 pub(super) fn retryable(reason: RefusalReason) -> Refusal {
     Refusal::not_run(reason, Some(DEFAULT_RETRY_AFTER))
 }
+
+/// Refuses a request of which a VM that has just started knows no configuration yet.
+///
+/// After a start of all VMs many callers are refused at the same moment, so their returns are spread.
+pub(super) fn no_manifest() -> Refusal {
+    let (shortest, longest) = START_RETRY_AFTER;
+    // `response` adds its own jitter to what is drawn here.
+    let longest = longest.div_f64(1.0 + RETRY_AFTER_JITTER);
+    let wait = shortest + longest.saturating_sub(shortest).mul_f64(fastrand::f64());
+    Refusal::not_run(RefusalReason::NoManifest, Some(wait))
+}
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -24,7 +24,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::open_requests::OpenRequestGuard;
-use super::refusal::{DEFAULT_RETRY_AFTER, retryable};
+use super::refusal::{DEFAULT_RETRY_AFTER, no_manifest, retryable};
 use super::relay;
 use super::relay_ingress::Relayed;
 use super::state::Gateway;
@@ -199,7 +199,7 @@
     let received_at = gateway.now();
     let (head, body) = request.into_parts();
     let deployment = await_deployment(gateway).await;
-    let deployment = deployment.ok_or_else(|| retryable(RefusalReason::NoManifest))?;
+    let deployment = deployment.ok_or_else(no_manifest)?;
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.map(|host| host.split(':').next().unwrap_or(host));
     let route = host.and_then(|host| deployment.route(host, head.uri.path()));
--- /dev/null
+++ b/node/tests/integration/link_messages.rs
@@ -0,0 +1,353 @@
+//! What entry and control VMs send over a link that opens, and over idle ones.
+
+use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use merlinrudder_core::crash_history::{CrashReport, CrashedRun};
+use merlinrudder_core::directory::Incarnation;
+use merlinrudder_core::history_pull::CONTROL_WAIT;
+use merlinrudder_core::link_policy::dial_delay;
+use merlinrudder_core::names::ServerId;
+use merlinrudder_core::retry::RetryLimits;
+use merlinrudder_core::time::Moment;
+use merlinrudder_core::units::ContentDigest;
+use merlinrudder_fakes::http_client::send_customer_request;
+use merlinrudder_fakes::nodes::sample_configuration;
+use merlinrudder_node::controller::{ControllerConfig, RunningController};
+use merlinrudder_node::gateway::{GatewayConfig, RunningGateway};
+use merlinrudder_wire::crashes::WireCrashReport;
+use merlinrudder_wire::mesh::{HISTORY_NOT_WANTED, MeshMessage};
+use merlinrudder_wire::peers::WirePeer;
+use slog::{Drain, Logger, OwnedKVList, Record, o};
+use tempfile::TempDir;
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+use crate::hand_link::{HandLink, addresses};
+
+/// Time in which everything that follows the opening of a link has arrived.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
+/// Longest wait for a state that must be reached.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Messages of the log records of a VM.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut lines = self.0.lock().expect("no panic");
+        lines.push(record.msg().to_string());
+        Ok(())
+    }
+}
+
+impl Lines {
+    fn count(&self, text: &str) -> usize {
+        let lines = self.0.lock().expect("no panic");
+        lines.iter().filter(|line| line.starts_with(text)).count()
+    }
+}
+
+/// An entry or control VM of this process; its tasks end when this is dropped.
+struct Vm {
+    address: SocketAddr,
+    /// Address for callers, if it is an entry VM.
+    callers: SocketAddr,
+    lines: Lines,
+    _folder: TempDir,
+    _stop: oneshot::Sender<()>,
+}
+
+impl Vm {
+    fn start(control: bool) -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let data_dir = folder.path().to_owned();
+        let free = addresses(4);
+        let local_peer = WirePeer {
+            vm: "vm".to_owned(),
+            zone: "z".to_owned(),
+            address: free[0],
+            control,
+        };
+        let (address, callers) = (free[0], free[1]);
+        let lines = Lines::default();
+        let log = Logger::root(lines.clone().fuse(), o!());
+        let (stop, stopped) = oneshot::channel();
+        let (started, has_started) = mpsc::channel();
+        thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build();
+            let running = async {
+                if control {
+                    let config = controller_config(local_peer, free[1], data_dir);
+                    let running = RunningController::spawn(config, &log).await;
+                    drop(running.expect("free addresses"));
+                } else {
+                    let config = gateway_config(local_peer, &free);
+                    let running = RunningGateway::spawn(config, &log).await;
+                    drop(running.expect("free addresses"));
+                }
+                started.send(()).expect("the test waits");
+                drop(stopped.await);
+            };
+            LocalSet::new().block_on(&runtime.expect("a runtime"), running);
+        });
+        has_started.recv().expect("a running VM");
+        Self {
+            address,
+            callers,
+            lines,
+            _folder: folder,
+            _stop: stop,
+        }
+    }
+}
+
+fn controller_config(
+    local_peer: WirePeer,
+    api_addr: SocketAddr,
+    data_dir: PathBuf,
+) -> ControllerConfig {
+    ControllerConfig {
+        local_peer,
+        api_addr,
+        seeds: Vec::new(),
+        bootstrap: false,
+        data_dir,
+        tolerated_losses: 1,
+    }
+}
+
+fn gateway_config(local_peer: WirePeer, free: &[SocketAddr]) -> GatewayConfig {
+    GatewayConfig {
+        local_peer,
+        caller_addr: free[1],
+        ready_addr: free[2],
+        relay_addr: free[3],
+        seeds: Vec::new(),
+        retry_limits: RetryLimits {
+            window: Duration::from_secs(10),
+            ratio: 0.1,
+            slack: 1.0,
+        },
+        stop_timeout: Duration::from_secs(10),
+    }
+}
+
+/// Returns what the messages say that the sender knows when it asks for the crash history.
+fn pulls(messages: &[MeshMessage]) -> Vec<u64> {
+    let pulls = messages.iter().filter_map(|message| match message {
+        MeshMessage::PullQuarantineList { have } => Some(*have),
+        _ => None,
+    });
+    pulls.collect()
+}
+
+fn reports(messages: &[MeshMessage]) -> Vec<usize> {
+    let reports = messages.iter().filter_map(|message| match message {
+        MeshMessage::CrashReports(reports) => Some(reports.len()),
+        _ => None,
+    });
+    reports.collect()
+}
+
+/// Returns reports of crashes of the servers and contents with these numbers, `age` ago.
+fn crash_reports(numbers: Range<u8>, age: Duration) -> MeshMessage {
+    let now = Moment::from_millis(10_000_000);
+    let report = |number| {
+        let run = CrashedRun {
+            started: now - age - Duration::from_millis(50),
+            ended: now - age,
+            servers: 10,
+            cleared: false,
+        };
+        let server = ServerId::from(format!("i-{number}"));
+        let incarnation = Incarnation { server, born: 5 };
+        let content = ContentDigest([number; 32]);
+        let report = CrashReport {
+            content,
+            incarnation,
+            run,
+        };
+        WireCrashReport::new(now, &report)
+    };
+    MeshMessage::CrashReports(numbers.map(report).collect())
+}
+
+/// Guards against a crash history that each VM gets from all other ones.
+#[test]
+fn an_entry_vm_asks_control_vms_for_the_crash_history_and_no_entry_vms() {
+    let vm = Vm::start(false);
+    let mut control = HandLink::open_kept(vm.address, "control", true);
+    let mut entry = HandLink::open_kept(vm.address, "entry", false);
+    let from_vm = control.read_for(SETTLE_TIME);
+    assert_eq!(pulls(&from_vm), [0]);
+    assert_eq!(pulls(&entry.read_for(SETTLE_TIME)), [HISTORY_NOT_WANTED]);
+    // With the link to the control VM nobody else is asked later either.
+    assert!(pulls(&entry.read_for(CONTROL_WAIT + SETTLE_TIME * 2)).is_empty());
+    assert!(pulls(&control.read_for(SETTLE_TIME)).is_empty());
+}
+
+/// Guards against VMs of this version and the version before that get no reports of crashes.
+#[test]
+fn entry_vms_of_this_version_and_the_one_before_get_reports() {
+    let vm = Vm::start(false);
+    let mut control = HandLink::open_kept(vm.address, "control", true);
+    let mut new = HandLink::open_kept(vm.address, "new", false);
+    let mut old = HandLink::open_kept(vm.address, "old", false);
+    let have = HISTORY_NOT_WANTED;
+    new.send(&MeshMessage::PullQuarantineList { have });
+    old.send(&MeshMessage::PullQuarantineList { have: 0 });
+    control.send(&crash_reports(0..3, Duration::from_secs(5)));
+    control.read_for(Duration::from_millis(100));
+    assert_eq!(reports(&new.read_for(Duration::from_millis(100))), [0]);
+    // The version before asks with a number of its own and gets the history.
+    old.send(&MeshMessage::PullQuarantineList { have: 0 });
+    let answers = reports(&old.read_for(Duration::from_millis(500)));
+    assert_eq!(answers.last(), Some(&3), "{answers:?}");
+}
+
+/// Guards against a VM without the crash history while all control VMs are down.
+#[test]
+fn an_entry_vm_without_control_vms_asks_another_entry_vm() {
+    let vm = Vm::start(false);
+    let mut entry = HandLink::open_kept(vm.address, "entry", false);
+    assert_eq!(
+        pulls(&entry.read_for(CONTROL_WAIT * 2)),
+        [HISTORY_NOT_WANTED, 0]
+    );
+}
+
+/// Guards against a log line for each crash of a history that a starting VM gets.
+#[test]
+fn old_crashes_are_counted_in_one_line() {
+    let vm = Vm::start(false);
+    let mut control = HandLink::open_kept(vm.address, "control", true);
+    control.send(&crash_reports(0..40, Duration::from_mins(5)));
+    control.send(&crash_reports(40..43, Duration::from_secs(5)));
+    control.read_for(SETTLE_TIME);
+    assert_eq!(
+        vm.lines
+            .count("Earlier crashes of backend servers recorded"),
+        1
+    );
+    assert_eq!(vm.lines.count("Crash of a backend server recorded"), 3);
+}
+
+/// Guards against links to other entry VMs that open before callers can be served.
+#[test]
+fn a_starting_entry_vm_dials_others_once_its_manifest_is_confirmed() {
+    for confirmed in [true, false] {
+        let other = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        other.set_nonblocking(true).expect("a socket option");
+        let start = Instant::now();
+        let vm = Vm::start(false);
+        let mut control = HandLink::open_kept(vm.address, "control", true);
+        let address = other.local_addr().expect("a local address");
+        control.send(&MeshMessage::Peers(vec![WirePeer {
+            vm: "other".to_owned(),
+            zone: "z".to_owned(),
+            address,
+            control: false,
+        }]));
+        if confirmed {
+            // An entry VM without a manifest takes none for confirmed, so it is sent one first.
+            let bytes = sample_configuration(5).to_string();
+            let bytes = Arc::from(bytes.into_bytes());
+            control.send(&MeshMessage::Manifest {
+                number: 5,
+                bytes,
+                current: true,
+            });
+            control.send(&MeshMessage::NewestManifest {
+                number: 5,
+                current: true,
+            });
+        }
+        // A VM with the higher address dials only after a while.
+        let delay = dial_delay(vm.address, address);
+        while other.accept().is_err() {
+            control.read_for(Duration::from_millis(10));
+            assert!(start.elapsed() < WAIT_TIMEOUT, "not dialled");
+        }
+        let took = start.elapsed();
+        let hold = Duration::from_secs(1);
+        let is_held = took >= hold + delay;
+        assert_eq!(
+            is_held, !confirmed,
+            "dialled after {took:?}, delay {delay:?}"
+        );
+    }
+}
+
+/// Guards against a list of all VMs that is sent every 2 s though nothing changed.
+#[test]
+fn a_control_vm_sends_the_list_of_vms_when_it_changed() {
+    let vm = Vm::start(true);
+    let lists = |messages: Vec<MeshMessage>| {
+        let lists = messages.into_iter().filter_map(|message| match message {
+            MeshMessage::Peers(peers) => Some(peers.len()),
+            _ => None,
+        });
+        lists.collect::<Vec<_>>()
+    };
+    let mut first = HandLink::open_kept(vm.address, "first", false);
+    let opened = lists(first.read_for(Duration::from_millis(2500)));
+    assert_eq!(
+        opened.first(),
+        Some(&2),
+        "a VM whose link opens gets the list"
+    );
+    assert!(opened.len() <= 2, "{opened:?}");
+    let quiet = lists(first.read_for(Duration::from_secs(5)));
+    assert!(quiet.is_empty(), "{quiet:?}");
+    let mut second = HandLink::open_kept(vm.address, "second", false);
+    let start = Instant::now();
+    let told = lists(first.read_for(Duration::from_millis(500)));
+    assert_eq!(told, [3], "told of the new VM after {:?}", start.elapsed());
+    assert_eq!(
+        lists(second.read_for(Duration::from_millis(300))).first(),
+        Some(&3)
+    );
+}
+
+/// Guards against callers that all return at the same moment after a start of all VMs.
+#[test]
+fn refusals_of_a_starting_vm_spread_the_return_of_callers() {
+    let vm = Vm::start(false);
+    let callers = vm.callers;
+    let refused = (0..12).map(|number| {
+        thread::spawn(move || {
+            let attempt = format!("start-{number}");
+            send_customer_request(callers, "POST /file/x", &attempt)
+        })
+    });
+    let refused: Vec<_> = refused.collect();
+    let mut waits = Vec::new();
+    for response in refused {
+        let response = response.join().expect("caller thread finishes");
+        assert_eq!(response.status, 503, "{response:?}");
+        let header = response.head.lines().find_map(|line| {
+            let (name, value) = line.split_once(": ")?;
+            name.eq_ignore_ascii_case("retry-after").then_some(value)
+        });
+        let wait: f64 = header
+            .expect("a Retry-After")
+            .trim()
+            .parse()
+            .expect("a number");
+        assert!((0.3..=1.0).contains(&wait), "{wait}");
+        waits.push(wait);
+    }
+    let shortest = waits.iter().copied().fold(f64::MAX, f64::min);
+    let longest = waits.iter().copied().fold(0.0, f64::max);
+    assert!(longest - shortest > 0.1, "{waits:?}");
+}
