--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -324,7 +324,7 @@
 fn refusals_of_a_starting_vm_spread_the_return_of_callers() {
     let vm = Vm::start(false);
     let callers = vm.callers;
-    let refused = (0..12).map(|number| {
+    let refused = (0..40).map(|number| {
         thread::spawn(move || {
             let attempt = format!("start-{number}");
             send_customer_request(callers, "POST /file/x", &attempt)
@@ -350,4 +350,5 @@
     let shortest = waits.iter().copied().fold(f64::MAX, f64::min);
     let longest = waits.iter().copied().fold(0.0, f64::max);
     assert!(longest - shortest > 0.1, "{waits:?}");
+    assert!(longest > 0.65, "{waits:?}");
 }
