--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -121,10 +121,12 @@
         }
         let gateway = Rc::new(Gateway::new(&config, relay.token, links, log));
         spawn_local(link_events::run(Rc::clone(&gateway), receiver));
+        spawn_local(link_events::release_later(Rc::clone(&gateway)));
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
         spawn_local(cold::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
+        spawn_local(crash_watch::pull_without_control(Rc::clone(&gateway)));
         spawn_local(reach::run(Rc::clone(&gateway)));
         for (listener, sender) in [
             (caller_listener, Sender::Caller),
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -1,5 +1,6 @@
 //! Handles links and messages from control VMs and other entry VMs.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use merlinrudder_core::directory::{Merged, ServerRecord};
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::{VmId, ZoneName};
+use merlinrudder_core::pair_start::MAX_HOLD_TIME;
 use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
 use merlinrudder_wire::peers::WirePeer;
@@ -46,9 +48,7 @@
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.zone_links.opened(peer.vm_id(), zone);
     drop(fleet);
-    let crashes = gateway.crashes.borrow();
-    crashes.exchange.link_up(&gateway.links, &peer.vm_id());
-    drop(crashes);
+    crash_watch::link_up(gateway, peer);
     if peer.control {
         gateway.fleet.borrow_mut().receives_heartbeats = true;
         cold::control_link_up(gateway, &peer.vm_id());
@@ -56,7 +56,7 @@
         let mut entry_vms = gateway.entry_vms.borrow_mut();
         entry_vms.record(gateway.now(), peer.vm_id());
         drop(entry_vms);
-        placement_sync::send_all(gateway, &peer.vm_id());
+        placement_sync::link_up(gateway, peer);
         rate_limits::link_up(gateway, &peer.vm_id());
         relay_link_up(gateway, peer);
         update_sight(gateway);
@@ -82,6 +82,7 @@
     gateway.manifest_pull.borrow_mut().disconnected(vm);
     gateway.crashes.borrow_mut().exchange.link_down(vm);
     gateway.relays.borrow_mut().remove(vm);
+    placement_sync::link_down(gateway, vm);
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.receives_heartbeats = has_control_link;
     fleet.entry_lost(now, vm);
@@ -114,10 +115,11 @@
             activate_manifest(gateway, number, &bytes);
             pull_manifest(gateway);
         }
-        MeshMessage::PullQuarantineList { .. } => {
+        MeshMessage::PullQuarantineList { have } => {
             let now = gateway.now();
             let mut crashes = gateway.crashes.borrow_mut();
-            crashes.exchange.answer_pull(now, &gateway.links, from);
+            let exchange = &mut crashes.exchange;
+            exchange.answer_pull(now, &gateway.links, from, have);
         }
         MeshMessage::TrialStarted(content) => crash_verdict::receive_trial(gateway, content),
         MeshMessage::CrashReports(reports) => crash_watch::receive(gateway, from, reports),
@@ -132,16 +134,21 @@
 fn handle_peers(gateway: &Gateway, peers: &[WirePeer]) {
     let now = gateway.now();
     let mut entry_vms = gateway.entry_vms.borrow_mut();
+    let mut addresses = Vec::new();
     let linked = gateway.links.peers();
     for peer in peers.iter().chain(&linked) {
-        gateway.links.dial(peer.address, false);
-        if !peer.control && peer.vm_id() != gateway.vm {
+        if peer.control {
+            gateway.links.dial(peer.address, false);
+        } else if peer.vm_id() != gateway.vm {
+            addresses.push(peer.address);
             entry_vms.record(now, peer.vm_id());
         }
     }
     entry_vms.mark_complete();
     drop(entry_vms);
     cold::update_vms(gateway);
+    let addresses = gateway.pair_start.borrow_mut().learnt(addresses);
+    dial_entry_vms(gateway, addresses);
     rate_limits::update_vms(gateway);
     update_sight(gateway);
 }
@@ -155,6 +162,29 @@
     gateway.fleet.borrow_mut().sees_placements = sees_placements;
 }
 
+/// Dials entry VMs in a random order, so that VMs that start together do not all dial the same ones.
+fn dial_entry_vms(gateway: &Gateway, mut addresses: Vec<SocketAddr>) {
+    fastrand::shuffle(&mut addresses);
+    for address in addresses {
+        gateway.links.dial_pair(address);
+    }
+}
+
+/// Dials the entry VMs that were learnt while this VM started.
+fn release_entry_links(gateway: &Gateway) {
+    let addresses = gateway.pair_start.borrow_mut().release();
+    if !addresses.is_empty() {
+        info!(gateway.log, "Opening links to entry VMs"; "vms" => addresses.len());
+        dial_entry_vms(gateway, addresses);
+    }
+}
+
+/// Ends the hold of links to entry VMs in any case.
+pub(super) async fn release_later(gateway: Rc<Gateway>) {
+    sleep(MAX_HOLD_TIME).await;
+    release_entry_links(&gateway);
+}
+
 /// Merges a record of a backend server, which was current at `heard_at`.
 ///
 /// A later lifetime shows that an earlier one, which has not said goodbye, has crashed.
@@ -193,6 +223,7 @@
         if current && newest > 0 && !gateway.manifest_confirmed.replace(true) {
             info!(gateway.log, "Manifest confirmed as the newest"; "number" => local_number,
                 "by" => %from);
+            release_entry_links(gateway);
         }
         return;
     }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::{ServiceName, VmId, ZoneName};
+use merlinrudder_core::pair_start::PairStart;
 use merlinrudder_core::rate_limit::RateLimits;
 use merlinrudder_core::reach::ReachTable;
 use merlinrudder_core::relays::RelayTable;
@@ -78,6 +79,8 @@
     pub(super) crashes: RefCell<CrashWatch>,
     /// Entry VMs that share the retry budgets.
     pub(super) entry_vms: RefCell<Census>,
+    /// Entry VMs that are dialled once callers can be served.
+    pub(super) pair_start: RefCell<PairStart>,
     /// Requests and retries of each service at this VM, for the retry budget.
     retry_windows: RefCell<BTreeMap<ServiceName, RetryWindow>>,
     retry_limits: RetryLimits,
@@ -108,6 +111,7 @@
         fleet.sees_placements = false;
         Self {
             vm,
+            outbox: RefCell::new(Outbox::new(zone.clone())),
             zone,
             clock,
             links,
@@ -120,10 +124,10 @@
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
             buffer_budget: BufferBudget::default(),
-            outbox: RefCell::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
+            pair_start: RefCell::default(),
             retry_windows: RefCell::default(),
             retry_limits: config.retry_limits,
             manifest_confirmed: Cell::new(false),
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -2,15 +2,18 @@
 //!
 //! A link is a TCP connection that carries length-prefixed frames in both directions. Either side
 //! sends heartbeats and closes a link on which nothing arrives, so a dead connection is detected
-//! while it is idle. The side that dialled connects again.
+//! while it is idle. One task visits all links for that, so an idle link needs no timer. The side that dialled connects again. Of two entry VMs, the one with the lower
+//! address dials, and the other one helps if no link opens.
 
 mod table;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::{Result, anyhow, bail};
+use merlinrudder_core::link_policy::{IDLE_CHECK_INTERVAL, IdleLimits, dial_delay};
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::{
     MAX_FRAME_BYTES, MeshMessage, WireFeatures, decode_frame, decode_handshake, encode_frame,
@@ -22,17 +25,17 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
-use self::table::{FrameQueue, LinkTable};
+use self::table::{LinkSignals, LinkTable, OpenLink};
 use crate::metrics;
 use crate::sockets;
 
-/// Idle time after which an empty frame is sent as a heartbeat.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-/// Time without a byte read or written after which a link is closed; four heartbeats.
-const LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time in which the other VM of a new link must introduce itself.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without a byte written, while some wait, after which a link is closed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for opening a TCP connection to another VM.
 const LINK_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a closed link is opened again, and after a failed `accept`.
@@ -45,6 +48,8 @@
 ///
 /// A message is dropped if no link to its VM has room.
 const MAX_QUEUED_MESSAGES: usize = 1024;
+/// Links to other entry VMs that this VM opens at the same time.
+const MAX_PAIR_DIALS: usize = 16;
 /// Size of the read buffer of a link.
 const READ_BUFFER_BYTES: usize = 4096;
 
@@ -72,6 +77,8 @@
     local_peer: WirePeer,
     features: WireFeatures,
     table: LinkTable,
+    /// Permits to open a link to another entry VM.
+    pair_dials: Semaphore,
     handler: LinkEventHandler,
     log: Logger,
 }
@@ -103,10 +110,12 @@
             local_peer,
             features,
             table: LinkTable::default(),
+            pair_dials: Semaphore::new(MAX_PAIR_DIALS),
             handler,
             log,
         });
         tokio::spawn(accept(Arc::clone(&shared), listener));
+        tokio::spawn(check_idle(Arc::clone(&shared)));
         Ok(Self { shared })
     }
 
@@ -116,21 +125,42 @@
     /// on the runtime of `bind`.
     pub fn dial(&self, address: SocketAddr, seed: bool) {
         let is_local = address == self.shared.local_peer.address;
-        if !is_local && self.shared.table.start_dialling(address) {
+        if !is_local && self.shared.table.start_dialling(address).is_some() {
             tokio::spawn(dial(Arc::clone(&self.shared), address, seed));
         }
     }
 
+    /// Keeps one link to a VM that knows this one as well, and dials it too.
+    ///
+    /// The VM with the lower address dials whenever there is no link, the other one only after
+    /// `DIAL_HELP_DELAY` without one. At most `MAX_PAIR_DIALS` are opened at a time, in the order of
+    /// the calls. An unreachable address is given up after
+    /// `MAX_CONNECT_FAILURES`. Must be called on the runtime of `bind`.
+    pub fn dial_pair(&self, address: SocketAddr) {
+        if address == self.shared.local_peer.address {
+            return;
+        }
+        if let Some(lost) = self.shared.table.start_dialling(address) {
+            tokio::spawn(dial_pair(Arc::clone(&self.shared), address, lost));
+        }
+    }
+
     /// Queues a message for a VM.
     ///
     /// It is dropped and counted if no link to the VM has room in its queue.
     pub fn send(&self, to: &VmId, message: &MeshMessage) {
+        self.send_all(std::slice::from_ref(to), message);
+    }
+
+    /// Queues a message for several VMs, as `send` does; encodes it once.
+    pub fn send_all(&self, vms: &[VmId], message: &MeshMessage) {
         let frame = encode_frame(message);
-        let bytes = frame.len();
-        if self.shared.table.send(to, frame) {
-            metrics::count_mesh_sent(bytes);
-        } else {
-            metrics::count_mesh_dropped();
+        for vm in vms {
+            if self.shared.table.send(vm, frame.clone()) {
+                metrics::count_mesh_sent(frame.len());
+            } else {
+                metrics::count_mesh_dropped();
+            }
         }
     }
 
@@ -153,6 +183,12 @@
         features.is_some_and(|features| features.cold)
     }
 
+    /// Returns the number of open links; of two VMs that dialled each other both links count.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.shared.table.count()
+    }
+
     /// Returns all VMs with an open link.
     #[must_use]
     pub fn peers(&self) -> Vec<WirePeer> {
@@ -164,7 +200,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, remote)) => {
-                tokio::spawn(serve(Arc::clone(&shared), stream, remote));
+                let shared = Arc::clone(&shared);
+                tokio::spawn(async move { serve(&shared, stream, remote, None).await });
             }
             Err(error) => {
                 warn!(shared.log, "Failed to accept link"; "error" => %error);
@@ -177,51 +214,119 @@
 async fn dial(shared: Arc<Shared>, address: SocketAddr, seed: bool) {
     let mut failures = 0;
     while seed || failures < MAX_CONNECT_FAILURES {
-        let connected = timeout(LINK_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        if let Ok(Ok(stream)) = connected {
-            failures = 0;
-            serve(Arc::clone(&shared), stream, address).await;
-            sleep(RECONNECT_DELAY).await;
-        } else {
-            failures += 1;
-            sleep(CONNECT_RETRY_DELAY).await;
+        failures = dial_once(&shared, address, failures, None).await;
+    }
+    give_up(&shared, address);
+}
+
+/// Dials whenever no link is open to a VM for the delay that its address asks for.
+async fn dial_pair(shared: Arc<Shared>, address: SocketAddr, lost: Arc<Notify>) {
+    let delay = dial_delay(shared.local_peer.address, address);
+    let mut failures = 0;
+    while failures < MAX_CONNECT_FAILURES {
+        wait_unlinked(&shared, address, delay, &lost).await;
+        // The semaphore is never closed, so this does not fail.
+        let permit = shared.pair_dials.acquire().await.ok();
+        // The other VM may have opened a link while this one waited for the permit.
+        if !shared.table.is_linked(address) {
+            failures = dial_once(&shared, address, failures, permit).await;
         }
     }
+    give_up(&shared, address);
+}
+
+/// Waits until a VM has had no link for `delay`; `lost` tells when it loses its last one.
+async fn wait_unlinked(shared: &Shared, address: SocketAddr, delay: Duration, lost: &Notify) {
+    loop {
+        while shared.table.is_linked(address) {
+            lost.notified().await;
+        }
+        // A link that was opened and lost meanwhile restarts the delay.
+        let has_waited = timeout(delay, lost.notified()).await.is_err();
+        if has_waited && !shared.table.is_linked(address) {
+            return;
+        }
+    }
+}
+
+/// Connects, and runs the link until it is closed; returns the failed attempts in a row.
+///
+/// `permit` is returned once the link is open or has failed.
+async fn dial_once(
+    shared: &Shared,
+    address: SocketAddr,
+    failures: u32,
+    permit: Option<SemaphorePermit<'_>>,
+) -> u32 {
+    let connected = timeout(LINK_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    if let Ok(Ok(stream)) = connected {
+        serve(shared, stream, address, permit).await;
+        sleep(RECONNECT_DELAY).await;
+        return 0;
+    }
+    drop(permit);
+    sleep(CONNECT_RETRY_DELAY).await;
+    failures + 1
+}
+
+fn give_up(shared: &Shared, address: SocketAddr) {
     shared.table.stop_dialling(address);
     info!(shared.log, "Gave up an unreachable address"; "address" => %address);
 }
 
 /// Runs a link until it is closed, and logs why.
-async fn serve(shared: Arc<Shared>, stream: TcpStream, remote: SocketAddr) {
-    if let Err(error) = run_link(&shared, stream).await {
+async fn serve(
+    shared: &Shared,
+    stream: TcpStream,
+    remote: SocketAddr,
+    permit: Option<SemaphorePermit<'_>>,
+) {
+    if let Err(error) = run_link(shared, stream, permit).await {
         debug!(shared.log, "Link ended"; "remote" => %remote, "error" => %error);
     }
 }
 
 /// Exchanges `Handshake` messages, then messages in both directions until the link fails.
-async fn run_link(shared: &Shared, stream: TcpStream) -> Result<()> {
+///
+/// Returns the `permit` to open it after the handshakes.
+async fn run_link(
+    shared: &Shared,
+    stream: TcpStream,
+    permit: Option<SemaphorePermit<'_>>,
+) -> Result<()> {
     sockets::set_tcp_options(&stream)?;
     let (reader, mut writer) = stream.into_split();
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, reader);
     let handshake = encode_handshake(&shared.local_peer, &shared.features);
     write_frame(&mut writer, &handshake).await?;
-    let Some(frame) = read_frame(&mut reader).await? else {
-        bail!("the first frame is empty");
-    };
+    let signals = Arc::new(LinkSignals::default());
+    let reading = timeout(HANDSHAKE_TIMEOUT, read_frame(&mut reader, &signals));
+    let frame = reading.await.map_err(|_elapsed| anyhow!("silent"))??;
+    let frame = frame.ok_or_else(|| anyhow!("the first frame is empty"))?;
     let (peer, features) = decode_handshake(&frame)?;
+    drop(permit);
     let vm = peer.vm_id();
     let (sender, frames) = mpsc::channel(MAX_QUEUED_MESSAGES);
-    let queue = FrameQueue::new(sender);
-    let (id, is_first) = shared.table.open(&peer, features, queue);
+    let limits = if shared.local_peer.control || peer.control {
+        IdleLimits::CONTROL
+    } else {
+        IdleLimits::ENTRY
+    };
+    let link = OpenLink::new(sender, Arc::clone(&signals), limits);
+    let (id, is_first) = shared.table.open(&peer, features, link);
+    metrics::set_open_links(shared.table.count());
     if is_first {
         info!(shared.log, "Link open"; "peer" => %vm, "address" => %peer.address);
         (shared.handler)(LinkEvent::Up(peer));
     }
     let result = tokio::select! {
-        result = read_messages(shared, &vm, &mut reader) => result,
+        result = read_messages(shared, &vm, &mut reader, &signals) => result,
+        () = signals.silent.notified() => Err(anyhow!("silent")),
         result = write_frames(&mut writer, frames) => result,
     };
-    if shared.table.close(&vm, id) {
+    let was_last = shared.table.close(&vm, id);
+    metrics::set_open_links(shared.table.count());
+    if was_last {
         let reason = result.as_ref().err().map(ToString::to_string);
         info!(shared.log, "Link lost"; "peer" => %vm, "reason" => reason);
         (shared.handler)(LinkEvent::Down(vm));
@@ -233,24 +338,31 @@
     shared: &Shared,
     vm: &VmId,
     reader: &mut BufReader<OwnedReadHalf>,
+    signals: &LinkSignals,
 ) -> Result<()> {
     loop {
-        if let Some(message) = read_message(reader).await? {
+        if let Some(message) = read_message(reader, signals).await? {
             (shared.handler)(LinkEvent::Message(vm.clone(), message));
         }
     }
 }
 
 /// Reads and decodes one message; `None` is a heartbeat.
-async fn read_message(reader: &mut BufReader<OwnedReadHalf>) -> Result<Option<MeshMessage>> {
-    let frame = read_frame(reader).await?;
+async fn read_message(
+    reader: &mut BufReader<OwnedReadHalf>,
+    signals: &LinkSignals,
+) -> Result<Option<MeshMessage>> {
+    let frame = read_frame(reader, signals).await?;
     Ok(frame.map(|frame| decode_frame(&frame)).transpose()?)
 }
 
 /// Reads one frame; `None` if it is empty, as a heartbeat is.
-async fn read_frame(reader: &mut BufReader<OwnedReadHalf>) -> Result<Option<Vec<u8>>> {
+async fn read_frame(
+    reader: &mut BufReader<OwnedReadHalf>,
+    signals: &LinkSignals,
+) -> Result<Option<Vec<u8>>> {
     let mut length = [0; 4];
-    fill_buffer(reader, &mut length).await?;
+    fill_buffer(reader, &mut length, signals).await?;
     let length = usize::try_from(u32::from_le_bytes(length))?;
     if length == 0 {
         return Ok(None);
@@ -259,35 +371,49 @@
         bail!("frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}");
     }
     let mut frame = vec![0; length];
-    fill_buffer(reader, &mut frame).await?;
+    fill_buffer(reader, &mut frame, signals).await?;
     Ok(Some(frame))
 }
 
-/// Fills a buffer; fails if no byte arrives for `LINK_IDLE_TIMEOUT`.
-async fn fill_buffer(reader: &mut BufReader<OwnedReadHalf>, buffer: &mut [u8]) -> Result<()> {
+/// Fills a buffer, and records that bytes arrive.
+async fn fill_buffer(
+    reader: &mut BufReader<OwnedReadHalf>,
+    buffer: &mut [u8],
+    signals: &LinkSignals,
+) -> Result<()> {
     let mut filled = 0;
     while filled < buffer.len() {
-        let read = timeout(LINK_IDLE_TIMEOUT, reader.read(&mut buffer[filled..])).await;
-        match read.map_err(|_elapsed| anyhow!("silent"))?? {
+        match reader.read(&mut buffer[filled..]).await? {
             0 => bail!("connection closed by the peer"),
             bytes => filled += bytes,
         }
+        signals.received.store(true, Ordering::Relaxed);
     }
     Ok(())
 }
 
-/// Writes queued frames, and a heartbeat when none is queued for `HEARTBEAT_INTERVAL`.
+/// Sends heartbeats on all idle links and closes silent ones, until the process exits.
+async fn check_idle(shared: Arc<Shared>) {
+    let mut ticks = interval(IDLE_CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        shared.table.check_idle(now.duration_since(last));
+        last = now;
+    }
+}
+
+/// Writes queued frames; an empty one is a heartbeat.
 async fn write_frames(
     writer: &mut OwnedWriteHalf,
     mut frames: mpsc::Receiver<Vec<u8>>,
 ) -> Result<()> {
-    loop {
-        match timeout(HEARTBEAT_INTERVAL, frames.recv()).await {
-            Ok(Some(frame)) => write_frame(writer, &frame).await?,
-            Ok(None) => bail!("frame queue closed"),
-            Err(_) => write_frame(writer, &[]).await?,
-        }
+    while let Some(frame) = frames.recv().await {
+        write_frame(writer, &frame).await?;
     }
+    bail!("frame queue closed")
 }
 
 /// Writes the frame's length as a little-endian `u32`, then the frame; empty for a heartbeat.
@@ -297,7 +423,7 @@
     bytes.extend(frame);
     let mut remaining = bytes.as_slice();
     while !remaining.is_empty() {
-        let written = timeout(LINK_IDLE_TIMEOUT, writer.write(remaining)).await;
+        let written = timeout(WRITE_TIMEOUT, writer.write(remaining)).await;
         let written = written.map_err(|_elapsed| anyhow!("write timed out"))??;
         remaining = &remaining[written..];
     }
--- a/node/src/links/table.rs
+++ b/node/src/links/table.rs
@@ -1,21 +1,73 @@
 //! Table of the open links by VM.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use merlinrudder_core::link_policy::{IdleAction, IdleLimits, LinkIdle};
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::WireFeatures;
 use merlinrudder_wire::peers::WirePeer;
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{Notify, mpsc};
 
-/// Sending end of the frame queue of one link.
+/// What the tasks of one link share with the check for idle links.
+#[derive(Debug, Default)]
+pub(super) struct LinkSignals {
+    /// Whether a byte arrived since the last check.
+    pub(super) received: AtomicBool,
+    /// Ends the link, as nothing arrives.
+    pub(super) silent: Notify,
+}
+
+/// One open link.
 #[derive(Debug)]
-pub(super) struct FrameQueue(mpsc::Sender<Vec<u8>>);
+pub(super) struct OpenLink {
+    /// Sending end of its frame queue.
+    frames: mpsc::Sender<Vec<u8>>,
+    signals: Arc<LinkSignals>,
+    limits: IdleLimits,
+    idle: LinkIdle,
+    /// Whether a frame was queued since the last check.
+    sent: bool,
+}
+
+impl OpenLink {
+    pub(super) fn new(
+        frames: mpsc::Sender<Vec<u8>>,
+        signals: Arc<LinkSignals>,
+        limits: IdleLimits,
+    ) -> Self {
+        Self {
+            frames,
+            signals,
+            limits,
+            idle: LinkIdle::default(),
+            sent: true,
+        }
+    }
+
+    /// Queues a frame; gives it back if there is no room.
+    fn send(&mut self, frame: Vec<u8>) -> Result<(), Vec<u8>> {
+        self.frames
+            .try_send(frame)
+            .map_err(TrySendError::into_inner)?;
+        self.sent = true;
+        Ok(())
+    }
 
-impl FrameQueue {
-    pub(super) fn new(sender: mpsc::Sender<Vec<u8>>) -> Self {
-        Self(sender)
+    /// Sends a heartbeat or closes the link, if it is idle for too long.
+    fn check(&mut self, elapsed: Duration) {
+        let sent = std::mem::take(&mut self.sent);
+        let received = self.signals.received.swap(false, Ordering::Relaxed);
+        match self.idle.check(elapsed, sent, received, &self.limits) {
+            IdleAction::Wait => {}
+            // A full queue needs no heartbeat.
+            IdleAction::Heartbeat => drop(self.frames.try_send(Vec::new())),
+            IdleAction::Close => self.signals.silent.notify_one(),
+        }
     }
 }
 
@@ -31,8 +83,8 @@
     last_id: u64,
     /// VMs with at least one open link.
     connected: BTreeMap<VmId, ConnectedPeer>,
-    /// Addresses that a task keeps connecting to.
-    dialled: BTreeSet<SocketAddr>,
+    /// Addresses that a task keeps connecting to; each is notified when its VM loses its last link.
+    dialled: BTreeMap<SocketAddr, Arc<Notify>>,
 }
 
 #[derive(Debug)]
@@ -41,8 +93,21 @@
     peer: WirePeer,
     /// Its features, as that link told them.
     features: WireFeatures,
-    /// Frame queues by link id; two VMs that dial each other have two links.
-    links: BTreeMap<u64, FrameQueue>,
+    /// Its links by id; two VMs may dial each other at the same time.
+    links: BTreeMap<u64, OpenLink>,
+}
+
+impl ConnectedPeer {
+    /// Queues a frame on the newest link with room; returns false if there is none.
+    fn send(&mut self, mut frame: Vec<u8>) -> bool {
+        for link in self.links.values_mut().rev() {
+            match link.send(frame) {
+                Ok(()) => return true,
+                Err(unsent) => frame = unsent,
+            }
+        }
+        false
+    }
 }
 
 impl LinkTable {
@@ -51,7 +116,7 @@
         &self,
         peer: &WirePeer,
         features: WireFeatures,
-        queue: FrameQueue,
+        link: OpenLink,
     ) -> (u64, bool) {
         let mut state = self.state();
         state.last_id += 1;
@@ -67,7 +132,7 @@
         let is_first = connected.links.is_empty();
         connected.peer = peer.clone();
         connected.features = features;
-        connected.links.insert(id, queue);
+        connected.links.insert(id, link);
         (id, is_first)
     }
 
@@ -78,25 +143,32 @@
             return false;
         };
         connected.links.remove(&id);
-        let was_last = connected.links.is_empty();
-        if was_last {
-            state.connected.remove(vm);
+        if !connected.links.is_empty() {
+            return false;
+        }
+        let address = connected.peer.address;
+        state.connected.remove(vm);
+        if let Some(lost) = state.dialled.get(&address) {
+            lost.notify_one();
         }
-        was_last
+        true
     }
 
     /// Queues a frame on the newest link with room; returns false if there is none.
     pub(super) fn send(&self, to: &VmId, frame: Vec<u8>) -> bool {
-        let state = self.state();
-        let links = state.connected.get(to).map(|connected| &connected.links);
-        let mut frame = frame;
-        for queue in links.into_iter().flat_map(|links| links.values().rev()) {
-            match queue.0.try_send(frame) {
-                Ok(()) => return true,
-                Err(error) => frame = error.into_inner(),
+        let mut state = self.state();
+        let connected = state.connected.get_mut(to);
+        connected.is_some_and(|connected| connected.send(frame))
+    }
+
+    /// Sends heartbeats on idle links and closes silent ones, `elapsed` after the previous check.
+    pub(super) fn check_idle(&self, elapsed: Duration) {
+        let mut state = self.state();
+        for connected in state.connected.values_mut() {
+            for link in connected.links.values_mut() {
+                link.check(elapsed);
             }
         }
-        false
     }
 
     /// Returns the VMs whose features match.
@@ -121,9 +193,30 @@
             .collect()
     }
 
-    /// Marks an address as being dialled; returns false if it already was.
-    pub(super) fn start_dialling(&self, address: SocketAddr) -> bool {
-        self.state().dialled.insert(address)
+    pub(super) fn count(&self) -> usize {
+        let state = self.state();
+        let connected = state.connected.values();
+        connected.map(|connected| connected.links.len()).sum()
+    }
+
+    /// Whether a link is open to the VM that accepts links at an address.
+    pub(super) fn is_linked(&self, address: SocketAddr) -> bool {
+        let state = self.state();
+        let mut connected = state.connected.values();
+        connected.any(|connected| connected.peer.address == address)
+    }
+
+    /// Marks an address as being dialled; `None` if it already was.
+    ///
+    /// Returns what is notified when the VM at that address loses its last link.
+    pub(super) fn start_dialling(&self, address: SocketAddr) -> Option<Arc<Notify>> {
+        let mut state = self.state();
+        if state.dialled.contains_key(&address) {
+            return None;
+        }
+        let lost = Arc::new(Notify::new());
+        state.dialled.insert(address, Arc::clone(&lost));
+        Some(lost)
     }
 
     pub(super) fn stop_dialling(&self, address: SocketAddr) {
