feature: evacuated zones in the control log, on the wire and in the fleet

An operator can order that nothing more is sent to the servers of a zone. The fleet leaves evacuated zones out before any fallback, for permits as well.

--- a/core/src/control.rs
+++ b/core/src/control.rs
@@ -6,8 +6,9 @@
 
 use crate::claims::{ClaimKey, ClaimOutcome, ClaimState, ClaimTable};
 use crate::crash_history::{CrashHistory, CrashReport};
+use crate::evacuation::Evacuations;
 use crate::manifest::ManifestNumber;
-use crate::names::{ServerId, ServiceName, VmId};
+use crate::names::{ServerId, ServiceName, VmId, ZoneName};
 use crate::time::Moment;
 use crate::units::{ContentDigest, RequestId};
 
@@ -101,6 +102,16 @@
     },
     /// Records runs of requests that ended with their backend servers.
     RecordCrashes(Vec<CrashReport>),
+    /// Begins or ends the evacuation of an availability zone.
+    ///
+    /// It is proposed only once all voters are known to be able to apply it, since a VM of an earlier
+    /// version stops at it.
+    SetEvacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether its servers get no new requests from now on.
+        active: bool,
+    },
 }
 
 /// Exclusive lease for sending orders to one backend server.
@@ -136,6 +147,8 @@
         /// Fencing number of the current lease.
         fencing: u64,
     },
+    /// Revision of the evacuated zones once the command was applied.
+    Evacuations(u64),
 }
 
 /// State that every control replica derives from the log.
@@ -151,6 +164,8 @@
     pub order_leases: BTreeMap<(ServiceName, ServerId), OrderLease>,
     /// Runs of requests that ended with their backend servers, on the leaders' wall clocks.
     pub crashes: CrashHistory,
+    /// Evacuated zones.
+    pub evacuations: Evacuations,
 }
 
 impl ControlState {
@@ -189,6 +204,10 @@
                 }
                 Answer::Done
             }
+            Command::SetEvacuation { zone, active } => {
+                self.evacuations.set(zone, active);
+                Answer::Evacuations(self.evacuations.revision)
+            }
         }
     }
 
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::engine_placement::decision::{PlacementDecision, decide_placement};
 use crate::engine_placement::loads::{LoadTable, PlacedPrompt, PlacementKey};
 use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer, prompt_value};
+use crate::evacuation::Evacuations;
 use crate::health::{HealthTable, ServerOutcome};
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
 use crate::rate_limit::RateLimits;
@@ -60,6 +61,8 @@
     pub rates: RateLimits,
     /// Links to VMs by availability zone, which show that a zone is cut off.
     pub zone_links: ZoneLinks,
+    /// Zones whose servers get no new requests; the newest set that this VM was told.
+    evacuations: Evacuations,
     /// Plain calls in progress from this VM, by server.
     calls: BTreeMap<ServerId, u32>,
     load_reports: BTreeMap<ServerId, ReportedLoad>,
@@ -80,6 +83,7 @@
             loads: LoadTable::default(),
             health: HealthTable::default(),
             zone_links: ZoneLinks::default(),
+            evacuations: Evacuations::default(),
             calls: BTreeMap::new(),
             load_reports: BTreeMap::new(),
             receives_heartbeats: false,
@@ -105,6 +109,40 @@
         self.directory.leave(now, id, born);
     }
 
+    /// Returns the newest evacuated zones that this VM was told.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Replaces the evacuated zones if `newer` has a higher revision; returns whether it has.
+    pub fn update_evacuations(&mut self, now: Moment, newer: Evacuations) -> bool {
+        let Some(reopened) = self.evacuations.replace(newer) else {
+            return false;
+        };
+        for zone in &reopened {
+            self.zone_reopened(now, zone);
+        }
+        true
+    }
+
+    /// Called when a zone leaves the set of evacuated zones.
+    pub fn zone_reopened(&mut self, _now: Moment, _zone: &ZoneName) {}
+
+    /// Whether a server is in an evacuated zone.
+    #[must_use]
+    pub fn is_evacuated(&self, server: &ServerId) -> bool {
+        let record = self.directory.get(server);
+        record.is_some_and(|record| self.evacuations.zones.contains(&record.zone))
+    }
+
+    /// Returns the plain calls of this VM that still run in evacuated zones.
+    #[must_use]
+    pub fn evacuated_calls(&self) -> u32 {
+        let evacuated = self.calls.iter().filter(|(id, _)| self.is_evacuated(id));
+        evacuated.map(|(_, calls)| calls).sum()
+    }
+
     /// Adds a placement made by this or another entry VM.
     pub fn add_placement(
         &mut self,
@@ -209,7 +247,7 @@
         service: &ServiceName,
         tried: &[ServerId],
     ) -> Vec<ServerId> {
-        let ready = self.directory.ready(service).map(|(record, _)| &record.id);
+        let ready = self.open_servers(service).map(|(record, _)| &record.id);
         let limited = ready.filter(|id| {
             self.rates.is_limited(id) && !tried.contains(id) && !self.health.is_suspended(now, id)
         });
@@ -231,7 +269,7 @@
     /// Whether a service has servers that were not tried, and all of them have limits.
     #[must_use]
     pub fn are_all_limited(&self, service: &ServiceName, tried: &[ServerId]) -> bool {
-        let ready = self.directory.ready(service).map(|(record, _)| &record.id);
+        let ready = self.open_servers(service).map(|(record, _)| &record.id);
         let mut left = ready.filter(|id| !tried.contains(id)).peekable();
         left.peek().is_some() && left.all(|id| self.rates.is_limited(id))
     }
@@ -280,6 +318,9 @@
     }
 
     /// Returns whether any service of a deployment has a server that takes work.
+    ///
+    /// Servers in evacuated zones count: if all zones are evacuated, every VM answers that there is
+    /// no server, and removing all VMs from the load balancer would not help callers.
     #[must_use]
     pub fn has_ready_server(&self, deployment: &Deployment) -> bool {
         let mut ready = deployment
@@ -289,11 +330,23 @@
         ready.next().is_some()
     }
 
+    /// Returns the ready servers of a service outside of evacuated zones.
+    ///
+    /// Whatever selects servers starts from these, so that no fallback reaches an evacuated zone.
+    fn open_servers<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a ServerRecord, Moment)> + 'a {
+        let ready = self.directory.ready(service);
+        ready.filter(|(record, _)| !self.evacuations.zones.contains(&record.zone))
+    }
+
     /// Returns the servers of a service that may get work, except those in `tried`.
     ///
-    /// Servers with a limit need a permit. Prefers servers that send heartbeats, are not suspended
-    /// and are not in an unreachable zone. If there are none, zones are ignored; if there are still
-    /// none, every ready server is used.
+    /// Servers in evacuated zones get none. Servers with a limit need a permit. Prefers servers that
+    /// send heartbeats, are not suspended and are not in an unreachable zone. If there are none,
+    /// unreachable zones are ignored; if there are still none, every ready server outside of
+    /// evacuated zones is used.
     fn eligible_servers<'a>(
         &'a self,
         now: Moment,
@@ -303,8 +356,7 @@
         let fresh =
             |heard_at: Moment| !self.receives_heartbeats || now.since(heard_at) < HEARTBEAT_TIMEOUT;
         let ready: Vec<_> = self
-            .directory
-            .ready(service)
+            .open_servers(service)
             .filter(|(record, _)| !tried.contains(&record.id))
             .collect();
         if ready.is_empty() {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,9 +11,9 @@
 //! - Entry VMs that are separate from the control VMs serve a [`deployment`]. Each entry VM places
 //!   its requests itself ([`fleet`], [`engine_placement`]), on the backend servers in its
 //!   [`directory`], keeps to the limits on their request rates with the other VMs ([`rate_limit`]),
-//!   reaches them by way of another VM if it is cut off itself ([`reach`], [`relays`]), and keeps
-//!   requests that crash them away ([`crash_detector`],
-//!   [`crash_history`], [`completions`]).
+//!   reaches them by way of another VM if it is cut off itself ([`reach`], [`relays`]), keeps
+//!   requests that crash them away ([`crash_detector`], [`crash_history`], [`completions`]), and
+//!   sends nothing to zones that an operator evacuates ([`evacuation`]).
 
 pub mod census;
 pub mod claims;
@@ -28,6 +28,7 @@
 pub mod engine_model;
 pub mod engine_placement;
 pub mod estimate;
+pub mod evacuation;
 pub mod events;
 pub mod fleet;
 pub mod health;
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -12,6 +12,7 @@
 mod dispatch_fuzz;
 mod engine_placement;
 mod engine_placement_load;
+mod evacuation;
 mod events;
 mod fleets;
 mod log_fuzz;
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -266,6 +266,7 @@
             | MeshMessage::Rates(_)
             | MeshMessage::CutOff(_)
             | MeshMessage::CrashReports(_)
+            | MeshMessage::Evacuations(_)
             | MeshMessage::NewestManifest { .. }
             | MeshMessage::Peers(_)
             | MeshMessage::Placements(_)
--- a/wire/src/control.rs
+++ b/wire/src/control.rs
@@ -6,8 +6,9 @@
 use merlinrudder_core::claims::{Claim, ClaimKey, ClaimOutcome, ClaimState, RecordedAnswer};
 use merlinrudder_core::control::{Answer, Command, ControlState, OrderLease, PublishedManifest};
 use merlinrudder_core::crash_history::CrashReport;
+use merlinrudder_core::evacuation::Evacuations;
 use merlinrudder_core::manifest::ManifestNumber;
-use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId};
+use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId, ZoneName};
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{ContentDigest, RequestId};
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,7 @@
 use crate::common::millis;
 use crate::crashes::WireCrashedRun;
 use crate::error::DecodeError;
+use crate::evacuation::WireEvacuations;
 use crate::mesh::encode;
 
 /// Command of the control log.
@@ -51,6 +53,10 @@
         now: u64,
     },
     RecordCrashes(Vec<WireCrashedRun>),
+    SetEvacuation {
+        zone: String,
+        active: bool,
+    },
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -97,6 +103,7 @@
     ClaimsFull,
     Done,
     OrderLease { won: bool, fencing: u64 },
+    Evacuations(u64),
 }
 
 /// Payload of a snapshot of the control log.
@@ -168,10 +175,15 @@
         order_leases: leases.collect(),
     };
     let mut bytes = encode(&wire);
-    if !state.crashes.is_empty() {
+    let has_evacuations = state.evacuations != Evacuations::default();
+    if !state.crashes.is_empty() || has_evacuations {
         let runs: Vec<_> = state.crashes.reports().map(WireCrashedRun::from).collect();
         bytes.extend(encode(&runs));
     }
+    if has_evacuations {
+        let evacuations = WireEvacuations::from(state.evacuations.clone());
+        bytes.extend(encode(&evacuations));
+    }
     Arc::from(bytes)
 }
 
@@ -183,7 +195,8 @@
     if bytes.is_empty() {
         return Ok(ControlState::default());
     }
-    // The crashed runs follow the rest; snapshots without any end before them.
+    // The crashed runs and then the evacuations follow the rest; a snapshot that has none of the
+    // latter, or neither, ends before them. Earlier versions ignore what they do not know.
     let (wire, rest): (WireControlState, _) = postcard::take_from_bytes(bytes)?;
     let mut state = ControlState {
         manifest: wire.manifest.map(PublishedManifest::from),
@@ -212,10 +225,14 @@
         state.order_leases.insert(key, restored);
     }
     if !rest.is_empty() {
-        let runs: Vec<WireCrashedRun> = postcard::from_bytes(rest)?;
+        let (runs, rest): (Vec<WireCrashedRun>, _) = postcard::take_from_bytes(rest)?;
         for run in runs {
             state.crashes.merge(&run.into());
         }
+        if !rest.is_empty() {
+            let evacuations: WireEvacuations = postcard::from_bytes(rest)?;
+            state.evacuations = evacuations.into();
+        }
     }
     Ok(state)
 }
@@ -262,6 +279,10 @@
                 let reports = reports.into_iter().map(WireCrashedRun::from);
                 CommandBody::RecordCrashes(reports.collect())
             }
+            Command::SetEvacuation { zone, active } => CommandBody::SetEvacuation {
+                zone: zone.to_string(),
+                active,
+            },
         })
     }
 }
@@ -307,6 +328,10 @@
             CommandBody::RecordCrashes(reports) => {
                 Self::RecordCrashes(reports.into_iter().map(CrashReport::from).collect())
             }
+            CommandBody::SetEvacuation { zone, active } => Self::SetEvacuation {
+                zone: ZoneName::from(zone),
+                active,
+            },
         }
     }
 }
@@ -404,6 +429,7 @@
             Answer::Claim(ClaimOutcome::Full) => AnswerBody::ClaimsFull,
             Answer::Done => AnswerBody::Done,
             Answer::OrderLease { won, fencing } => AnswerBody::OrderLease { won, fencing },
+            Answer::Evacuations(revision) => AnswerBody::Evacuations(revision),
         })
     }
 }
@@ -421,6 +447,7 @@
             AnswerBody::ClaimsFull => Self::Claim(ClaimOutcome::Full),
             AnswerBody::Done => Self::Done,
             AnswerBody::OrderLease { won, fencing } => Self::OrderLease { won, fencing },
+            AnswerBody::Evacuations(revision) => Self::Evacuations(revision),
         }
     }
 }
--- /dev/null
+++ b/wire/src/evacuation.rs
@@ -0,0 +1,31 @@
+//! Evacuated zones, in messages between VMs and in snapshots of the control state.
+
+use merlinrudder_core::evacuation::Evacuations;
+use merlinrudder_core::names::ZoneName;
+use serde::{Deserialize, Serialize};
+
+/// The evacuated zones with the revision of the set.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireEvacuations {
+    revision: u64,
+    zones: Vec<String>,
+}
+
+impl From<Evacuations> for WireEvacuations {
+    fn from(evacuations: Evacuations) -> Self {
+        let zones = evacuations.zones.iter().map(ToString::to_string);
+        Self {
+            revision: evacuations.revision,
+            zones: zones.collect(),
+        }
+    }
+}
+
+impl From<WireEvacuations> for Evacuations {
+    fn from(wire: WireEvacuations) -> Self {
+        Self {
+            revision: wire.revision,
+            zones: wire.zones.into_iter().map(ZoneName::from).collect(),
+        }
+    }
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dispatch;
 pub mod engine;
 pub mod error;
+pub mod evacuation;
 pub mod manifest;
 pub mod membership;
 pub mod mesh;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -12,6 +12,7 @@
 use crate::crashes::WireCrashReport;
 use crate::dispatch::{WireFromDispatcher, WireToDispatcher};
 use crate::error::DecodeError;
+use crate::evacuation::WireEvacuations;
 use crate::membership::WireMembership;
 use crate::peers::{WirePeer, WirePlacements, WireServer};
 use crate::rates::WireRateMessage;
@@ -117,6 +118,10 @@
     ///
     /// Only sent to VMs with [`WireFeatures::relay`].
     CutOff(Vec<String>),
+    /// Tells entry VMs the evacuated zones that the sending control VM knows.
+    ///
+    /// Only sent to VMs with [`WireFeatures::evacuations`].
+    Evacuations(WireEvacuations),
 }
 
 /// Abilities of a VM that earlier versions lack.
--- a/wire/tests/integration/round_trips.rs
+++ b/wire/tests/integration/round_trips.rs
@@ -37,7 +37,7 @@
     }
 }
 
-fn commands() -> Vec<Command> {
+pub fn commands() -> Vec<Command> {
     let now = Moment::from_millis(5);
     let owner = RequestId(7);
     let answer = RecordedAnswer {
