feature: orders to evacuate a zone at control VMs, told to entry VMs

POST /-/Evacuations.Start/ZONE and .End/ZONE are pending calls like a publish: proposed to the leader, sent again every 250 ms, answered once the order is applied at the VM that was asked. The command waits until all voters were seen with the feature. Control VMs tell entry VMs the evacuated zones on a change, on a new link before the number of the newest manifest, and with each advertisement once there was a change. That number counts as current only once the VM has applied an entry of the current term, so that an entry VM does not report ready without an evacuation of before a power loss. GET /admin/evacuations, merlinctl evacuate start|end|list, two gauges and log lines show and give the orders.

--- a/ctl/src/client.rs
+++ b/ctl/src/client.rs
@@ -14,6 +14,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of a whole exchange, except for completions with their own.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Timeout of a call to a control VM, which answers within a second.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Result of a call, as its caller saw it.
 #[derive(Clone, Debug, Default)]
@@ -236,6 +238,18 @@
     Ok((status, serde_json::from_slice(&response.bytes()?)?))
 }
 
+/// Makes a call without a body to a control VM; returns the HTTP status code and the response.
+///
+/// # Errors
+/// Fails if `method` is invalid, or the VM cannot be reached or does not answer within a second.
+pub fn control_call(method: &str, control: &str, path: &str) -> Result<(u16, String)> {
+    let method = Method::from_bytes(method.as_bytes())?;
+    let response = build_request(method, control, path, "")
+        .timeout(CONTROL_TIMEOUT)
+        .send()?;
+    Ok((response.status().as_u16(), response.text_utf8()?))
+}
+
 /// Fetches the status of a VM.
 ///
 /// # Errors
--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod demo;
+mod evacuate;
 mod fake;
 mod load;
 mod overhead;
@@ -33,6 +34,7 @@
         "publish" => admin::publish(sub),
         "status" => admin::status(sub),
         "keys" => keys(sub),
+        "evacuate" => evacuate::run(sub),
         "fake" => fake::run(sub),
         "load" => load::run(sub),
         "overhead" => overhead::run(sub),
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -16,6 +16,7 @@
         .subcommand(publish())
         .subcommand(status())
         .subcommand(keys())
+        .subcommand(evacuate())
         .subcommand(fake())
         .subcommand(load())
         .subcommand(overhead())
@@ -117,6 +118,32 @@
     )
 }
 
+fn evacuate() -> Command {
+    let control = || {
+        option(
+            "control",
+            "ADDRESSES",
+            "Addresses of control VMs for operators, comma-separated",
+        )
+        .required(true)
+        .value_delimiter(',')
+    };
+    let order = |name: &'static str, about: &'static str| {
+        let zone = Arg::new("zone").required(true).help("Name of the zone");
+        Command::new(name).about(about).arg(zone).arg(control())
+    };
+    Command::new("evacuate")
+        .about("Evacuate availability zones of a deployment on the hosting platform")
+        .subcommand_required(true)
+        .subcommand(order("start", "Send nothing more to the servers of a zone"))
+        .subcommand(order("end", "Send requests to the servers of a zone again"))
+        .subcommand(
+            Command::new("list")
+                .about("Show the evacuated zones")
+                .arg(control()),
+        )
+}
+
 fn keys() -> Command {
     Command::new("keys")
         .about("Create the certificate authority if missing, and a certificate for each given VM")
--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -148,7 +148,8 @@
         let NodeProcess { name, ip, .. } = &self.processes[index];
         let mut text = format!(
             "node={name}\nzone=z{}\nip={ip}\nseeds={}\nbootstrap={bootstrap}\n\
-             internal-port-range={internal},{}\nbounds.grace-s=8\n",
+             internal-port-range={internal},{}\nbounds.grace-s=8\n\
+             zones.z0=r0\nzones.z1=r0\nzones.z2=r0\n",
             index % CONTROL_VMS,
             seeds.join(","),
             internal + 2
@@ -301,16 +302,22 @@
         configuration["version"].as_u64()
     }
 
-    /// Sends a backend server's heartbeat to a control VM; returns whether it responded 200.
+    /// Sends the heartbeat of a backend server in zone `z0`; returns whether it responded 200.
     #[must_use]
     pub fn send_heartbeat(&self, index: usize, heartbeat: &Heartbeat<'_>) -> bool {
+        self.send_heartbeat_from("z0", index, heartbeat)
+    }
+
+    /// Sends a backend server's heartbeat to a control VM; returns whether it responded 200.
+    #[must_use]
+    pub fn send_heartbeat_from(&self, zone: &str, index: usize, heartbeat: &Heartbeat<'_>) -> bool {
         let state = if heartbeat.draining {
             "draining"
         } else {
             "ready"
         };
         let body = json!({"service": "app", "address": heartbeat.address.to_string(),
-            "zone": "z0", "version": "v1", "slots": 8, "state": state,
+            "zone": zone, "version": "v1", "slots": 8, "state": state,
             "seq": heartbeat.sequence, "born": heartbeat.born});
         let method_path = format!("POST /-/Instances.Heartbeat/{}", heartbeat.id);
         send_request(
@@ -323,6 +330,24 @@
             == 200
     }
 
+    /// Orders a control VM to begin or end the evacuation of a zone; returns the status, 0 if none
+    /// came.
+    #[must_use]
+    pub fn order_evacuation(&self, index: usize, zone: &str, active: bool) -> u16 {
+        let call = if active { "Start" } else { "End" };
+        let method_path = format!("POST /-/Evacuations.{call}/{zone}");
+        send_request(self.control_address(index), &method_path, "", "").status
+    }
+
+    /// Whether a control VM leads, by the last change of leadership in its log.
+    #[must_use]
+    pub fn leads(&self, index: usize) -> bool {
+        let log = fs::read_to_string(self.log_path(index)).unwrap_or_default();
+        let mut lines = log.lines().rev();
+        let last = lines.find(|line| line.contains("Leadership changed"));
+        last.is_some_and(|line| line.contains("\"leads\":true"))
+    }
+
     /// Returns the last lines of each node's log, under the node's name.
     #[must_use]
     pub fn log_tails(&self) -> String {
--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -6,10 +6,12 @@
 mod api;
 mod calls;
 mod crashes;
+mod evacuations;
 mod input;
 mod servers;
 mod state;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -18,6 +20,7 @@
 
 use anyhow::Result;
 use crossbeam::channel::{Receiver, select_biased, unbounded};
+use merlinrudder_core::names::ZoneName;
 use merlinrudder_wire::mesh::WireFeatures;
 use merlinrudder_wire::peers::WirePeer;
 use slog::{Logger, info, warn};
@@ -52,6 +55,8 @@
     pub data_dir: PathBuf,
     /// Number of control VMs that may be lost at the same time.
     pub tolerated_losses: usize,
+    /// Zones that operators may evacuate; any zone if it is empty.
+    pub zones: BTreeSet<ZoneName>,
 }
 
 /// Handle of a running control VM.
@@ -74,17 +79,16 @@
         let listener = TcpListener::bind(config.api_addr).await?;
         let link_inputs = inputs.clone();
         let handler = Arc::new(move |event| link_inputs.send(Input::Link(event)));
-        let links = Links::bind(
-            config.local_peer.clone(),
-            WireFeatures::default(),
-            handler,
-            log,
-        )
-        .await?;
+        let features = WireFeatures {
+            evacuations: true,
+            ..WireFeatures::default()
+        };
+        let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
             links.dial(*seed, true);
         }
-        tokio::spawn(api::serve(listener, inputs.clone(), log.clone()));
+        let zones = Arc::new(config.zones.clone());
+        tokio::spawn(api::serve(listener, inputs.clone(), zones, log.clone()));
         spawn_thread(config, links, inputs.clone(), receiver, log)?;
         Ok(Self { inputs })
     }
--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -1,5 +1,6 @@
 //! HTTP API of a control VM for operators and backend servers.
 
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use merlinrudder_core::control::PublishedManifest;
+use merlinrudder_core::names::ZoneName;
 use merlinrudder_core::time::duration_millis;
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_platform::calls::ControlCall;
@@ -34,15 +36,26 @@
 
 /// Path of the quarantined contents, followed by `/` and the digest of one of them.
 const QUARANTINE_PATH: &str = "/admin/quarantine";
+/// Path of the evacuated zones.
+const EVACUATIONS_PATH: &str = "/admin/evacuations";
 
 type ApiResponse = Response<Full<Bytes>>;
 
+/// Zones that operators may evacuate; any zone if it is empty.
+type KnownZones = Arc<BTreeSet<ZoneName>>;
+
 /// Accepts HTTP connections until the process exits.
-pub(super) async fn serve(listener: TcpListener, inputs: InputSender, log: Logger) {
+pub(super) async fn serve(
+    listener: TcpListener,
+    inputs: InputSender,
+    zones: KnownZones,
+    log: Logger,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, inputs.clone(), log.clone()));
+                let (inputs, zones) = (inputs.clone(), Arc::clone(&zones));
+                tokio::spawn(serve_connection(stream, inputs, zones, log.clone()));
             }
             Err(error) => {
                 warn!(log, "Accepting a connection failed"; "error" => %error);
@@ -52,13 +65,13 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, inputs: InputSender, log: Logger) {
+async fn serve_connection(stream: TcpStream, inputs: InputSender, zones: KnownZones, log: Logger) {
     if let Err(error) = sockets::set_tcp_options(&stream) {
         warn!(log, "Setting socket options failed"; "error" => %error);
     }
     let service = service_fn(|request| {
-        let (inputs, log) = (inputs.clone(), log.clone());
-        async move { Ok::<_, Infallible>(handle_request(request, &inputs, &log).await) }
+        let (inputs, zones, log) = (inputs.clone(), Arc::clone(&zones), log.clone());
+        async move { Ok::<_, Infallible>(handle_request(request, &inputs, &zones, &log).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -71,6 +84,7 @@
 async fn handle_request(
     request: Request<Incoming>,
     inputs: &InputSender,
+    zones: &BTreeSet<ZoneName>,
     log: &Logger,
 ) -> ApiResponse {
     let path = request.uri().path().to_owned();
@@ -81,6 +95,12 @@
             _ => text_response(StatusCode::METHOD_NOT_ALLOWED, "use GET or DELETE"),
         };
     }
+    if path == EVACUATIONS_PATH {
+        return match *request.method() {
+            Method::GET => list_evacuations(inputs).await,
+            _ => text_response(StatusCode::METHOD_NOT_ALLOWED, "use GET"),
+        };
+    }
     let Some(call) = ControlCall::parse(request.method().as_str(), &path) else {
         return text_response(StatusCode::NOT_FOUND, "no such call");
     };
@@ -103,6 +123,8 @@
             let born = instances::read_deregistration(&body);
             submit(inputs, |reply| Input::Deregister(id, born, reply)).await
         }
+        ControlCall::StartEvacuation(zone) => set_evacuation(zone, true, inputs, zones).await,
+        ControlCall::EndEvacuation(zone) => set_evacuation(zone, false, inputs, zones).await,
     }
 }
 
@@ -126,6 +148,36 @@
     }
 }
 
+/// Begins or ends the evacuation of a zone, which the settings must name if they name any.
+async fn set_evacuation(
+    zone: ZoneName,
+    active: bool,
+    inputs: &InputSender,
+    zones: &BTreeSet<ZoneName>,
+) -> ApiResponse {
+    if !zones.is_empty() && !zones.contains(&zone) {
+        return text_response(StatusCode::NOT_FOUND, "no such zone");
+    }
+    let order = |reply| Input::SetEvacuation {
+        zone,
+        active,
+        reply,
+    };
+    submit(inputs, order).await
+}
+
+async fn list_evacuations(inputs: &InputSender) -> ApiResponse {
+    match request_reply(inputs, Input::ListEvacuations).await {
+        Some(evacuations) => {
+            let zones = evacuations.zones.iter();
+            let zones: Vec<_> = zones.map(ZoneName::as_str).collect();
+            let list = json!({ "revision": evacuations.revision, "zones": zones });
+            json_response(Bytes::from(list.to_string()))
+        }
+        None => text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+    }
+}
+
 async fn list_quarantine(inputs: &InputSender) -> ApiResponse {
     let entry = |entry: &QuarantineEntry| {
         json!({
--- a/node/src/controller/calls.rs
+++ b/node/src/controller/calls.rs
@@ -6,6 +6,7 @@
 
 use merlinrudder_core::control::{Answer, Command, PublishedManifest};
 use merlinrudder_core::manifest::ManifestNumber;
+use merlinrudder_core::names::ZoneName;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::{MeshMessage, WireProposeResult};
 use slog::info;
@@ -48,6 +49,13 @@
         confirmed: Option<ManifestNumber>,
         reply: Reply<Arc<[u8]>>,
     },
+    Evacuate {
+        zone: ZoneName,
+        active: bool,
+        /// Revision of the evacuated zones once the leader had applied the order.
+        confirmed: Option<u64>,
+        reply: Reply<()>,
+    },
 }
 
 impl Controller {
@@ -76,6 +84,27 @@
         self.add_call(now, CallKind::Read { confirmed, reply }, CALL_TIMEOUT);
     }
 
+    /// Starts to record the order that begins or ends the evacuation of a zone.
+    pub(super) fn handle_set_evacuation(
+        &mut self,
+        now: Moment,
+        zone: ZoneName,
+        active: bool,
+        reply: Reply<()>,
+    ) {
+        let may_propose = self.may_propose_evacuations();
+        info!(self.log, "Evacuation ordered"; "zone" => %zone, "active" => active,
+            "may_propose" => may_propose);
+        let confirmed = None;
+        let kind = CallKind::Evacuate {
+            zone,
+            active,
+            confirmed,
+            reply,
+        };
+        self.add_call(now, kind, CALL_TIMEOUT);
+    }
+
     /// Handles the result of a proposal or of a leadership confirmation.
     pub(super) fn handle_proposal_result(&mut self, id: u64, result: WireProposeResult) {
         let Some(call) = self.calls.pending.get_mut(&id) else {
@@ -88,15 +117,23 @@
         };
         match (&mut call.kind, answer) {
             (CallKind::Publish(..), answer) => {
-                if let Some(call) = self.calls.pending.remove(&id) {
-                    self.finish_publish(call, &answer);
+                if let Some(Call {
+                    kind: CallKind::Publish(published, reply),
+                    ..
+                }) = self.calls.pending.remove(&id)
+                {
+                    self.finish_publish(&published, reply, &answer);
                 }
             }
             (CallKind::Read { confirmed, .. }, Answer::Accepted(number)) => {
                 *confirmed = Some(number);
                 self.complete_calls();
             }
-            (CallKind::Read { .. }, _) => {}
+            (CallKind::Evacuate { confirmed, .. }, Answer::Evacuations(revision)) => {
+                *confirmed = Some(revision);
+                self.complete_calls();
+            }
+            (CallKind::Read { .. } | CallKind::Evacuate { .. }, _) => {}
         }
     }
 
@@ -127,14 +164,16 @@
     /// Answers the calls that this VM's control state already allows to answer.
     ///
     /// A publish is answered once this manifest or a newer one is applied here. A read also needs
-    /// the leader's confirmation, and a manifest at least as new as the confirmed number.
+    /// the leader's confirmation, and a manifest at least as new as the confirmed number. An order to
+    /// evacuate is answered once the leader has applied it and this VM has reached that revision.
     pub(super) fn complete_calls(&mut self) {
-        let Some(manifest) = self.replica.state.manifest.clone() else {
-            return;
-        };
+        let manifest = self.replica.state.manifest.clone();
+        let number = manifest.as_ref().map(|manifest| manifest.number);
+        let revision = self.replica.state.evacuations.revision;
         let completed = |call: &Call| match &call.kind {
-            CallKind::Publish(published, _) => published.number <= manifest.number,
-            CallKind::Read { confirmed, .. } => confirmed.is_some_and(|c| c <= manifest.number),
+            CallKind::Publish(published, _) => Some(published.number) <= number,
+            CallKind::Read { confirmed, .. } => confirmed.is_some_and(|c| Some(c) <= number),
+            CallKind::Evacuate { confirmed, .. } => confirmed.is_some_and(|c| c <= revision),
         };
         let ids: Vec<_> = self
             .calls
@@ -148,25 +187,40 @@
             .filter_map(|id| self.calls.pending.remove(id))
             .collect::<Vec<_>>()
         {
-            match call.kind {
-                CallKind::Publish(..) => {
-                    self.finish_publish(call, &Answer::Accepted(manifest.number));
+            match (call.kind, &manifest) {
+                (CallKind::Publish(published, reply), Some(manifest)) => {
+                    let answer = Answer::Accepted(manifest.number);
+                    self.finish_publish(&published, reply, &answer);
                 }
-                CallKind::Read { reply, .. } => {
+                (CallKind::Read { reply, .. }, Some(manifest)) => {
                     // The operator may have moved on to another VM and closed the channel.
                     let _ignored = reply.send(Arc::clone(&manifest.bytes));
                 }
+                (
+                    CallKind::Evacuate {
+                        zone,
+                        active,
+                        reply,
+                        ..
+                    },
+                    _,
+                ) => {
+                    info!(self.log, "Evacuation order completed"; "zone" => %zone,
+                        "active" => active, "revision" => revision);
+                    // The operator may have moved on to another VM and closed the channel.
+                    let _ignored = reply.send(());
+                }
+                // Calls about manifests complete only with a manifest.
+                (CallKind::Publish(..) | CallKind::Read { .. }, None) => {}
             }
         }
     }
 
-    fn finish_publish(&self, call: Call, answer: &Answer) {
-        if let CallKind::Publish(published, reply) = call.kind {
-            info!(self.log, "Manifest publish completed"; "number" => published.number.0,
-                "answer" => ?answer);
-            // The operator may have moved on to another VM and closed the channel.
-            let _ignored = reply.send(());
-        }
+    fn finish_publish(&self, published: &PublishedManifest, reply: Reply<()>, answer: &Answer) {
+        info!(self.log, "Manifest publish completed"; "number" => published.number.0,
+            "answer" => ?answer);
+        // The operator may have moved on to another VM and closed the channel.
+        let _ignored = reply.send(());
     }
 
     fn add_call(&mut self, now: Moment, kind: CallKind, timeout: Duration) {
@@ -185,25 +239,31 @@
 
     /// Sends a call to the leader, if one is known.
     ///
-    /// A confirmed read is not sent again: it waits for this VM to apply the manifest.
+    /// A confirmed read or order to evacuate is not sent again: it waits for this VM to catch up. An
+    /// order to evacuate is not sent until all voters can apply it.
     fn send_call(&mut self, now: Moment, id: u64) {
-        let leader = self.leader_vm();
-        let Some(call) = self.calls.pending.get_mut(&id) else {
+        let Some(leader) = self.leader_vm() else {
             return;
         };
-        let Some(leader) = leader else {
+        let may_evacuate = self.may_send_evacuation(&leader);
+        let Some(call) = self.calls.pending.get_mut(&id) else {
             return;
         };
-        call.sent_at = Some(now);
-        let publish = match &call.kind {
-            CallKind::Publish(published, _) => Some(published.clone()),
+        let command = match &call.kind {
+            CallKind::Publish(published, _) => Some(Command::Publish(published.clone())),
             CallKind::Read { confirmed, .. } if confirmed.is_some() => return,
             CallKind::Read { .. } => None,
+            CallKind::Evacuate { confirmed, .. } if confirmed.is_some() || !may_evacuate => return,
+            CallKind::Evacuate { zone, active, .. } => Some(Command::SetEvacuation {
+                zone: zone.clone(),
+                active: *active,
+            }),
         };
+        call.sent_at = Some(now);
         let vm = self.local_peer.vm_id();
         let own = leader == vm;
         let requester = Requester { vm, id };
-        match publish.map(Command::Publish) {
+        match command {
             Some(command) if own => self.propose(now, requester, command),
             Some(command) => {
                 let command = command.into();
--- a/node/src/controller/input.rs
+++ b/node/src/controller/input.rs
@@ -5,7 +5,8 @@
 use crossbeam::channel::Sender;
 use merlinrudder_core::control::PublishedManifest;
 use merlinrudder_core::directory::ServerRecord;
-use merlinrudder_core::names::ServerId;
+use merlinrudder_core::evacuation::Evacuations;
+use merlinrudder_core::names::{ServerId, ZoneName};
 use merlinrudder_core::units::ContentDigest;
 use tokio::sync::oneshot;
 
@@ -30,6 +31,17 @@
     ///
     /// The number is the start of its incarnation in Unix milliseconds, if it is given.
     Deregister(ServerId, Option<u64>, Reply<()>),
+    /// An operator begins or ends the evacuation of a zone.
+    SetEvacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether the evacuation begins.
+        active: bool,
+        /// Answered once the order is in the log and applied here.
+        reply: Reply<()>,
+    },
+    /// An operator lists the evacuated zones.
+    ListEvacuations(Reply<Evacuations>),
     /// An operator lists the contents in quarantine.
     ListQuarantine(Reply<Vec<QuarantineEntry>>),
     /// An operator lifts the quarantine of a content; the reply tells whether there was one.
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -7,6 +7,7 @@
 use anyhow::Result;
 use merlinrudder_core::consensus::message::{Message, ReplicaId};
 use merlinrudder_core::control::Command;
+use merlinrudder_core::evacuation::CommandSupport;
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::{MeshMessage, WireProposeResult};
@@ -42,6 +43,9 @@
     pub(super) servers: ServerTracker,
     pub(super) calls: PendingCalls,
     pub(super) crashes: CrashExchange,
+    pub(super) evacuation_support: CommandSupport,
+    /// Revision of the evacuated zones that was last sent to the entry VMs on its change.
+    pub(super) advertised_evacuations: u64,
     /// When the crash history is next compared with the control log.
     pub(super) next_record: Moment,
     formation: ClusterFormation,
@@ -85,6 +89,8 @@
             servers: ServerTracker::default(),
             calls: PendingCalls::default(),
             crashes: CrashExchange::default(),
+            evacuation_support: CommandSupport::default(),
+            advertised_evacuations: 0,
             next_record: now,
             formation: ClusterFormation::default(),
             initial_addrs,
@@ -109,6 +115,15 @@
             Input::Read(reply) => self.handle_read(now, reply),
             Input::Heartbeat(record, reply) => self.handle_heartbeat(now, record, reply),
             Input::Deregister(id, born, reply) => self.handle_deregister(now, &id, born, reply),
+            Input::SetEvacuation {
+                zone,
+                active,
+                reply,
+            } => self.handle_set_evacuation(now, zone, active, reply),
+            Input::ListEvacuations(reply) => {
+                // The operator may have disconnected.
+                let _ignored = reply.send(self.replica.state.evacuations.clone());
+            }
             Input::ListQuarantine(reply) => {
                 // The operator may have disconnected.
                 let _ignored = reply.send(self.quarantined(now));
@@ -145,6 +160,7 @@
         }
         let number = self.replica.state.manifest_number().0;
         metrics::set_control_gauges(number, self.replica.consensus.term().0, is_leader);
+        metrics::set_evacuated_zones(self.replica.state.evacuations.zones.len());
     }
 
     /// Carries out the outputs of the consensus until none is left.
@@ -163,6 +179,7 @@
             }
         }
         let now = self.clock.now();
+        self.announce_evacuations();
         if self.replica.state.manifest_number().0 > self.advertised {
             self.advertise_manifest(now);
             self.complete_calls();
@@ -221,6 +238,8 @@
         self.crashes.link_up(&self.links, &vm);
         let servers = self.servers.all_records(now);
         self.send(&vm, &MeshMessage::Servers(servers));
+        // Before the manifest number, after which an entry VM may report that it is ready.
+        self.evacuation_link_up(peer);
         self.send(&vm, &self.newest_manifest(now));
         self.next_peers = now;
     }
@@ -294,12 +313,16 @@
 
     /// Proposes a command for a requester.
     ///
-    /// If this VM does not lead, the requester is told so at once.
+    /// If this VM does not lead, or the other VMs do not all understand the command, the requester is
+    /// told that it does not lead, and sends the command again later.
     pub(super) fn propose(&mut self, now: Moment, requester: Requester, command: Command) {
-        if self
-            .replica
-            .propose(now, requester.clone(), command)
-            .is_err()
+        let may_propose =
+            !matches!(command, Command::SetEvacuation { .. }) || self.may_propose_evacuations();
+        if !may_propose
+            || self
+                .replica
+                .propose(now, requester.clone(), command)
+                .is_err()
         {
             self.reject_proposal(requester);
         }
@@ -362,10 +385,13 @@
     }
 
     /// Returns the message that tells a VM the number of the newest manifest.
+    ///
+    /// It counts as current only once this VM has applied all that was committed before the current
+    /// term: an entry VM reports ready then, and must know the evacuations of before a power loss.
     fn newest_manifest(&self, now: Moment) -> MeshMessage {
         MeshMessage::NewestManifest {
             number: self.replica.state.manifest_number().0,
-            current: self.has_leader_contact(now),
+            current: self.has_leader_contact(now) && self.replica.is_caught_up(),
         }
     }
 
@@ -374,7 +400,11 @@
         self.next_advertise = now + ADVERTISE_INTERVAL;
         self.advertised = self.replica.state.manifest_number().0;
         let newest = self.newest_manifest(now);
-        for entry in self.entry_peers() {
+        let entries = self.entry_peers();
+        if self.replica.state.evacuations.revision > 0 {
+            self.send_evacuations(&entries);
+        }
+        for entry in entries {
             self.send(&entry, &newest);
         }
     }
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -9,6 +9,7 @@
 mod buffered;
 mod crash_verdict;
 mod crash_watch;
+mod evacuation;
 mod exchange;
 mod hedge;
 mod ingress;
@@ -108,6 +109,7 @@
         let features = WireFeatures {
             rates: true,
             relay: Some(relay),
+            evacuations: true,
             ..WireFeatures::default()
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
@@ -119,6 +121,7 @@
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
+        spawn_local(evacuation::run(Rc::clone(&gateway)));
         spawn_local(reach::run(Rc::clone(&gateway)));
         for (listener, sender) in [
             (caller_listener, Sender::Caller),
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -17,6 +17,7 @@
 
 use super::crash_verdict;
 use super::crash_watch;
+use super::evacuation;
 use super::placement_sync;
 use super::rate_limits;
 use super::reach;
@@ -115,6 +116,7 @@
         MeshMessage::TrialStarted(content) => crash_verdict::receive_trial(gateway, content),
         MeshMessage::CrashReports(reports) => crash_watch::receive(gateway, from, reports),
         MeshMessage::CutOff(services) => reach::receive(gateway, from, services),
+        MeshMessage::Evacuations(newer) => evacuation::receive(gateway, from, newer),
         MeshMessage::Rates(message) => rate_limits::receive(gateway, from, message),
         MeshMessage::Placements(placements) => placement_sync::apply(gateway, from, placements),
         other => debug!(gateway.log, "Unhandled message"; "from" => %from, "message" => ?other),
--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -90,6 +90,17 @@
 }
 
 impl Outbox {
+    /// Counts the active placements with a lead or helper that matches.
+    pub(super) fn placements_at(&self, matches: impl Fn(&ServerId) -> bool) -> usize {
+        let engines =
+            |placed: &PlacedPrompt| matches(&placed.lead) || placed.helpers.iter().any(&matches);
+        let placed = self
+            .active
+            .values()
+            .filter(|(_, placed, _)| engines(placed));
+        placed.count()
+    }
+
     /// Queues a change and wakes the sending task.
     fn push(&mut self, change: WirePlacementChange) {
         self.unsent.push(change);
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -122,6 +122,16 @@
     set_gauge("merlinrudder_quarantined_contents", quarantined);
 }
 
+/// Sets the gauge of evacuated zones.
+pub fn set_evacuated_zones(zones: usize) {
+    set_gauge("merlinrudder_evacuated_zones", zones);
+}
+
+/// Sets the gauge of this VM's requests that still run in evacuated zones.
+pub fn set_evacuated_requests(requests: usize) {
+    set_gauge("merlinrudder_evacuated_requests", requests);
+}
+
 /// Sets the gauges of the control log: manifest number, term and leadership.
 pub fn set_control_gauges(manifest: u64, term: u64, is_leader: bool) {
     #[expect(clippy::cast_precision_loss, reason = "numbers stay far below 2^52")]
--- a/node/src/replica.rs
+++ b/node/src/replica.rs
@@ -138,6 +138,14 @@
         Ok(())
     }
 
+    /// Whether an entry of the current term was applied, and with it all that was committed before.
+    ///
+    /// After a start, the applied state may miss entries that an earlier term has committed.
+    pub(crate) fn is_caught_up(&self) -> bool {
+        let applied_term = self.consensus.log().term_at(self.applied_index);
+        applied_term == Some(self.consensus.term())
+    }
+
     /// Handles a completed sync; returns the messages that had to wait for it.
     pub(crate) fn record_sync(&mut self, report: SyncReport) -> Vec<(ReplicaId, Message)> {
         if let Some((term, index)) = report.last_synced {
--- a/node/src/roles.rs
+++ b/node/src/roles.rs
@@ -77,6 +77,7 @@
             .data_dir
             .context("the settings lack data-dir, the data folder")?,
         tolerated_losses: settings.tolerated_losses,
+        zones: settings.zones,
     };
     let mut signals = Signals::new()?;
     let running = RunningController::spawn(config, log).await?;
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod cut_off_vms;
 mod deployment;
 mod endless_answers;
+mod evacuation;
 mod failing_helpers;
 mod http_server;
 mod load;
