--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -267,6 +267,7 @@
             | MeshMessage::CutOff(_)
             | MeshMessage::ColdServers(_)
             | MeshMessage::CrashReports(_)
+            | MeshMessage::Evacuations(_)
             | MeshMessage::NewestManifest { .. }
             | MeshMessage::Peers(_)
             | MeshMessage::Placements(_)
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod crash_verdict;
 mod crash_watch;
+mod evacuation;
 mod exchange;
 mod hedge;
 mod ingress;
@@ -112,6 +113,7 @@
         let features = WireFeatures {
             rates: true,
             relay: Some(relay),
+            evacuations: true,
             cold: true,
             ..WireFeatures::default()
         };
@@ -127,6 +129,7 @@
         spawn_local(cold::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
         spawn_local(crash_watch::pull_without_control(Rc::clone(&gateway)));
+        spawn_local(evacuation::run(Rc::clone(&gateway)));
         spawn_local(reach::run(Rc::clone(&gateway)));
         for (listener, sender) in [
             (caller_listener, Sender::Caller),
--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -119,6 +119,17 @@
         }
     }
 
+    /// Counts the active placements with a lead or helper that matches.
+    pub(super) fn placements_at(&self, matches: impl Fn(&ServerId) -> bool) -> usize {
+        let engines =
+            |placed: &PlacedPrompt| matches(&placed.lead) || placed.helpers.iter().any(&matches);
+        let placed = self
+            .active
+            .values()
+            .filter(|active| engines(&active.placed));
+        placed.count()
+    }
+
     /// Queues a change that names engines in `zones`, and wakes the sending task if need be.
     fn push(&mut self, now: Moment, change: &WirePlacementChange, zones: &BTreeSet<ZoneName>) {
         if self.batches.push(now, change, zones) {
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -1,5 +1,6 @@
 //! What entry and control VMs send over a link that opens, and over idle ones.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::ops::Range;
 use std::path::PathBuf;
@@ -7,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use merlinrudder_core::cold::plan::ColdBounds;
 use merlinrudder_core::crash_history::{CrashReport, CrashedRun};
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::history_pull::CONTROL_WAIT;
@@ -123,6 +125,7 @@
         bootstrap: false,
         data_dir,
         tolerated_losses: 1,
+        zones: BTreeSet::new(),
     }
 }
 
@@ -138,6 +141,7 @@
             ratio: 0.1,
             slack: 1.0,
         },
+        cold_bounds: ColdBounds::default(),
         stop_timeout: Duration::from_secs(10),
     }
 }
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod cut_off_vms;
 mod deployment;
 mod endless_answers;
+mod evacuation;
 mod failing_helpers;
 mod hand_link;
 mod http_server;
