feature: paces and limits of servers, learned from samples and other VMs' estimates

Cause: placement predicts every engine alike, so a server that turns slow keeps its share of the load until callers leave it. Off unless a capacity table is set.

--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -104,6 +104,8 @@
     pub helper_tokens: u64,
     /// Predicted time from now to the first token.
     pub predicted_ttft: Duration,
+    /// The same time if all engines had their nominal pace, against which their pace is learned.
+    pub nominal_ttft: Duration,
     /// Value that other requests are likely to lose by this placement.
     pub external_cost: f64,
 }
@@ -141,6 +143,8 @@
     ready: f64,
     /// Predicted time of a decode pass afterwards, in milliseconds.
     pass: f64,
+    /// Time to the end of that pass if the server had its nominal pace and no learned limit.
+    nominal: f64,
 }
 
 /// Places prompts, given the load of all engines at one moment.
@@ -203,6 +207,7 @@
             helpers: Vec::new(),
             helper_tokens: 0,
             predicted_ttft: from_millis(chosen.ready + chosen.pass),
+            nominal_ttft: from_millis(chosen.nominal),
             external_cost: chosen.external_cost,
         };
         Some((cost, placement))
@@ -258,6 +263,7 @@
         let helpers = &rated;
         let slowest = helpers.iter().fold(lead.ready, |slow, e| slow.max(e.ready));
         let ttft = slowest + lead.pass;
+        let nominal = helpers.iter().fold(lead.nominal, |n, e| n.max(e.nominal));
         let external_cost: f64 =
             helpers.iter().map(|e| e.external_cost).sum::<f64>() + lead.external_cost;
         let penalty: f64 = helpers
@@ -272,6 +278,7 @@
             helpers: helpers.iter().map(|e| e.server.id.clone()).collect(),
             helper_tokens,
             predicted_ttft: from_millis(ttft),
+            nominal_ttft: from_millis(nominal),
             external_cost,
         };
         Some((external_cost + penalty + helper_cost + own, placement))
@@ -298,16 +305,24 @@
     ) -> Evaluation<'c> {
         let empty = EngineLoad::default();
         let load = self.loads.load(&server.id).unwrap_or(&empty);
-        let prefill = self.profile.part_prefill_time(request.prompt_tokens, parts);
+        let pace = self.loads.learned().pace(&server.id);
+        let prefill = self.profile.part_prefill_time(request.prompt_tokens, parts) * pace;
         let tokens = request.prompt_tokens / parts as u64;
         let in_pass = self.profile.prefill_in_pass(tokens, prefill);
         let pass = self
             .profile
-            .pass_time(load.decode_count() + 1, load.decode_context());
+            .pass_time(load.decode_count() + 1, load.decode_context())
+            * pace;
         let backlog = load.prefill_backlog(self.now);
         let taken = load.lead_count() + UNSEEN_SLOTS;
-        let queued = (taken + 1).saturating_sub(self.profile.slots as usize);
-        let ready = pass / 2.0 + backlog + prefill + as_float(queued as u64) * SLOT_WAIT_MS;
+        let slot_wait = |slots: u32| {
+            let queued = (taken + 1).saturating_sub(slots as usize);
+            as_float(queued as u64) * SLOT_WAIT_MS
+        };
+        let usable = self.loads.usable_slots(self.profile, &server.id);
+        let work = pass / 2.0 + backlog + prefill;
+        let ready = work + slot_wait(usable) * pace;
+        let nominal = (work + pass) / pace + slot_wait(self.profile.slots);
         let ahead = if parts > 1 { prefill } else { in_pass };
         let external_cost = self.external_cost(load, in_pass, ahead, pass);
         Evaluation {
@@ -316,6 +331,7 @@
             external_cost,
             ready,
             pass,
+            nominal,
         }
     }
 
@@ -379,19 +395,19 @@
         let mut own: Vec<_> = candidates
             .iter()
             .filter(|candidate| candidate.server.zone == *self.zone)
-            .map(|candidate| &candidate.server.id)
+            .map(|candidate| candidate.server)
             .collect();
-        own.sort_unstable();
-        let shorts: usize = own.iter().map(|server| self.short_count(server)).sum();
-        let usable = f64::from(self.profile.slots) * OPEN_FILL_FRACTION;
+        own.sort_unstable_by_key(|server| &server.id);
+        let shorts: usize = own.iter().map(|server| self.short_count(&server.id)).sum();
         let mut open_slots = 0.0;
         let needed = as_float(shorts as u64 + 1);
-        let open = own.into_iter().take_while(|_| {
+        let open = own.into_iter().take_while(|server| {
             let needs_more = open_slots < needed;
-            open_slots += usable;
+            open_slots +=
+                f64::from(self.loads.usable_slots(self.profile, &server.id)) * OPEN_FILL_FRACTION;
             needs_more
         });
-        open.collect()
+        open.map(|server| &server.id).collect()
     }
 
     /// Returns the cost of a short prompt on a server with `unreported` further answers.
@@ -405,7 +421,8 @@
             .loads
             .load(&server.id)
             .map_or(0, EngineLoad::lead_count);
-        let occupancy = (as_float(answers as u64) + unreported) / f64::from(self.profile.slots);
+        let occupancy = (as_float(answers as u64) + unreported)
+            / f64::from(self.loads.usable_slots(self.profile, &server.id));
         let closed = if open.contains(&server.id) {
             0.0
         } else {
--- a/core/src/engine_placement/loads.rs
+++ b/core/src/engine_placement/loads.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::capacity::learned::LearnedTable;
 use crate::engine_model::{EngineProfile, as_float};
 use crate::names::{ServerId, VmId};
 use crate::time::Moment;
@@ -133,6 +134,16 @@
         (self.prefill_end - as_float(now.as_millis())).max(overrun)
     }
 
+    /// Multiplies the predicted times from `now` on by a factor.
+    fn rescale(&mut self, now: f64, factor: f64) {
+        let left = (self.prefill_end - now).max(0.0);
+        self.prefill_end = now + left * factor;
+        for part in self.parts.values_mut() {
+            part.prefill_ms *= factor;
+            part.in_pass *= factor;
+        }
+    }
+
     /// Returns the time that prefill takes in the next pass, in milliseconds.
     #[must_use]
     pub fn prefill_in_pass(&self, now: Moment) -> f64 {
@@ -148,9 +159,35 @@
     engines: BTreeMap<ServerId, EngineLoad>,
     /// Engines of each placement, the lead first.
     placed: BTreeMap<PlacementKey, Vec<ServerId>>,
+    /// Learned capacities, by which predicted times grow.
+    learned: LearnedTable,
 }
 
 impl LoadTable {
+    /// Returns the learned capacities in use.
+    #[must_use]
+    pub const fn learned(&self) -> &LearnedTable {
+        &self.learned
+    }
+
+    /// Returns the concurrent requests that an engine takes well: its slots or its learned limit.
+    #[must_use]
+    pub fn usable_slots(&self, profile: &EngineProfile, server: &ServerId) -> u32 {
+        self.learned.limit(server, profile.slots)
+    }
+
+    /// Uses other learned capacities; prefills in progress end sooner or later by their change.
+    pub fn set_learned(&mut self, now: Moment, learned: LearnedTable) {
+        let now = as_float(now.as_millis());
+        for (server, load) in &mut self.engines {
+            let factor = learned.pace(server) / self.learned.pace(server);
+            if factor.to_bits() != 1.0_f64.to_bits() {
+                load.rescale(now, factor);
+            }
+        }
+        self.learned = learned;
+    }
+
     /// Returns the load of an engine; `None` if nothing is placed on it.
     #[must_use]
     pub fn load(&self, server: &ServerId) -> Option<&EngineLoad> {
@@ -181,14 +218,15 @@
             .cloned()
             .collect();
         for server in &servers {
+            let pace = self.learned.pace(server);
             let load = self.engines.entry(server.clone()).or_default();
-            let pass = profile.pass_time(load.decode_count(), load.decode_context());
+            let pass = profile.pass_time(load.decode_count(), load.decode_context()) * pace;
             let start = if load.parts.values().any(|part| part.prefilling) {
                 load.prefill_end.max(as_float(now.as_millis()))
             } else {
                 as_float(now.as_millis()) + pass / 2.0
             };
-            load.prefill_end = start + prefill_ms;
+            load.prefill_end = start + prefill_ms * pace;
             let leads = *server == placed.lead;
             let on_helpers = placed.helper_tokens * placed.helpers.len() as u64;
             let part = PromptPart {
@@ -205,8 +243,8 @@
                 ttft_objective: placed.ttft_objective,
                 pause_objective: placed.pause_objective,
                 delay_weight: 1.0 / as_float(parts as u64),
-                prefill_ms,
-                in_pass,
+                prefill_ms: prefill_ms * pace,
+                in_pass: in_pass * pace,
             };
             load.parts.insert(key.clone(), part);
         }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::capacity::{CapacityChange, CapacityTable};
 use crate::deployment::Deployment;
 use crate::directory::{Directory, Merged, ServerRecord, ServerStage};
 use crate::engine_model::{EngineProfile, as_float};
@@ -29,6 +30,9 @@
 /// Additional occupancy that a plain call accepts in order to stay in its zone.
 const ZONE_CROSSING_LOAD: f64 = 0.34;
 
+/// Additional occupancy of a server that takes twice its usual time for plain calls.
+const PACE_LOAD: f64 = 0.25;
+
 /// Load that a server reported in a response.
 #[derive(Clone, Copy, Debug)]
 struct ReportedLoad {
@@ -60,6 +64,8 @@
     pub rates: RateLimits,
     /// Links to VMs by availability zone, which show that a zone is cut off.
     pub zone_links: ZoneLinks,
+    /// Learned capacities of the servers; `None` if they are not learned.
+    pub capacities: Option<CapacityTable>,
     /// Plain calls in progress from this VM, by server.
     calls: BTreeMap<ServerId, u32>,
     load_reports: BTreeMap<ServerId, ReportedLoad>,
@@ -80,6 +86,7 @@
             loads: LoadTable::default(),
             health: HealthTable::default(),
             zone_links: ZoneLinks::default(),
+            capacities: None,
             calls: BTreeMap::new(),
             load_reports: BTreeMap::new(),
             receives_heartbeats: false,
@@ -175,7 +182,9 @@
                 ZONE_CROSSING_LOAD
             };
             let failing = self.health.failure_rate(now, &server.id) * 2.0;
-            self.occupancy(now, server) + crossing + failing
+            let pace = self.loads.learned().pace(&server.id);
+            let slow = (pace - 1.0) * PACE_LOAD;
+            self.occupancy(now, server) * pace + slow + crossing + failing
         };
         let best = servers
             .into_iter()
@@ -261,6 +270,18 @@
         self.load_reports.insert(server.clone(), report);
     }
 
+    /// Computes the learned capacities from all estimates and uses them; returns what changed.
+    pub fn refresh_capacities(&mut self, now: Moment) -> Vec<CapacityChange> {
+        let Some(capacities) = &mut self.capacities else {
+            return Vec::new();
+        };
+        let changes = capacities.refresh(now, &self.directory);
+        if !changes.is_empty() {
+            self.loads.set_learned(now, capacities.learned().clone());
+        }
+        changes
+    }
+
     /// Records the outcome of a request at a server.
     pub fn record_outcome(&mut self, now: Moment, server: &ServerId, outcome: ServerOutcome) {
         self.health.record_outcome(now, server, outcome);
@@ -361,14 +382,18 @@
         unreachable.map(|(zone, _)| zone).collect()
     }
 
-    /// Returns the requests at a server as a fraction of its slots.
-    ///
-    /// The larger of the reported load and the calls from this VM counts.
+    /// Returns the requests at a server as a fraction of its slots or its learned limit.
     fn occupancy(&self, now: Moment, server: &ServerRecord) -> f64 {
+        let usable = self.loads.learned().limit(&server.id, server.slots.max(1));
+        f64::from(self.busy(now, server)) / f64::from(usable)
+    }
+
+    /// Returns the requests at a server: the reported ones or this VM's calls, whichever are more.
+    #[must_use]
+    pub fn busy(&self, now: Moment, server: &ServerRecord) -> u32 {
         let own = self.calls.get(&server.id).copied().unwrap_or(0);
         let report = self.load_reports.get(&server.id);
         let report = report.filter(|report| now.since(report.at) < LOAD_REPORT_LIFETIME);
-        let busy = report.map_or(own, |report| report.busy.max(own));
-        f64::from(busy) / f64::from(server.slots.max(1))
+        report.map_or(own, |report| report.busy.max(own))
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 //!   requests that crash them away ([`crash_detector`],
 //!   [`crash_history`], [`completions`]).
 
+pub mod capacity;
 pub mod census;
 pub mod claims;
 pub mod completions;
