feature: entry VMs learn the capacity of servers and tell each other (--learn-capacity)

Cause: a VM has a sample of one server twice a minute, so only estimates merged over VMs show a slow one. Change: samples from first events and whole answers, the mesh message Capacities, the flag, metrics, a log line for each change, simulations of both fleets and of application servers. Result: off, nothing changes.

--- a/core/src/capacity.rs
+++ b/core/src/capacity.rs
@@ -15,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use self::baseline::{Baseline, median};
+use self::baseline::{Baseline, Group, median};
 use self::learned::{Capacity, LearnedTable};
 use self::votes::{LIFETIME, Votes};
 use crate::directory::{Directory, Incarnation, ServerStage};
@@ -30,11 +30,22 @@
 ///
 /// It covers the network, and waits of a few milliseconds at both ends.
 const SLACK_MS: f64 = 30.0;
-/// Dead band: paces in between count as nominal.
+/// Shortest time that a time seen is compared with, in milliseconds.
 ///
-/// A prompt arrives at any moment of a pass, so that first events of even servers differ by more
-/// than half.
-const NOMINAL_RANGE: (f64, f64) = (0.6, 1.6);
+/// Below it, the scheduling of this VM's own process is a multiple of it.
+const MIN_EXPECTED_MS: f64 = 25.0;
+/// Dead band: a smaller pace counts as nominal.
+///
+/// A prompt arrives at any moment of a pass, so that one of twenty first events of even servers
+/// takes 1.3 times as long as the median. A server that is faster than others needs no pace: it is
+/// the others that are slow.
+const MIN_SLOW_PACE: f64 = 1.6;
+/// Pace from which a request without an answer counts as late.
+const OVERDUE_PACE: f64 = 2.0;
+/// Nominal time from which a prompt is no sample, in milliseconds.
+///
+/// Prompts that arrive later and go first at the engines delay a longer one by more than predicted.
+const MAX_NOMINAL_MS: f64 = 800.0;
 /// Change of an estimate from which it is sent.
 const MIN_CHANGE: f64 = 0.15;
 /// Shortest time between two messages.
@@ -87,6 +98,19 @@
     LimitGrew,
 }
 
+impl ChangeReason {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::LateAnswers => "late_answers",
+            Self::TimelyAnswers => "timely_answers",
+            Self::Expired => "expired",
+            Self::LimitGrew => "limit_grew",
+        }
+    }
+}
+
 /// Change of a learned capacity.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CapacityChange {
@@ -145,30 +169,74 @@
     /// Adds the time to first event of a prompt, which takes `nominal` if all paces are 1.
     pub fn record_prompt(&mut self, now: Moment, sample: &Sample<'_>, nominal: Duration) {
         let nominal = as_float(duration_millis(nominal));
-        if nominal >= 1.0 {
-            self.record(now, sample, nominal);
+        if (1.0..MAX_NOMINAL_MS).contains(&nominal) {
+            let group = (sample.service.clone(), false);
+            self.record(now, sample, &group, nominal);
         }
     }
 
     /// Adds the answer time of a plain call, compared with the usual one of its service.
     pub fn record_call(&mut self, now: Moment, sample: &Sample<'_>) {
+        let group = (sample.service.clone(), true);
+        self.record(now, sample, &group, 1.0);
+    }
+
+    /// Adds a sample, unless the usual ratio of its group is not known yet.
+    ///
+    /// What the prediction leaves out, such as the pass that an arrival waits for, is in the usual
+    /// ratio and so does not count.
+    fn record(&mut self, now: Moment, sample: &Sample<'_>, group: &Group, nominal: f64) {
+        let Some(first) = sample.servers.first() else {
+            return;
+        };
         let took = as_float(duration_millis(sample.took));
-        if let Some(usual) = self.baseline.usual_time(sample.service, took) {
-            self.record(now, sample, usual);
+        let usual = self.baseline.usual(group, &first.server);
+        self.baseline
+            .add_ratio(group, &first.server, took / nominal);
+        let Some(usual) = usual else {
+            return;
+        };
+        let expected = (nominal * usual).max(MIN_EXPECTED_MS);
+        let delay = self.baseline.add_delay(sample.zone, took - expected);
+        let pace = settle((took - delay - SLACK_MS) / expected);
+        self.estimate(now, sample, pace);
+    }
+
+    /// Adds a request without an answer so far if it is late already; returns whether it is.
+    ///
+    /// `nominal` is as in [`Self::record_prompt`], and `None` for a plain call. The answer is still
+    /// to be recorded once it arrives.
+    pub fn record_overdue(
+        &mut self,
+        now: Moment,
+        sample: &Sample<'_>,
+        nominal: Option<Duration>,
+    ) -> bool {
+        let group = (sample.service.clone(), nominal.is_none());
+        let nominal = nominal.map_or(1.0, |nominal| as_float(duration_millis(nominal)));
+        let usual = sample.servers.first().and_then(|first| {
+            let is_sample = nominal < MAX_NOMINAL_MS;
+            self.baseline
+                .usual(&group, &first.server)
+                .filter(|_| is_sample)
+        });
+        let Some(usual) = usual else {
+            return false;
+        };
+        let took = as_float(duration_millis(sample.took));
+        let delay = self.baseline.delay(sample.zone);
+        let pace = (took - delay - SLACK_MS) / (nominal * usual).max(MIN_EXPECTED_MS);
+        if pace >= OVERDUE_PACE {
+            self.estimate(now, sample, pace);
         }
+        pace >= OVERDUE_PACE
     }
 
-    fn record(&mut self, now: Moment, sample: &Sample<'_>, nominal: f64) {
+    /// Adds an estimate of the servers of a sample.
+    fn estimate(&mut self, now: Moment, sample: &Sample<'_>, pace: f64) {
         let Some(first) = sample.servers.first() else {
             return;
         };
-        let took = as_float(duration_millis(sample.took));
-        let delay = self.baseline.network_delay(sample.zone, took - nominal);
-        let ratio = ratio(took - delay, nominal);
-        let load = self
-            .baseline
-            .load_factor(now, sample.service, &first.server, ratio);
-        let pace = settle(ratio / load);
         let late = pace > 1.0;
         let slow: Vec<_> = sample
             .servers
@@ -280,6 +348,12 @@
                     continue;
                 };
                 let pace = settle(pace / load);
+                let earlier = self.learned.pace(&incarnation.server);
+                let pace = if differs(pace, earlier) {
+                    pace
+                } else {
+                    earlier
+                };
                 let limit = state.update_limit(pace, slots, elapsed);
                 if pace.to_bits() != 1.0_f64.to_bits() || limit.is_some() {
                     learned.insert(incarnation.server, Capacity { pace, limit });
@@ -358,7 +432,7 @@
             }
             let held = state.sent.map_or(1.0, |sent| sent.pace_left(now));
             let merged = self.learned.pace(&server.server);
-            let first_late = state.votes.first_late(NOMINAL_RANGE.1);
+            let first_late = state.votes.first_late(MIN_SLOW_PACE);
             let contradicts =
                 differs(own.pace, merged) && first_late.is_none_or(|first| first <= own.at);
             if differs(own.pace, held) || contradicts {
@@ -393,7 +467,7 @@
     fn update_limit(&mut self, pace: f64, slots: u32, elapsed: f64) -> Option<u32> {
         let all = f64::from(slots.max(1));
         if pace > 1.0 {
-            let busy = self.votes.late_busy(NOMINAL_RANGE.1).unwrap_or(all);
+            let busy = self.votes.late_busy(MIN_SLOW_PACE).unwrap_or(all);
             let target = (busy * LIMIT_DECREASE).max(all / pace).max(1.0);
             self.limit = Some(self.limit.unwrap_or(all).min(target));
         } else if let Some(limit) = self.limit {
@@ -409,22 +483,9 @@
     }
 }
 
-/// Returns the time seen over the nominal one; 1 where the slack explains the difference.
-fn ratio(took: f64, nominal: f64) -> f64 {
-    if took > nominal {
-        ((took - SLACK_MS) / nominal).max(1.0)
-    } else {
-        ((took + SLACK_MS) / nominal).min(1.0)
-    }
-}
-
 /// Returns 1 for a pace within the dead band.
 fn settle(pace: f64) -> f64 {
-    if pace > NOMINAL_RANGE.0 && pace < NOMINAL_RANGE.1 {
-        1.0
-    } else {
-        pace
-    }
+    if pace < MIN_SLOW_PACE { 1.0 } else { pace }
 }
 
 fn differs(one: f64, other: f64) -> bool {
--- a/core/src/capacity/baseline.rs
+++ b/core/src/capacity/baseline.rs
@@ -1,82 +1,102 @@
-//! What this VM's samples are compared with, so that load and the network do not count as a slow
-//! server.
+//! What this VM's samples are compared with, so that load, the network and errors of the prediction
+//! do not count as a slow server.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
 
 use crate::names::{ServerId, ServiceName, ZoneName};
-use crate::time::Moment;
 
-/// Answer times of plain calls that are kept for a service.
-const USUAL_SAMPLES: usize = 15;
-/// Answer times from which the usual one is known.
+/// Servers of a service from whose samples the usual ratio is taken.
+const USUAL_SERVERS: usize = 15;
+/// Samples that are kept for each of them.
+///
+/// A VM that has most of its samples from one server does not take its slowness for usual.
+const SERVER_SAMPLES: usize = 5;
+/// Samples from which the usual ratio is known.
 const MIN_USUAL_SAMPLES: usize = 5;
+/// Newest samples whose median shows that the whole service is late at once.
+const RECENT_SAMPLES: usize = 5;
 /// Samples that are kept for the delay of a zone.
 const DELAY_SAMPLES: usize = 8;
 /// Samples from which the delay of a zone is known.
-const MIN_DELAY_SAMPLES: usize = 4;
+const MIN_DELAY_SAMPLES: usize = 2;
 /// Longest delay of a zone that is subtracted, in milliseconds.
 ///
 /// More would hide that all servers of a zone are slow.
 const MAX_DELAY_MS: f64 = 100.0;
-/// Samples of one service that are compared with each other.
-const PEER_SAMPLES: usize = 8;
-/// Samples of other servers from which a sample is compared with them.
-const MIN_PEER_SAMPLES: usize = 3;
-/// Age up to which samples are compared with each other.
-const PEER_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Samples that are compared with each other: plain calls and prompts of a service.
+pub(super) type Group = (ServiceName, bool);
 
 /// Recent samples of this VM.
 #[derive(Debug, Default)]
 pub(super) struct Baseline {
-    /// Answer times of plain calls, in milliseconds.
-    answer_times: BTreeMap<ServiceName, VecDeque<f64>>,
-    /// Times above the nominal ones, in milliseconds.
+    /// Servers and ratios of the newest samples, the oldest first.
+    ratios: BTreeMap<Group, VecDeque<(ServerId, f64)>>,
+    /// Times above the expected ones, in milliseconds.
     excess: BTreeMap<ZoneName, VecDeque<f64>>,
-    /// Ratios of the newest samples.
-    ratios: BTreeMap<ServiceName, VecDeque<(Moment, ServerId, f64)>>,
 }
 
 impl Baseline {
-    /// Adds the answer time of a plain call; returns the usual one of the calls before it, if known.
-    pub(super) fn usual_time(&mut self, service: &ServiceName, took: f64) -> Option<f64> {
-        let times = self.answer_times.entry(service.clone()).or_default();
-        let usual = (times.len() >= MIN_USUAL_SAMPLES).then(|| median(times.iter().copied()));
-        push(times, took, USUAL_SAMPLES);
-        usual.filter(|usual| *usual > 0.0)
+    /// Adds the ratio of a sample: its time over the nominal one.
+    pub(super) fn add_ratio(&mut self, group: &Group, server: &ServerId, ratio: f64) {
+        let ratios = self.ratios.entry(group.clone()).or_default();
+        let is_same = |(other, _): &(ServerId, f64)| other == server;
+        if ratios.iter().filter(|sample| is_same(sample)).count() == SERVER_SAMPLES {
+            let oldest = ratios.iter().position(is_same);
+            oldest.map(|oldest| ratios.remove(oldest));
+        }
+        ratios.push_back((server.clone(), ratio));
+        if by_server(ratios).len() > USUAL_SERVERS {
+            ratios.pop_front();
+        }
+    }
+
+    /// Returns the usual ratio, or the one of the newest samples of servers other than `server` if
+    /// that is larger; `None` while there are too few.
+    ///
+    /// The usual ratio is the median over servers.
+    pub(super) fn usual(&self, group: &Group, server: &ServerId) -> Option<f64> {
+        let ratios = self.ratios.get(group)?;
+        if ratios.len() < MIN_USUAL_SAMPLES {
+            return None;
+        }
+        let others = ratios.iter().rev().filter(|(other, _)| other != server);
+        let recent: Vec<_> = others.take(RECENT_SAMPLES).map(|(_, r)| *r).collect();
+        let recent = if recent.len() < RECENT_SAMPLES {
+            0.0
+        } else {
+            median(recent.into_iter())
+        };
+        let servers = by_server(ratios).into_values();
+        let usual = median(servers.map(|ratios| median(ratios.into_iter())));
+        Some(usual.max(recent))
     }
 
-    /// Adds the time of a sample above its nominal one; returns what the network adds, which is at
-    /// most the least of the zone's recent samples.
-    pub(super) fn network_delay(&mut self, zone: &ZoneName, excess: f64) -> f64 {
+    /// Adds the time of a sample above the expected one; returns the delay with it.
+    pub(super) fn add_delay(&mut self, zone: &ZoneName, excess: f64) -> f64 {
         let known = self.excess.entry(zone.clone()).or_default();
         push(known, excess, DELAY_SAMPLES);
-        if known.len() < MIN_DELAY_SAMPLES {
-            return 0.0;
-        }
+        self.delay(zone)
+    }
+
+    /// Returns what the network adds at most: the least of the zone's recent samples, and
+    /// `MAX_DELAY_MS` while these are too few.
+    pub(super) fn delay(&self, zone: &ZoneName) -> f64 {
+        let known = self.excess.get(zone);
+        let Some(known) = known.filter(|known| known.len() >= MIN_DELAY_SAMPLES) else {
+            return MAX_DELAY_MS;
+        };
         let least = known.iter().copied().fold(f64::INFINITY, f64::min);
         least.clamp(0.0, MAX_DELAY_MS)
     }
+}
 
-    /// Adds the ratio of a sample; returns the median ratio of other servers of the service, at
-    /// least 1.
-    pub(super) fn load_factor(
-        &mut self,
-        now: Moment,
-        service: &ServiceName,
-        server: &ServerId,
-        ratio: f64,
-    ) -> f64 {
-        let ratios = self.ratios.entry(service.clone()).or_default();
-        ratios.retain(|(at, _, _)| now.since(*at) < PEER_LIFETIME);
-        let others = ratios.iter().filter(|(_, other, _)| other != server);
-        let others: Vec<_> = others.map(|(_, _, ratio)| *ratio).collect();
-        push(ratios, (now, server.clone(), ratio), PEER_SAMPLES);
-        if others.len() < MIN_PEER_SAMPLES {
-            return 1.0;
-        }
-        median(others.into_iter()).max(1.0)
+fn by_server(ratios: &VecDeque<(ServerId, f64)>) -> BTreeMap<&ServerId, Vec<f64>> {
+    let mut servers: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for (server, ratio) in ratios {
+        servers.entry(server).or_default().push(*ratio);
     }
+    servers
 }
 
 fn push<T>(values: &mut VecDeque<T>, value: T, most: usize) {
--- a/core/src/capacity/votes.rs
+++ b/core/src/capacity/votes.rs
@@ -8,15 +8,15 @@
 use crate::time::{Moment, duration_millis};
 
 /// Time in which an estimate loses half of its weight, in milliseconds.
-const HALF_LIFE_MS: f64 = 2_500.0;
+const HALF_LIFE_MS: f64 = 4_000.0;
 /// Age from which an estimate is not used any more.
 ///
 /// Without new samples a server gets work again by then, which is how it is probed.
 pub(super) const LIFETIME: Duration = Duration::from_secs(8);
 /// Weight of the assumption that a server has its nominal pace.
 ///
-/// A single estimate does not outweigh it, and two fresh ones do.
-const NOMINAL_WEIGHT: f64 = 1.2;
+/// A single estimate does not outweigh it, and two do.
+const NOMINAL_WEIGHT: f64 = 1.0;
 /// Smallest and largest pace of an estimate.
 const PACE_RANGE: (f64, f64) = (0.25, 8.0);
 
--- a/core/tests/integration/long_prompt_bursts.rs
+++ b/core/tests/integration/long_prompt_bursts.rs
@@ -4,6 +4,7 @@
 
 use crate::fleets::profile;
 use crate::util::burst_sim::{BurstSim, Kind, Load, Outcome, Record, Trouble};
+use crate::util::learning_sim::EntryVms;
 
 /// Indices of the shortest and the longest kind in `KINDS`.
 const SHORT: usize = 0;
@@ -66,6 +67,8 @@
             usual,
         ],
         troubles: Vec::new(),
+        entry_vms: EntryVms::default(),
+        knee: None,
     }
 }
 
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core state machines, without a real clock, network or disk.
 
+mod capacity_rules;
 mod claims;
 mod consensus;
 mod control;
@@ -14,6 +15,7 @@
 mod engine_placement_load;
 mod events;
 mod fleets;
+mod learned_capacity;
 mod log_fuzz;
 mod long_prompt_bursts;
 mod manifest_pull;
--- a/core/tests/integration/util.rs
+++ b/core/tests/integration/util.rs
@@ -1,10 +1,12 @@
 //! Simulation of control log replicas with an unreliable network and disks that lose records.
 
 pub mod burst_sim;
+pub mod call_sim;
 mod codec;
 mod commands;
 mod crashes;
 pub mod engine_sim;
+pub mod learning_sim;
 mod network;
 mod oracle;
 pub mod rate_sim;
--- a/core/tests/integration/util/burst_sim.rs
+++ b/core/tests/integration/util/burst_sim.rs
@@ -1,13 +1,13 @@
 //! Simulated fleet under bursts: callers, entry VMs that place prompts, and engines.
 //!
-//! All entry VMs of a zone share one view of the loads, which is `NEWS_DELAY_MS` old.
+//! Each entry VM has a view of the loads that is `NEWS_DELAY_MS` old.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use fastrand::Rng;
-use merlinrudder_core::directory::{ServerRecord, ServerStage};
+use merlinrudder_core::directory::{Incarnation, ServerRecord, ServerStage};
 use merlinrudder_core::engine_model::{EngineProfile, as_float};
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
 use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
@@ -18,6 +18,7 @@
 use merlinrudder_core::time::Moment;
 
 use super::engine_sim::{JobId, Part, SimEngine};
+use super::learning_sim::{Awaited, EntryVms, LearningSim, Policy};
 use crate::fleets::{rates, service};
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -98,6 +99,10 @@
     /// Phases one after the other: length in milliseconds, and the rate of each kind a second.
     pub phases: Vec<(u64, Vec<f64>)>,
     pub troubles: Vec<Trouble>,
+    pub entry_vms: EntryVms,
+    /// Number of engines, from the first one on, that slow down above a number of answers, with that
+    /// number and the factor on the time of their passes.
+    pub knee: Option<(usize, usize, f64)>,
 }
 
 /// A request with its outcome.
@@ -105,6 +110,7 @@
 pub struct Record {
     pub kind: usize,
     pub prompt: u64,
+    pub came_at: u64,
     pub outcome: Outcome,
     /// Value that its caller got.
     pub gained: f64,
@@ -125,7 +131,8 @@
 struct Job {
     kind: usize,
     prompt: u64,
-    zone: usize,
+    /// Entry VM that the caller sends to.
+    vm: usize,
     came_at: u64,
     /// When the entry VM received the present attempt of the caller.
     received_at: u64,
@@ -163,16 +170,25 @@
     news: VecDeque<(u64, PlacementKey, News)>,
     placements: u64,
     arrivals: u64,
+    pub learning: LearningSim,
 }
 
 impl BurstSim {
     pub fn new(load: Load, seed: u64) -> Self {
-        let fleets = ZONES.iter().map(|zone| build_fleet(zone, &load)).collect();
+        let zones = ZONES.iter().cycle().take(load.entry_vms.count);
+        let mut fleets: Vec<_> = zones.map(|zone| build_fleet(zone, &load)).collect();
+        let mut engines: Vec<_> = (0..load.engines).map(|_| SimEngine::default()).collect();
+        if let Some((count, answers, factor)) = load.knee {
+            for engine in &mut engines[..count] {
+                engine.knee = Some((answers, factor));
+            }
+        }
         Self {
             arrival_rng: Rng::with_seed(seed),
             rng: Rng::with_seed(seed),
+            learning: LearningSim::new(load.entry_vms, seed, &mut fleets),
             fleets,
-            engines: (0..load.engines).map(|_| SimEngine::default()).collect(),
+            engines,
             dead: vec![false; load.engines],
             jobs: Vec::new(),
             open: Vec::new(),
@@ -184,7 +200,12 @@
     }
 
     /// Plays all phases, and returns what each request got.
-    pub fn run(mut self) -> Vec<Record> {
+    pub fn run(self) -> Vec<Record> {
+        self.play().0
+    }
+
+    /// Plays all phases, and returns what each request got and what was learned.
+    pub fn play(mut self) -> (Vec<Record>, LearningSim) {
         let phases = self.load.phases.clone();
         let mut now = 0;
         for (length, rates) in phases {
@@ -198,7 +219,8 @@
             now += 1;
             self.step(now);
         }
-        self.jobs.iter().map(|job| self.record(job)).collect()
+        let records = self.jobs.iter().map(|job| self.record(job)).collect();
+        (records, self.learning)
     }
 
     fn record(&self, job: &Job) -> Record {
@@ -215,6 +237,7 @@
         Record {
             kind: job.kind,
             prompt: job.prompt,
+            came_at: job.came_at,
             outcome,
             gained,
             value,
@@ -248,7 +271,7 @@
         self.jobs.push(Job {
             kind: index,
             prompt,
-            zone: self.arrival_rng.usize(..ZONES.len()),
+            vm: self.arrival_rng.usize(..self.load.entry_vms.count),
             came_at: now,
             received_at: now,
             refusals: 0,
@@ -274,6 +297,7 @@
     fn step(&mut self, now: u64) {
         self.apply_troubles(now);
         self.apply_news(now);
+        self.learning.step(now, &mut self.fleets);
         for engine in 0..self.engines.len() {
             if !self.dead[engine] {
                 self.advance_engine(now, engine);
@@ -362,6 +386,9 @@
     }
 
     fn record_event(&mut self, now: u64, number: JobId) {
+        if self.jobs[number].first_at.is_none() {
+            self.learning.first_event(now, number, &mut self.fleets);
+        }
         let job = &mut self.jobs[number];
         let kind = &self.load.kinds[job.kind];
         job.events += 1;
@@ -393,6 +420,7 @@
 
     /// Takes a job off its engines.
     fn withdraw(&mut self, now: u64, job: JobId) {
+        self.learning.forget(job);
         for engine in std::mem::take(&mut self.jobs[job].engines) {
             self.engines[engine].drop_job(job);
         }
@@ -441,10 +469,17 @@
             random_seed: job.seed,
         };
         let moment = Moment::from_millis(now);
-        let fleet = &self.fleets[job.zone];
+        let fleet = &self.fleets[job.vm];
         let profile = self.load.profile;
         let chosen = fleet.choose_engines(moment, &service(), &profile, &request, &[]);
-        let (placement, decision) = chosen.expect("an engine");
+        let (mut placement, decision) = chosen.expect("an engine");
+        if self.load.entry_vms.policy != Policy::Predicted {
+            placement.lead = self.naive_lead(number);
+            placement.helpers.clear();
+            placement.helper_tokens = 0;
+            self.place(now, number, &request, &placement);
+            return;
+        }
         match decision {
             PlacementDecision::Place => self.place(now, number, &request, &placement),
             PlacementDecision::Wait => {
@@ -455,6 +490,22 @@
         }
     }
 
+    /// Chooses an engine without predictions.
+    fn naive_lead(&mut self, number: JobId) -> ServerId {
+        let loads = &self.fleets[self.jobs[number].vm].loads;
+        let count = |engine: &usize| {
+            let load = loads.load(&server_id(*engine));
+            load.map_or(0, |load| load.lead_count())
+        };
+        let first = self.rng.usize(..self.engines.len());
+        let order = (first..self.engines.len()).chain(0..first);
+        let engine = match self.load.entry_vms.policy {
+            Policy::LeastLoaded => order.min_by_key(count),
+            Policy::FixedWeights | Policy::Predicted => Some(first),
+        };
+        server_id(engine.unwrap_or(first))
+    }
+
     /// Refuses a job; its caller comes back once.
     fn refuse(&mut self, now: u64, number: JobId) {
         let wait = RETURN_MS * (1.0 + self.rng.f64() / 2.0);
@@ -520,6 +571,7 @@
             ttft_objective: request.ttft_objective,
             pause_objective: request.pause_objective,
         };
+        self.await_first(now, number, placement, &engines);
         let key = placement_key(self.placements);
         self.news.push_back((now, key, News::Placed(placed)));
         let job = &mut self.jobs[number];
@@ -531,6 +583,29 @@
     }
 }
 
+impl BurstSim {
+    /// Notes what a sample of a placed job is compared with.
+    fn await_first(&mut self, now: u64, number: JobId, placement: &Placement, engines: &[usize]) {
+        let vm = self.jobs[number].vm;
+        let load = self.fleets[vm].loads.load(&placement.lead);
+        let busy = load.map_or(0, |load| load.lead_count());
+        let servers = engines.iter().map(|engine| Incarnation {
+            server: server_id(*engine),
+            born: 1,
+        });
+        let awaited = Awaited {
+            vm,
+            servers: servers.collect(),
+            zone: ZoneName::from(ZONES[engines[0] % ZONES.len()]),
+            busy: u32::try_from(busy).unwrap_or(u32::MAX),
+            placed_at: now,
+            nominal: Some(placement.nominal_ttft),
+            is_overdue: false,
+        };
+        self.learning.await_first(number, awaited);
+    }
+}
+
 fn build_fleet(zone: &str, load: &Load) -> Fleet {
     let mut fleet = Fleet::new(ZoneName::from(zone), rates());
     for (engine, port) in (0..load.engines).zip(1000..) {
--- a/core/tests/integration/util/engine_sim.rs
+++ b/core/tests/integration/util/engine_sim.rs
@@ -61,6 +61,8 @@
     writing: Vec<JobId>,
     /// Factor on the time of each pass; 0 counts as 1.
     pub pace: f64,
+    /// Answers at once from which on its passes take the given factor longer; `None` if none do.
+    pub knee: Option<(usize, f64)>,
 }
 
 impl SimEngine {
@@ -182,6 +184,10 @@
             + as_float(self.writers.len() as u64) * profile.sequence_ms
             + as_float(context) / 1000.0 * profile.context_ms;
         let pace = if self.pace > 0.0 { self.pace } else { 1.0 };
+        let over_knee = self
+            .knee
+            .filter(|(answers, _)| self.writers.len() > *answers);
+        let pace = pace * over_knee.map_or(1.0, |(_, factor)| factor);
         self.writing = self.writers.iter().map(|writer| writer.job).collect();
         self.pass_end = Some(now + (steps * step + prefill_ms) * pace);
     }
--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -50,6 +50,8 @@
     /// Ports for operators and backend servers, callers, readiness checks, and other VMs.
     ports: [u16; 4],
     processes: Vec<NodeProcess>,
+    /// Arguments of the entry role.
+    entry_args: Vec<String>,
 }
 
 /// What a backend server says of itself in a heartbeat.
@@ -80,6 +82,14 @@
     /// # Errors
     /// Fails if a file cannot be written or a process cannot be started.
     pub fn spawn(program: &Path, entry_vms: u8) -> Result<Self> {
+        Self::spawn_with(program, entry_vms, &[])
+    }
+
+    /// Starts nodes as `spawn` does, the entry VMs with further arguments.
+    ///
+    /// # Errors
+    /// Fails if a file cannot be written or a process cannot be started.
+    pub fn spawn_with(program: &Path, entry_vms: u8, entry_args: &[&str]) -> Result<Self> {
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
         let control_count = u8::try_from(CONTROL_VMS)?;
         let base = free_port(subnet, FIRST_HOST..FIRST_HOST + control_count + entry_vms)?;
@@ -101,6 +111,7 @@
             subnet,
             ports: [base, base + 1, base + 2, base + 3],
             processes: nodes.collect(),
+            entry_args: entry_args.iter().map(ToString::to_string).collect(),
         };
         for index in 0..nodes.processes.len() {
             nodes.start(index, true)?;
@@ -123,12 +134,13 @@
             .create(true)
             .append(true)
             .open(self.log_path(index))?;
-        let child = Command::new(&self.program)
-            .arg(if index < CONTROL_VMS {
-                "control"
-            } else {
-                "entry"
-            })
+        let mut command = Command::new(&self.program);
+        if index < CONTROL_VMS {
+            command.arg("control");
+        } else {
+            command.arg("entry").args(&self.entry_args);
+        }
+        let child = command
             .env("MERLINRUDDER_NODE_FILE", file)
             .stdout(log.try_clone()?)
             .stderr(Stdio::from(log))
@@ -323,6 +335,12 @@
             == 200
     }
 
+    /// Returns the log of a node; empty if it cannot be read.
+    #[must_use]
+    pub fn log(&self, index: usize) -> String {
+        fs::read_to_string(self.log_path(index)).unwrap_or_default()
+    }
+
     /// Returns the last lines of each node's log, under the node's name.
     #[must_use]
     pub fn log_tails(&self) -> String {
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -265,6 +265,7 @@
             | MeshMessage::Handshake(_)
             | MeshMessage::Rates(_)
             | MeshMessage::CutOff(_)
+            | MeshMessage::Capacities(_)
             | MeshMessage::CrashReports(_)
             | MeshMessage::NewestManifest { .. }
             | MeshMessage::Peers(_)
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -7,6 +7,7 @@
 mod body;
 mod buffer_budget;
 mod buffered;
+mod capacity;
 mod crash_verdict;
 mod crash_watch;
 mod exchange;
@@ -78,6 +79,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Retry budget of each service, shared by all entry VMs.
     pub retry_limits: RetryLimits,
+    /// Whether the capacity of servers is learned from their answers.
+    pub learn_capacity: bool,
     /// Longest time from the stop signal to the end of the process.
     pub stop_timeout: Duration,
 }
@@ -108,6 +111,7 @@
         let features = WireFeatures {
             rates: true,
             relay: Some(relay),
+            capacity: config.learn_capacity,
             ..WireFeatures::default()
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
@@ -120,6 +124,7 @@
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
         spawn_local(crash_watch::expire(Rc::clone(&gateway)));
         spawn_local(reach::run(Rc::clone(&gateway)));
+        spawn_local(capacity::run(Rc::clone(&gateway)));
         for (listener, sender) in [
             (caller_listener, Sender::Caller),
             (relay_listener, Sender::OtherVm),
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -115,7 +115,7 @@
             let excluded = self.tally.excluded.borrow().clone();
             let is_waiting = self.permit_waiter.is_some();
             let selected = match select_servers(gateway, call, &self.tally, &excluded, is_waiting) {
-                Selection::Selected(selected) => selected,
+                Selection::Selected(selected) => *selected,
                 Selection::Wait | Selection::AwaitPermit if self.is_refused_by_stop(gateway) => {
                     return Err(self.refusal(RefusalReason::Stopping));
                 }
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -79,8 +79,14 @@
 ) -> Finished {
     let target = upstream_response.selected.target.clone();
     let run = upstream_response.run.take();
+    let sample = upstream_response.selected.sample.take();
     let answer = read_response(gateway, call, upstream_response).await;
     let succeeded = matches!(&answer, Some(answer) if !answer.head.status.is_server_error());
+    if let Some(sample) = sample
+        && matches!(&answer, Some(answer) if answer.head.status.is_success())
+    {
+        sample.answered();
+    }
     match (&answer, run) {
         (None, Some(run)) => run.broke(),
         (Some(Answer { head, .. }), _) if head.status.is_success() && is_framed(head) => {
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -200,6 +200,10 @@
 ) -> Result<UpstreamResponse, Failure> {
     let AttemptContext { gateway, call, .. } = context;
     call.guard.enter(Phase::Reservation);
+    if context.last_event.or(call.last_event).is_some() {
+        // A resumed stream prefills more than its prompt.
+        selected.sample = None;
+    }
     let reservation = reserve_helper_memory(gateway, &selected).await?;
     let reservation_id = reservation.as_ref().map(|r| r.id.as_str());
     let helpers = selected.helpers.iter();
@@ -388,8 +392,10 @@
 }
 
 /// Returns the time without a response head after which a hedge is sent to another server.
+///
+/// It follows from the nominal pace: a server known to be slow is hedged as soon as any other.
 pub(super) fn hang_timeout(call: &CallerRequest, selected: &SelectedServers) -> Duration {
-    let expected = selected.predicted_wait.unwrap_or_default() * 2;
+    let expected = selected.nominal_wait.unwrap_or_default() * 2;
     MIN_HANG_TIMEOUT.max(expected + call.route.objective * 2)
 }
 
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -158,7 +158,7 @@
         info!(gateway.log, "Hedge sent"; "request" => call.attempt_id_text(),
             "server" => %selected.target, "silent" => silent.last().map(ToString::to_string),
             "after_ms" => gateway.now().since(call.received_at).as_millis());
-        Some(selected)
+        Some(*selected)
     }
 
     /// Makes a hedge, and further ones while it is silent, until one has begun its answer.
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::capacity;
 use super::crash_verdict;
 use super::crash_watch;
 use super::placement_sync;
@@ -56,6 +57,7 @@
         drop(entry_vms);
         placement_sync::send_all(gateway, &peer.vm_id());
         rate_limits::link_up(gateway, &peer.vm_id());
+        capacity::link_up(gateway, &peer.vm_id());
         relay_link_up(gateway, peer);
     }
 }
@@ -115,6 +117,7 @@
         MeshMessage::TrialStarted(content) => crash_verdict::receive_trial(gateway, content),
         MeshMessage::CrashReports(reports) => crash_watch::receive(gateway, from, reports),
         MeshMessage::CutOff(services) => reach::receive(gateway, from, services),
+        MeshMessage::Capacities(reports) => capacity::receive(gateway, from, reports),
         MeshMessage::Rates(message) => rate_limits::receive(gateway, from, message),
         MeshMessage::Placements(placements) => placement_sync::apply(gateway, from, placements),
         other => debug!(gateway.log, "Unhandled message"; "from" => %from, "message" => ?other),
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -8,13 +8,14 @@
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
-use merlinrudder_core::engine_placement::loads::PlacedPrompt;
+use merlinrudder_core::engine_placement::loads::{EngineLoad, PlacedPrompt};
 use merlinrudder_core::engine_placement::{Placement, PlacementRequest};
 use merlinrudder_core::fleet::NoChoice;
 use merlinrudder_core::names::ServerId;
 use merlinrudder_core::time::Moment;
 use merlinrudder_platform::headers;
 
+use super::capacity::{Awaited, PendingSample};
 use super::placement_sync::LocalPlacement;
 use super::rate_limits;
 use super::relay::{self, RelayGuard};
@@ -44,6 +45,10 @@
     ///
     /// `None` if the server was selected by its running requests.
     pub(super) predicted_wait: Option<Duration>,
+    /// The same time if all engines had their nominal pace.
+    pub(super) nominal_wait: Option<Duration>,
+    /// Shows the capacity of the servers once they answer; `None` if it is not learned from this.
+    pub(super) sample: Option<PendingSample>,
     /// Entry of the attempt in the load table of the engines.
     ///
     /// `None` if the server was selected by its running requests.
@@ -69,6 +74,8 @@
             reserved_tokens: 0,
             selected_at: gateway.now(),
             predicted_wait: None,
+            nominal_wait: None,
+            sample: None,
             placement: None,
             _call_guard: None,
             _relay_guard: Some(guard),
@@ -92,7 +99,7 @@
 /// Result of a selection.
 pub(super) enum Selection {
     /// Send the request to these servers.
-    Selected(SelectedServers),
+    Selected(Box<SelectedServers>),
     /// No engine should take the prompt now; select again after a short wait.
     Wait,
     /// Refuse the prompt: other requests would lose more than its caller gains.
@@ -121,7 +128,7 @@
     let is_cut_off = gateway.reach.borrow().is_cut_off(&call.service);
     if call.relayed.is_none() && (is_cut_off || tally.prefers_relay()) {
         if let Some(selected) = relay::select(gateway, call, excluded) {
-            return Selection::Selected(selected);
+            return Selection::Selected(Box::new(selected));
         }
         if is_cut_off && !gateway.relays.borrow().is_empty() {
             return Selection::NoPath;
@@ -133,7 +140,8 @@
     let may_ask = call.relayed.is_none() && !excluded.unreached.is_empty();
     if matches!(selection, Selection::NoServer) && may_ask {
         let selected = relay::select(gateway, call, excluded);
-        return selected.map_or(Selection::NoServer, Selection::Selected);
+        let selected = selected.map(|selected| Selection::Selected(Box::new(selected)));
+        return selected.unwrap_or(Selection::NoServer);
     }
     selection
 }
@@ -223,7 +231,8 @@
     if let Some((profile, tokens)) = call.engine_profile.as_ref().zip(call.token_counts) {
         return select_engines(gateway, call, profile, tokens, excluded);
     }
-    select_least_loaded(gateway, call, excluded).map(Selection::Selected)
+    let selected = select_least_loaded(gateway, call, excluded)?;
+    Ok(Selection::Selected(Box::new(selected)))
 }
 
 fn select_least_loaded(
@@ -235,7 +244,21 @@
     let server = fleet.choose_server(gateway.now(), &call.service, excluded)?;
     let record = fleet.directory.get(&server).ok_or(NoChoice::NoServer)?;
     let (address, incarnation) = (record.address, record.incarnation());
+    let awaited = Awaited {
+        service: call.service.clone(),
+        zone: record.zone.clone(),
+        servers: vec![incarnation.clone()],
+        busy: fleet.busy(gateway.now(), record),
+        selected_at: gateway.now(),
+        nominal: None,
+        is_overdue: false,
+    };
     fleet.call_began(&server);
+    drop(fleet);
+    // Streams are not compared with whole answers.
+    let is_stream = matches!(call.route.kind, CallKind::Stream { .. });
+    let sample = (!is_stream).then(|| PendingSample::new(gateway, awaited));
+    let sample = sample.flatten();
     let call_guard = RunningCallGuard {
         gateway: Rc::clone(gateway),
         server,
@@ -247,6 +270,8 @@
         reserved_tokens: 0,
         selected_at: gateway.now(),
         predicted_wait: None,
+        nominal_wait: None,
+        sample,
         placement: None,
         _call_guard: Some(call_guard),
         _relay_guard: None,
@@ -278,9 +303,8 @@
     let lead = lead.ok_or(NoChoice::NoServer)?;
     let helpers = placement.helpers.iter().filter_map(endpoint).collect();
     drop(fleet);
-    Ok(Selection::Selected(record_placement(
-        gateway, call, &prompt, placement, &lead, helpers,
-    )))
+    let selected = record_placement(gateway, call, &prompt, placement, &lead, helpers);
+    Ok(Selection::Selected(Box::new(selected)))
 }
 
 /// Records a placement in the load table and shares it with the other entry VMs.
@@ -302,6 +326,22 @@
         ttft_objective: prompt.ttft_objective,
         pause_objective: prompt.pause_objective,
     };
+    let fleet = gateway.fleet.borrow();
+    let engines = std::iter::once(&placement.lead).chain(&placed_prompt.helpers);
+    let incarnations = engines.filter_map(|id| fleet.directory.get(id));
+    let running = fleet.loads.load(&lead.id);
+    let running = running.map_or(0, EngineLoad::lead_count);
+    let awaited = Awaited {
+        service: call.service.clone(),
+        zone: lead.zone.clone(),
+        servers: incarnations.map(ServerRecord::incarnation).collect(),
+        busy: u32::try_from(running).unwrap_or(u32::MAX),
+        selected_at: gateway.now(),
+        nominal: Some(placement.nominal_ttft),
+        is_overdue: false,
+    };
+    drop(fleet);
+    let sample = PendingSample::new(gateway, awaited);
     let local_placement = LocalPlacement::new(gateway, &call.service, placed_prompt);
     SelectedServers {
         target: Target::Server(lead.incarnation()),
@@ -310,6 +350,8 @@
         reserved_tokens: placement.helper_tokens,
         selected_at: gateway.now(),
         predicted_wait: Some(placement.predicted_ttft),
+        nominal_wait: Some(placement.nominal_ttft),
+        sample,
         placement: Some(local_placement),
         _call_guard: None,
         _relay_guard: None,
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use merlinrudder_core::capacity::CapacityTable;
 use merlinrudder_core::census::Census;
 use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::fleet::Fleet;
@@ -20,6 +21,7 @@
 
 use super::GatewayConfig;
 use super::buffer_budget::BufferBudget;
+use super::capacity::CapacityWatch;
 use super::crash_watch::CrashWatch;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
@@ -71,6 +73,8 @@
     pub(super) buffer_budget: BufferBudget,
     /// Placements made here, and changes not yet sent to the other entry VMs.
     pub(super) outbox: RefCell<Outbox>,
+    /// Requests whose answers show the capacity of their servers.
+    pub(super) capacity: CapacityWatch,
     /// Requests that wait for permits, and callers that were refused for lack of them.
     pub(super) permit_queues: RefCell<PermitQueues>,
     /// Crashes of backend servers, and the requests that caused them.
@@ -102,14 +106,18 @@
         let zone = ZoneName::from(config.local_peer.zone.as_str());
         let clock = Clock::start();
         let rates = RateLimits::new(clock.now(), vm.clone(), fastrand::u64(..));
+        let mut fleet = Fleet::new(zone.clone(), rates);
+        fleet.capacities = config
+            .learn_capacity
+            .then(|| CapacityTable::new(vm.clone()));
         Self {
             vm,
-            zone: zone.clone(),
+            zone,
             clock,
             links,
             deployment: RefCell::new(None),
             manifest_pull: RefCell::default(),
-            fleet: RefCell::new(Fleet::new(zone, rates)),
+            fleet: RefCell::new(fleet),
             open_requests: OpenRequests::default(),
             reach: RefCell::default(),
             relays: RefCell::default(),
@@ -117,6 +125,7 @@
             pool: ConnectionPool::new(config.local_peer.address.ip()),
             buffer_budget: BufferBudget::default(),
             outbox: RefCell::default(),
+            capacity: CapacityWatch::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -284,6 +284,9 @@
                 if let Some(placement) = &source.upstream.selected.placement {
                     placement.record_event();
                 }
+                if let Some(sample) = source.upstream.selected.sample.take() {
+                    sample.answered();
+                }
                 let now = self.gateway.now();
                 let gap = self
                     .last_received
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -40,7 +40,7 @@
             println!("{}: the settings are valid", path.display());
             Ok(())
         }
-        Action::Role(role) => roles::run(role),
+        Action::Role(role, flags) => roles::run(role, flags),
         Action::Run(path) => {
             let settings = Settings::open(&path)?;
             let log = merlinrudder_node::logging::build(&settings.log, settings.vm.as_str());
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -122,6 +122,18 @@
     set_gauge("merlinrudder_quarantined_contents", quarantined);
 }
 
+/// Sets the gauges of a server's learned pace and limit on concurrent requests.
+pub fn set_capacity_gauges(server: &str, pace: f64, limit: u32) {
+    gauge!("merlinrudder_learned_pace", "server" => server.to_owned()).set(pace);
+    gauge!("merlinrudder_learned_limit", "server" => server.to_owned()).set(f64::from(limit));
+}
+
+/// Sets the gauge of the age of the newest estimate of a server; 0 without any.
+pub fn set_capacity_age(server: &str, age: Duration) {
+    let gauge = gauge!("merlinrudder_learned_age_seconds", "server" => server.to_owned());
+    gauge.set(age.as_secs_f64());
+}
+
 /// Sets the gauges of the control log: manifest number, term and leadership.
 pub fn set_control_gauges(manifest: u64, term: u64, is_leader: bool) {
     #[expect(clippy::cast_precision_loss, reason = "numbers stay far below 2^52")]
--- a/node/src/options/args.rs
+++ b/node/src/options/args.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Arg, ArgMatches, Command, crate_version, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, crate_version, value_parser};
 
 /// Action selected by the subcommand; paths name the settings file.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -12,7 +12,7 @@
     /// Check an INI settings file.
     Check(PathBuf),
     /// Run one role on the hosting platform, which writes the settings file.
-    Role(Role),
+    Role(Role, RoleFlags),
     /// Check a settings file written by the hosting platform.
     CheckNode(PathBuf),
 }
@@ -26,6 +26,13 @@
     Control,
 }
 
+/// Parts of a role that are off unless its command line asks for them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RoleFlags {
+    /// Whether entry VMs learn the capacity of backend servers from their answers.
+    pub learn_capacity: bool,
+}
+
 /// Builds the parser of the command line.
 #[must_use]
 pub fn build_command() -> Command {
@@ -54,7 +61,16 @@
                 .about("Check a settings file of the platform and exit")
                 .arg(settings.help("settings file that the platform wrote")),
         )
-        .subcommand(Command::new("entry").about("Run an entry VM on the platform"))
+        .subcommand(
+            Command::new("entry")
+                .about("Run an entry VM on the platform")
+                .arg(
+                    Arg::new("learn-capacity")
+                        .long("learn-capacity")
+                        .action(ArgAction::SetTrue)
+                        .help("learn how much load each backend server takes well"),
+                ),
+        )
         .subcommand(Command::new("control").about("Run a control VM on the platform"))
 }
 
@@ -63,8 +79,13 @@
 pub fn parse_action(matches: &ArgMatches) -> Option<Action> {
     let (name, sub) = matches.subcommand()?;
     match name {
-        "entry" => return Some(Action::Role(Role::Entry)),
-        "control" => return Some(Action::Role(Role::Control)),
+        "entry" => {
+            let flags = RoleFlags {
+                learn_capacity: sub.get_flag("learn-capacity"),
+            };
+            return Some(Action::Role(Role::Entry, flags));
+        }
+        "control" => return Some(Action::Role(Role::Control, RoleFlags::default())),
         _ => {}
     }
     let settings = sub.get_one::<PathBuf>("settings")?.clone();
--- a/node/src/roles.rs
+++ b/node/src/roles.rs
@@ -12,7 +12,7 @@
 
 use crate::controller::{ControllerConfig, RunningController};
 use crate::gateway::{GatewayConfig, RunningGateway};
-use crate::options::args::Role;
+use crate::options::args::{Role, RoleFlags};
 use crate::{logging, metrics, metrics_port};
 
 /// Port of the metrics; must match `deploy/system.toml`.
@@ -22,7 +22,7 @@
 ///
 /// # Errors
 /// Fails if the settings are invalid or incomplete for the role, or an address cannot be bound.
-pub fn run(role: Role) -> Result<()> {
+pub fn run(role: Role, flags: RoleFlags) -> Result<()> {
     let settings = settings::open_from_environment()?;
     metrics::install();
     let name = match role {
@@ -38,13 +38,13 @@
         let metrics_addr = SocketAddr::new(settings.internal_address.ip(), METRICS_PORT);
         tokio::spawn(metrics_port::serve(metrics_addr, log.clone()));
         match role {
-            Role::Entry => run_entry(&settings, &log).await,
+            Role::Entry => run_entry(&settings, flags, &log).await,
             Role::Control => run_control(settings, &log).await,
         }
     })
 }
 
-async fn run_entry(settings: &NodeSettings, log: &Logger) -> Result<()> {
+async fn run_entry(settings: &NodeSettings, flags: RoleFlags, log: &Logger) -> Result<()> {
     let config = GatewayConfig {
         local_peer: local_peer(settings, false),
         caller_addr: settings
@@ -56,6 +56,7 @@
         relay_addr: relay_address(settings.internal_address),
         seeds: seed_addresses(settings),
         retry_limits: settings.bounds.retries,
+        learn_capacity: flags.learn_capacity,
         stop_timeout: settings.bounds.stop_grace,
     };
     let mut signals = Signals::new()?;
--- a/node/tests/integration/deployment.rs
+++ b/node/tests/integration/deployment.rs
@@ -34,8 +34,21 @@
 
 /// Starts a deployment as `start_deployment` does, to which `register_servers` adds the servers.
 pub fn start_with(entry_vms: u8, register_servers: impl FnOnce(&Nodes)) -> Nodes {
+    start_nodes(entry_vms, &[], register_servers)
+}
+
+/// Starts a deployment as `start_deployment` does, the entry VMs with further arguments.
+pub fn start_with_args(entry_vms: u8, entry_args: &[&str], backends: &[FakeBackend]) -> Nodes {
+    start_nodes(entry_vms, entry_args, |nodes| {
+        for backend in backends {
+            wait_for("accepted heartbeat", || send_heartbeat(nodes, backend, 1));
+        }
+    })
+}
+
+fn start_nodes(entry_vms: u8, entry_args: &[&str], register_servers: impl FnOnce(&Nodes)) -> Nodes {
     let program = Path::new(env!("CARGO_BIN_EXE_merlinrudder"));
-    let nodes = Nodes::spawn(program, entry_vms).expect("deployment starts");
+    let nodes = Nodes::spawn_with(program, entry_vms, entry_args).expect("deployment starts");
     publish(&nodes, &sample_configuration(5));
     register_servers(&nodes);
     for entry in CONTROL_VMS..nodes.len() {
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod endless_answers;
 mod failing_helpers;
 mod http_server;
+mod learned_capacity;
 mod load;
 mod mesh;
 mod planned_stop;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,6 +8,7 @@
 //! variant without a comment means the same as the one of the core that it is converted to.
 
 pub mod announce;
+pub mod capacities;
 mod common;
 pub mod consensus;
 pub mod control;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::announce::WireAnnouncement;
+use crate::capacities::WireCapacity;
 use crate::consensus::{WireRaftMessage, WireReplica, voters_from_wire, voters_to_wire};
 use crate::control::{WireAnswer, WireCommand};
 use crate::crashes::WireCrashReport;
@@ -117,6 +118,10 @@
     ///
     /// Only sent to VMs with [`WireFeatures::relay`].
     CutOff(Vec<String>),
+    /// What the sending entry VM found of the capacity of backend servers.
+    ///
+    /// Only sent to VMs with [`WireFeatures::capacity`].
+    Capacities(Vec<WireCapacity>),
 }
 
 /// Abilities of a VM that earlier versions lack.
