--- a/core/tests/integration/util/burst_sim.rs
+++ b/core/tests/integration/util/burst_sim.rs
@@ -10,7 +10,7 @@
 use merlinrudder_core::directory::{Incarnation, ServerRecord, ServerStage};
 use merlinrudder_core::engine_model::{EngineProfile, as_float};
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
-use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
+use merlinrudder_core::engine_placement::loads::{EngineLoad, PlacedPrompt, PlacementKey};
 use merlinrudder_core::engine_placement::{Placement, PlacementRequest};
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::health::ServerOutcome;
@@ -495,7 +495,7 @@
         let loads = &self.fleets[self.jobs[number].vm].loads;
         let count = |engine: &usize| {
             let load = loads.load(&server_id(*engine));
-            load.map_or(0, |load| load.lead_count())
+            load.map_or(0, EngineLoad::lead_count)
         };
         let first = self.rng.usize(..self.engines.len());
         let order = (first..self.engines.len()).chain(0..first);
@@ -588,7 +588,7 @@
     fn await_first(&mut self, now: u64, number: JobId, placement: &Placement, engines: &[usize]) {
         let vm = self.jobs[number].vm;
         let load = self.fleets[vm].loads.load(&placement.lead);
-        let busy = load.map_or(0, |load| load.lead_count());
+        let busy = load.map_or(0, EngineLoad::lead_count);
         let servers = engines.iter().map(|engine| Incarnation {
             server: server_id(*engine),
             born: 1,
--- a/core/tests/integration/util/learning_sim.rs
+++ b/core/tests/integration/util/learning_sim.rs
@@ -177,7 +177,8 @@
                 continue;
             };
             let reports = capacities.take_outgoing(moment);
-            if !reports.is_empty() && !(number == 0 && self.is_cut(now)) {
+            let is_cut = number == 0 && self.is_cut(now);
+            if !reports.is_empty() && !is_cut {
                 self.sent.0 += 1;
                 self.sent.1 += reports.len();
                 self.messages.push_back((now + MESSAGE_MS, number, reports));
