--- a/node/tests/integration/learned_capacity.rs
+++ b/node/tests/integration/learned_capacity.rs
@@ -83,7 +83,7 @@
         scope.spawn(|| send_heartbeats(&nodes, &servers, &stopped));
         let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
             let slow = favorite(&servers, &nodes);
-            slow.set_faults(&[BackendFault::StallBeforeHead(SLOWNESS); 1000]);
+            slow.set_faults(&vec![BackendFault::StallBeforeHead(SLOWNESS); 1000]);
             // The time in which the capacity has to fall.
             let falling = call_for(&nodes, "falling", Duration::from_secs(2));
             let fallen = call_for(&nodes, "fallen", Duration::from_secs(3));
