bug: limits of servers that are gone are dropped

Cause: the state of a lifetime with a learned limit was kept after its server had gone. Change: such state is kept only while the directory has that lifetime.

--- a/core/src/capacity.rs
+++ b/core/src/capacity.rs
@@ -321,8 +321,13 @@
         for state in self.servers.values_mut() {
             state.votes.expire(now, self.lifetime);
         }
-        self.servers
-            .retain(|_, state| !state.votes.by_observer.is_empty() || state.limit.is_some());
+        let is_present = |server: &Incarnation| {
+            let record = directory.get(&server.server);
+            record.is_some_and(|record| record.born == server.born)
+        };
+        self.servers.retain(|server, state| {
+            !state.votes.by_observer.is_empty() || (state.limit.is_some() && is_present(server))
+        });
         let influence = self.influences(now);
         let scale = |vm: &VmId| influence.get(vm).copied().unwrap_or(1.0);
         let mut paces: BTreeMap<&ServiceName, BTreeMap<Incarnation, f64>> = BTreeMap::new();
