--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core state machines, without a real clock, network or disk.
 
+mod capacity_rules;
 mod claims;
 mod cold_bound;
 mod cold_servers;
@@ -18,6 +19,7 @@
 mod events;
 mod fleets;
 mod history_pull;
+mod learned_capacity;
 mod link_policy;
 mod log_fuzz;
 mod long_prompt_bursts;
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -7,6 +7,7 @@
 mod body;
 mod buffer_budget;
 mod buffered;
+mod capacity;
 mod cold;
 mod crash_verdict;
 mod crash_watch;
@@ -83,6 +84,8 @@
     pub retry_limits: RetryLimits,
     /// Limit on the requests that reach a cold server.
     pub cold_bounds: ColdBounds,
+    /// Whether the capacity of servers is learned from their answers.
+    pub learn_capacity: bool,
     /// Longest time from the stop signal to the end of the process.
     pub stop_timeout: Duration,
 }
@@ -115,6 +118,7 @@
             relay: Some(relay),
             evacuations: true,
             cold: true,
+            capacity: config.learn_capacity,
             ..WireFeatures::default()
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
@@ -131,6 +135,7 @@
         spawn_local(crash_watch::pull_without_control(Rc::clone(&gateway)));
         spawn_local(evacuation::run(Rc::clone(&gateway)));
         spawn_local(reach::run(Rc::clone(&gateway)));
+        spawn_local(capacity::run(Rc::clone(&gateway)));
         for (listener, sender) in [
             (caller_listener, Sender::Caller),
             (relay_listener, Sender::OtherVm),
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -17,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::capacity;
 use super::cold;
 use super::crash_verdict;
 use super::crash_watch;
@@ -59,6 +60,7 @@
         drop(entry_vms);
         placement_sync::link_up(gateway, peer);
         rate_limits::link_up(gateway, &peer.vm_id());
+        capacity::link_up(gateway, &peer.vm_id());
         relay_link_up(gateway, peer);
         update_sight(gateway);
     }
@@ -126,6 +128,7 @@
         MeshMessage::CrashReports(reports) => crash_watch::receive(gateway, from, reports),
         MeshMessage::CutOff(services) => reach::receive(gateway, from, services),
         MeshMessage::Evacuations(newer) => evacuation::receive(gateway, from, newer),
+        MeshMessage::Capacities(reports) => capacity::receive(gateway, from, reports),
         MeshMessage::Rates(message) => rate_limits::receive(gateway, from, message),
         MeshMessage::Placements(placements) => placement_sync::apply(gateway, from, placements),
         other => debug!(gateway.log, "Unhandled message"; "from" => %from, "message" => ?other),
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use merlinrudder_core::capacity::CapacityTable;
 use merlinrudder_core::census::Census;
 use merlinrudder_core::cold::ColdTable;
 use merlinrudder_core::deployment::Deployment;
@@ -22,6 +23,7 @@
 
 use super::GatewayConfig;
 use super::buffer_budget::BufferBudget;
+use super::capacity::CapacityWatch;
 use super::crash_watch::CrashWatch;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
@@ -73,6 +75,8 @@
     pub(super) buffer_budget: BufferBudget,
     /// Placements made here, and changes not yet sent to the other entry VMs.
     pub(super) outbox: RefCell<Outbox>,
+    /// Requests whose answers show the capacity of their servers.
+    pub(super) capacity: CapacityWatch,
     /// Requests that wait for permits, and callers that were refused for lack of them.
     pub(super) permit_queues: RefCell<PermitQueues>,
     /// Crashes of backend servers, and the requests that caused them.
@@ -109,6 +113,9 @@
         let mut fleet = Fleet::new(zone.clone(), rates);
         fleet.cold = ColdTable::new(vm.clone(), config.cold_bounds);
         fleet.sees_placements = false;
+        fleet.capacities = config
+            .learn_capacity
+            .then(|| CapacityTable::new(vm.clone()));
         Self {
             vm,
             outbox: RefCell::new(Outbox::new(zone.clone())),
@@ -124,6 +131,7 @@
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
             buffer_budget: BufferBudget::default(),
+            capacity: CapacityWatch::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -142,6 +142,7 @@
             slack: 1.0,
         },
         cold_bounds: ColdBounds::default(),
+        learn_capacity: false,
         stop_timeout: Duration::from_secs(10),
     }
 }
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -12,6 +12,7 @@
 mod failing_helpers;
 mod hand_link;
 mod http_server;
+mod learned_capacity;
 mod link_messages;
 mod links;
 mod load;
