refactor: split exchange.rs into failures, heads of answers and the exchange

The file had 518 lines and three jobs. failure.rs has why attempts fail and what that shows of servers, answer_head.rs the checks and records of heads.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -3,6 +3,7 @@
 //! One thread carries all traffic and owns the state of the backend servers. That state is not
 //! persisted: control VMs and other entry VMs restore it within a second of a start.
 
+mod answer_head;
 mod attempts;
 mod body;
 mod buffer_budget;
@@ -10,6 +11,7 @@
 mod crash_verdict;
 mod crash_watch;
 mod exchange;
+mod failure;
 mod hedge;
 mod ingress;
 mod link_events;
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -7,7 +7,8 @@
 use tokio::time::sleep;
 
 use super::crash_verdict::{self, Permission};
-use super::exchange::{Failure, UpstreamResponse, record_failure};
+use super::exchange::UpstreamResponse;
+use super::failure::{Failure, record_failure};
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::rate_limits::{self, PermitWaiter};
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -9,13 +9,12 @@
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
 
+use super::answer_head::{forwarded_response, is_framed, return_to_pool};
 use super::attempts::Attempts;
 use super::body::ResponseBody;
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{
-    Prefetched, UpstreamResponse, forwarded_response, is_framed, read_whole, return_to_pool,
-};
+use super::exchange::{Prefetched, UpstreamResponse, read_whole};
 use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -6,31 +6,24 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::engine_model::EngineProfile;
-use merlinrudder_core::health::ServerOutcome;
-use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::RunState;
-use merlinrudder_core::time::Moment;
-use merlinrudder_platform::{headers, orders};
-use slog::{debug, info};
+use merlinrudder_platform::orders;
+use slog::debug;
 use tokio::time::timeout;
 
+use super::answer_head::{blame_helper, check_response_head, record_head};
 use super::buffer_budget::{BufferBudget, BufferShare};
-use super::crash_watch::{self, RunGuard};
+use super::crash_watch::RunGuard;
+use super::failure::Failure;
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
-use super::placement_sync;
-use super::rate_limits::{self, AnswerHead};
 use super::reach;
-use super::refusal::Origin;
 use super::relay;
-use super::request::{CallerRequest, ServerHeaders, text_header};
-use super::reservation::{EngineEndpoint, Reservation};
+use super::request::{CallerRequest, ServerHeaders};
+use super::reservation::Reservation;
 use super::selection::SelectedServers;
 use super::state::Gateway;
 use super::tally::{InProgress, Tally};
@@ -73,61 +66,6 @@
     Whole(Bytes),
 }
 
-/// Why an attempt yielded no usable response head.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Failure {
-    /// No connection could be opened, or it closed before the request was sent.
-    Unreachable,
-    /// Another VM was asked, and reaches no server of the service or is stopping.
-    NoPath,
-    /// The server refused the request and states that it did not run it.
-    Refused,
-    /// Another server answered at this address.
-    Replaced,
-    /// A helper did not reserve the memory for its part of the prompt.
-    NoMemory,
-    /// The server refused the request because a helper failed, which it names.
-    HelperFailed,
-    /// The connection broke, or the response does not belong to this request.
-    Broken,
-    /// Another server answered while this one was silent.
-    Overtaken,
-    /// The deadline of the request passed.
-    Overdue,
-}
-
-impl Failure {
-    /// Whether the server may have run the request.
-    pub(super) const fn run_state(self) -> RunState {
-        match self {
-            Self::Unreachable
-            | Self::NoPath
-            | Self::Refused
-            | Self::Replaced
-            | Self::NoMemory
-            | Self::HelperFailed => RunState::NotRun,
-            Self::Broken | Self::Overtaken | Self::Overdue => RunState::MayHaveRun,
-        }
-    }
-
-    /// Whether the failure is that of a helper, and says nothing of the selected server.
-    pub(super) const fn is_of_helper(self) -> bool {
-        matches!(self, Self::NoMemory | Self::HelperFailed)
-    }
-
-    /// Returns the outcome to record for the health of the selected server, if any.
-    ///
-    /// A missed deadline says nothing about the server: the request may have had little time left.
-    pub(super) const fn health_outcome(self) -> Option<ServerOutcome> {
-        match self {
-            Self::Unreachable => Some(ServerOutcome::Unreachable),
-            Self::Refused => Some(ServerOutcome::Full),
-            Self::Replaced | Self::Broken | Self::Overtaken => Some(ServerOutcome::Failed),
-            Self::NoPath | Self::NoMemory | Self::HelperFailed | Self::Overdue => None,
-        }
-    }
-}
-
 /// How far an attempt has come, for one that is dropped before its end.
 #[derive(Debug)]
 pub(super) struct Progress {
@@ -302,58 +240,6 @@
     }
 }
 
-/// Returns `HelperFailed` in place of a refusal that names a helper, which is then left out.
-fn blame_helper(
-    context: AttemptContext<'_>,
-    helpers: &[EngineEndpoint],
-    head: &Parts,
-    failure: Failure,
-) -> Failure {
-    let named = text_header(&head.headers, headers::AT_SERVER).unwrap_or_default();
-    let is_named = |helper: &&EngineEndpoint| {
-        helper.server.as_str() == named || helper.address.to_string() == named
-    };
-    match helpers.iter().find(is_named) {
-        Some(helper) if failure == Failure::Refused => {
-            let AttemptContext { gateway, tally, .. } = context;
-            tally.exclude_server(&helper.server);
-            let mut fleet = gateway.fleet.borrow_mut();
-            fleet.record_outcome(gateway.now(), &helper.server, ServerOutcome::Failed);
-            Failure::HelperFailed
-        }
-        _ => failure,
-    }
-}
-
-/// Records what the head of an answer shows of its server.
-fn record_head(
-    gateway: &Gateway,
-    call: &CallerRequest,
-    incarnation: &Incarnation,
-    connection: &Connection,
-    requested_at: Moment,
-    head: &Parts,
-    check: Result<(), Failure>,
-) {
-    if connection.is_new {
-        gateway.reach.borrow_mut().record_answer(&call.service);
-    }
-    let is_refusal = check == Err(Failure::Refused);
-    if check.is_ok() || is_refusal {
-        let answer = AnswerHead {
-            incarnation,
-            requested_at,
-            headers: &head.headers,
-            is_refusal,
-        };
-        rate_limits::record_answer(gateway, call, &answer);
-    }
-    if check.is_ok() {
-        crash_watch::record_alive(gateway, incarnation);
-        record_reported_load(gateway, &incarnation.server, &head.headers);
-    }
-}
-
 /// Reserves memory at the helpers if the placement needs it.
 ///
 /// # Errors
@@ -393,44 +279,6 @@
     MIN_HANG_TIMEOUT.max(expected + call.route.objective * 2)
 }
 
-/// Checks that a response comes from the selected server and answers this attempt.
-///
-/// A response that repeats another attempt's id is a late one and says nothing of this request.
-/// Status 421 or the not-executed header means that the request did not run. Any other response
-/// must repeat the attempt id and have no content encoding, and a success must carry the seal.
-fn check_response_head(call: &CallerRequest, head: &Parts) -> Result<(), Failure> {
-    let attempt = head.headers.get(headers::ATTEMPT);
-    if attempt.is_some_and(|attempt| *attempt != call.attempt_id) {
-        return Err(Failure::Broken);
-    }
-    if head.headers.contains_key(headers::NOT_RUN) {
-        let replaced = head.status.as_u16() == 421;
-        return Err(if replaced {
-            Failure::Replaced
-        } else {
-            Failure::Refused
-        });
-    }
-    if head.status.as_u16() == 421 {
-        return Err(Failure::Replaced);
-    }
-    let has_seal = head.headers.contains_key(headers::RESPONSE_SEAL);
-    let encoded = head.headers.contains_key(CONTENT_ENCODING);
-    if attempt.is_none() || encoded || (head.status.is_success() && !has_seal) {
-        return Err(Failure::Broken);
-    }
-    Ok(())
-}
-
-/// Records the running and waiting requests that a server reports with its response.
-fn record_reported_load(gateway: &Gateway, server: &ServerId, head: &HeaderMap) {
-    let load = text_header(head, headers::LOAD).and_then(headers::parse_load);
-    if let Some(load) = load {
-        let mut fleet = gateway.fleet.borrow_mut();
-        fleet.record_load(gateway.now(), server, load.running + load.waiting);
-    }
-}
-
 /// Reads a body to its end; `None` if it is cut, too large or late.
 pub(super) async fn read_whole(
     gateway: &Gateway,
@@ -452,67 +300,3 @@
     }
     Some(whole.freeze())
 }
-
-/// Updates the health of the target and the log after a failed attempt.
-pub(super) fn record_failure(context: AttemptContext<'_>, target: &Target, failure: Failure) {
-    let AttemptContext { gateway, call, .. } = context;
-    match target {
-        Target::Server(incarnation) => record_server_failure(gateway, &incarnation.server, failure),
-        Target::Vm { vm, .. } => relay::record_failure(gateway, call, vm, failure),
-    }
-    info!(gateway.log, "Attempt failed"; "request" => call.attempt_id_text(),
-        "content" => %call.content.digest(), "server" => %target, "born" => target.born(),
-        "failure" => ?failure, "ran" => context.tally.may_have_run(),
-        "after_ms" => gateway.now().since(call.received_at).as_millis(),
-        "manifest" => call.manifest_number);
-}
-
-/// Updates the health of a server after a failed attempt.
-fn record_server_failure(gateway: &Gateway, server: &ServerId, failure: Failure) {
-    let now = gateway.now();
-    if let Some(outcome) = failure.health_outcome() {
-        if failure == Failure::Broken {
-            placement_sync::record_request_outcome(gateway, server, outcome);
-        } else {
-            let mut fleet = gateway.fleet.borrow_mut();
-            fleet.record_outcome(now, server, outcome);
-        }
-    }
-    if failure == Failure::Replaced {
-        gateway.fleet.borrow_mut().mark_replaced(now, server);
-    }
-}
-
-/// Whether a response has a length or chunks, so that its end is told from a cut.
-pub(super) fn is_framed(head: &Parts) -> bool {
-    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
-}
-
-/// Pools the connection of a completed response, unless the server closes it.
-pub(super) fn return_to_pool(gateway: &Gateway, connection: Connection, head: &Parts) {
-    let closes = text_header(&head.headers, CONNECTION.as_str())
-        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-    if closes || !is_framed(head) {
-        return;
-    }
-    let server_timeout = text_header(&head.headers, "keep-alive")
-        .and_then(headers::parse_keep_alive)
-        .map(Duration::from_secs);
-    gateway.pool.put_back(connection, server_timeout);
-}
-
-/// Builds the response to the caller from a server's response head, without hop-by-hop headers.
-pub(super) fn forwarded_response<B>(target: &Target, head: &Parts, body: B) -> Response<B> {
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    if let Target::Server(incarnation) = target {
-        let origin = Origin::Server(incarnation.server.to_string());
-        response.extensions_mut().insert(origin);
-    }
-    let mut kept_headers = head.headers.clone();
-    super::request::strip_hop_by_hop(&mut kept_headers);
-    relay::remove_headers(&mut kept_headers);
-    kept_headers.remove(hyper::header::CONTENT_LENGTH);
-    *response.headers_mut() = kept_headers;
-    response
-}
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -17,10 +17,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::crash_verdict;
-use super::exchange::{
-    Failure, Prefetched, Progress, UpstreamResponse, attempt, hang_timeout, read_whole,
-    record_failure,
-};
+use super::exchange::{Prefetched, Progress, UpstreamResponse, attempt, hang_timeout, read_whole};
+use super::failure::{Failure, record_failure};
 use super::request::CallerRequest;
 use super::selection::{SelectedServers, Selection, select_servers};
 use super::state::Gateway;
--- a/node/src/gateway/relay.rs
+++ b/node/src/gateway/relay.rs
@@ -8,7 +8,7 @@
 use merlinrudder_core::outcome::{RefusalReason, RunState};
 use merlinrudder_wire::relay::{self, WireRelay};
 
-use super::exchange::Failure;
+use super::failure::Failure;
 use super::request::{CallerRequest, set_header, text_header};
 use super::selection::SelectedServers;
 use super::state::Gateway;
--- a/node/src/gateway/reservation.rs
+++ b/node/src/gateway/reservation.rs
@@ -209,7 +209,7 @@
     let body = Limited::new(response_body, MAX_ORDER_RESPONSE_BYTES);
     let read = body.collect().await;
     read.map_err(|_error| OrderFailure::Silent)?;
-    super::exchange::return_to_pool(gateway, connection, &head);
+    super::answer_head::return_to_pool(gateway, connection, &head);
     if head.status.is_success() {
         Ok(())
     } else {
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -15,12 +15,13 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::answer_head::{forwarded_response, is_framed, return_to_pool};
 use super::attempts::Attempts;
 use super::body::{Chunk, ChunkSender, ResponseBody};
 use super::buffered::{self, Finished};
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{UpstreamResponse, forwarded_response, is_framed, return_to_pool};
+use super::exchange::UpstreamResponse;
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::placement_sync;
--- a/node/src/gateway/tally.rs
+++ b/node/src/gateway/tally.rs
@@ -6,7 +6,7 @@
 use merlinrudder_core::names::ServerId;
 use tokio::sync::Notify;
 
-use super::exchange::Failure;
+use super::failure::Failure;
 use super::request::CallerRequest;
 use super::target::{Excluded, Target};
 
--- a/node/src/gateway/target.rs
+++ b/node/src/gateway/target.rs
@@ -5,7 +5,7 @@
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::names::{ServerId, VmId};
 
-use super::exchange::Failure;
+use super::failure::Failure;
 
 /// Where an attempt is sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
