feature: keep to what servers say in their answers: they leave, or take no requests

Server-Leaving: 1 in any answer of a server but 421 marks its lifetime as draining at this VM at once; the linked VMs get its record, also those that link later. While all servers of a service are held back, requests get 503 held_back with the shortest time left.

--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -120,6 +120,21 @@
         Merged::Changed
     }
 
+    /// Marks a lifetime of a server as draining.
+    pub fn drain(&mut self, now: Moment, incarnation: &Incarnation) -> Merged {
+        match self.servers.get_mut(&incarnation.server) {
+            Some(known)
+                if known.record.born == incarnation.born
+                    && known.record.stage == ServerStage::Ready =>
+            {
+                known.record.stage = ServerStage::Draining;
+                known.heard_at = now;
+                Merged::Changed
+            }
+            _ => Merged::Stale,
+        }
+    }
+
     /// Returns the record of a server, also of a gone one; `None` if it is unknown.
     #[must_use]
     pub fn get(&self, id: &ServerId) -> Option<&ServerRecord> {
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use crate::deployment::Deployment;
-use crate::directory::{Directory, Merged, ServerRecord, ServerStage};
+use crate::directory::{Directory, Incarnation, Merged, ServerRecord, ServerStage};
 use crate::engine_model::{EngineProfile, as_float};
 use crate::engine_placement::decision::{PlacementDecision, decide_placement};
 use crate::engine_placement::loads::{LoadTable, PlacedPrompt, PlacementKey};
 use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer, prompt_value};
 use crate::health::{HealthTable, ServerOutcome};
+use crate::hold_off::HoldOffs;
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
 use crate::rate_limit::RateLimits;
 use crate::time::Moment;
@@ -44,6 +45,8 @@
     NoServer,
     /// All that are left have limits on their request rates, and no permit is at hand.
     RateLimited,
+    /// All servers of the service want no requests; holds the shortest time left.
+    HeldBack(Duration),
 }
 
 /// Servers, engine loads and server health as one entry VM sees them.
@@ -58,6 +61,8 @@
     pub health: HealthTable,
     /// Limits on the request rates of servers, and permits of this VM.
     pub rates: RateLimits,
+    /// Servers that want no requests for a time which they named.
+    pub hold_offs: HoldOffs,
     /// Links to VMs by availability zone, which show that a zone is cut off.
     pub zone_links: ZoneLinks,
     /// Plain calls in progress from this VM, by server.
@@ -79,6 +84,7 @@
             directory: Directory::default(),
             loads: LoadTable::default(),
             health: HealthTable::default(),
+            hold_offs: HoldOffs::default(),
             zone_links: ZoneLinks::default(),
             calls: BTreeMap::new(),
             load_reports: BTreeMap::new(),
@@ -95,6 +101,7 @@
         if merged == Merged::Changed && known.map(|known| known.born) != earlier {
             self.health.forget(&id);
             self.rates.forget(&id);
+            self.hold_offs.forget(&id);
         }
         merged
     }
@@ -105,6 +112,24 @@
         self.directory.leave(now, id, born);
     }
 
+    /// Holds a lifetime of a server back, which said in an answer that it wants no requests.
+    ///
+    /// Returns whether that extends the time; a lifetime that has ended is ignored.
+    pub fn hold_back(&mut self, now: Moment, incarnation: &Incarnation, time: Duration) -> bool {
+        let record = self.directory.get(&incarnation.server);
+        record.is_some_and(|record| record.born == incarnation.born)
+            && self.hold_offs.hold(now, incarnation, time)
+    }
+
+    /// Returns the shortest time left if all servers of a service are held back.
+    #[must_use]
+    pub fn all_held_back(&self, now: Moment, service: &ServiceName) -> Option<Duration> {
+        let ready = self.directory.ready(service);
+        let left = ready.map(|(record, _)| self.hold_offs.time_left(now, &record.id));
+        let left: Option<Vec<_>> = left.collect();
+        left?.into_iter().min()
+    }
+
     /// Adds a placement made by this or another entry VM.
     pub fn add_placement(
         &mut self,
@@ -211,7 +236,10 @@
     ) -> Vec<ServerId> {
         let ready = self.directory.ready(service).map(|(record, _)| &record.id);
         let limited = ready.filter(|id| {
-            self.rates.is_limited(id) && !tried.contains(id) && !self.health.is_suspended(now, id)
+            self.rates.is_limited(id)
+                && !tried.contains(id)
+                && !self.health.is_suspended(now, id)
+                && self.hold_offs.time_left(now, id).is_none()
         });
         limited.cloned().collect()
     }
@@ -291,7 +319,8 @@
 
     /// Returns the servers of a service that may get work, except those in `tried`.
     ///
-    /// Servers with a limit need a permit. Prefers servers that send heartbeats, are not suspended
+    /// Servers that are held back are left out without any fallback. Servers with a limit need a
+    /// permit. Prefers servers that send heartbeats, are not suspended
     /// and are not in an unreachable zone. If there are none, zones are ignored; if there are still
     /// none, every ready server is used.
     fn eligible_servers<'a>(
@@ -302,10 +331,14 @@
     ) -> Result<Vec<&'a ServerRecord>, NoChoice> {
         let fresh =
             |heard_at: Moment| !self.receives_heartbeats || now.since(heard_at) < HEARTBEAT_TIMEOUT;
+        if let Some(left) = self.all_held_back(now, service) {
+            return Err(NoChoice::HeldBack(left));
+        }
+        let is_held = |id: &ServerId| self.hold_offs.time_left(now, id).is_some();
         let ready: Vec<_> = self
             .directory
             .ready(service)
-            .filter(|(record, _)| !tried.contains(&record.id))
+            .filter(|(record, _)| !tried.contains(&record.id) && !is_held(&record.id))
             .collect();
         if ready.is_empty() {
             return Err(NoChoice::NoServer);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod events;
 pub mod fleet;
 pub mod health;
+pub mod hold_off;
 pub mod in_flight;
 pub mod manifest;
 pub mod manifest_pull;
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -103,6 +103,8 @@
         ClaimsFull = "claims_full",
         /// The backend servers take no more requests a second.
         RateLimited = "rate_limited",
+        /// All backend servers of the service want no requests for a time which they named.
+        HeldBack = "held_back",
         /// The backend server failed.
         ServerFailed = "server_failed",
         /// The backend server refused the request.
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod engine_placement_load;
 mod events;
 mod fleets;
+mod hold_off;
 mod log_fuzz;
 mod long_prompt_bursts;
 mod manifest_pull;
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -25,6 +25,7 @@
 mod request;
 mod reservation;
 mod selection;
+mod server_notices;
 mod state;
 mod stream;
 mod stream_source;
--- a/node/src/gateway/answer_head.rs
+++ b/node/src/gateway/answer_head.rs
@@ -19,6 +19,7 @@
 use super::relay;
 use super::request::{CallerRequest, text_header};
 use super::reservation::EngineEndpoint;
+use super::server_notices;
 use super::state::Gateway;
 use super::target::Target;
 use super::upstream::Connection;
@@ -88,6 +89,10 @@
     if connection.is_new {
         gateway.reach.borrow_mut().record_answer(&call.service);
     }
+    let is_success = head.status.is_success();
+    if !is_success || head.headers.contains_key(headers::RESPONSE_SEAL) {
+        server_notices::record(gateway, incarnation, head);
+    }
     let is_refusal = check == Err(Failure::Refused);
     if check.is_ok() || is_refusal {
         let answer = AnswerHead {
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -131,6 +131,7 @@
                 Selection::AwaitPermit | Selection::RateLimited => {
                     return Err(self.rate_refusal(gateway, call));
                 }
+                Selection::HeldBack(left) => return Err(self.held_back_refusal(left)),
                 Selection::Refuse => return Err(self.refusal(RefusalReason::QueueFull)),
                 Selection::NoPath => return Err(self.path_refusal()),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
@@ -207,7 +208,7 @@
         // A refused or misdirected request reached a server, so the next attempt spends a retry.
         let is_free = matches!(
             failure,
-            Failure::Unreachable | Failure::NoPath | Failure::NoMemory
+            Failure::Unreachable | Failure::NoPath | Failure::Withdrawn | Failure::NoMemory
         );
         let permitted = is_free || gateway.spend_retry(&call.service);
         if self.not_run >= MAX_NOT_RUN_FAILURES || !permitted {
@@ -239,6 +240,14 @@
         refusal
     }
 
+    /// Builds the refusal of a request while all servers want none; it ends with the shortest time.
+    fn held_back_refusal(&mut self, left: Duration) -> Refusal {
+        self.permit_waiter = None;
+        let mut refusal = self.refusal(RefusalReason::HeldBack);
+        refusal.retry_after = refusal.retry_after.map(|_| left);
+        refusal
+    }
+
     /// Whether the request may wait for a permit; begins the wait if it has not begun.
     fn may_await_permit(&mut self, gateway: &Rc<Gateway>, call: &CallerRequest) -> bool {
         let waiter = self
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -25,6 +25,7 @@
 use super::request::{CallerRequest, ServerHeaders};
 use super::reservation::Reservation;
 use super::selection::SelectedServers;
+use super::server_notices;
 use super::state::Gateway;
 use super::tally::{InProgress, Tally};
 use super::target::Target;
@@ -173,6 +174,10 @@
         relay::add_headers(gateway, call, vm, &excluded, on_trial, &mut request)
             .ok_or(Failure::Unreachable)?;
     }
+    let is_withdrawn = |server| server_notices::is_withdrawn(gateway, server);
+    if selected.target.incarnation().is_some_and(is_withdrawn) {
+        return Err(Failure::Withdrawn);
+    }
     let time_left = call.time_left(now);
     let incarnation = selected.target.incarnation().cloned();
     let run = incarnation.map(|incarnation| RunGuard::new(gateway, call, incarnation));
@@ -205,6 +210,9 @@
             Target::Vm { server, .. } => {
                 let check = relay::check_answer(&head.headers);
                 *server = relay::take_server(&mut head);
+                if let Some(server) = server {
+                    server_notices::record_relayed(gateway, server, &head);
+                }
                 check.and_then(|()| check_response_head(call, &head))
             }
         };
--- a/node/src/gateway/failure.rs
+++ b/node/src/gateway/failure.rs
@@ -20,6 +20,8 @@
     NoPath,
     /// The server refused the request and states that it did not run it.
     Refused,
+    /// The server said in another answer that it leaves or takes no requests; nothing was sent.
+    Withdrawn,
     /// Another server answered at this address.
     Replaced,
     /// A helper did not reserve the memory for its part of the prompt.
@@ -41,6 +43,7 @@
             Self::Unreachable
             | Self::NoPath
             | Self::Refused
+            | Self::Withdrawn
             | Self::Replaced
             | Self::NoMemory
             | Self::HelperFailed => RunState::NotRun,
@@ -61,7 +64,11 @@
             Self::Unreachable => Some(ServerOutcome::Unreachable),
             Self::Refused => Some(ServerOutcome::Full),
             Self::Replaced | Self::Broken | Self::Overtaken => Some(ServerOutcome::Failed),
-            Self::NoPath | Self::NoMemory | Self::HelperFailed | Self::Overdue => None,
+            Self::NoPath
+            | Self::Withdrawn
+            | Self::NoMemory
+            | Self::HelperFailed
+            | Self::Overdue => None,
         }
     }
 }
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -20,6 +20,7 @@
 use super::placement_sync;
 use super::rate_limits;
 use super::reach;
+use super::server_notices;
 use super::state::Gateway;
 use crate::links::LinkEvent;
 
@@ -48,6 +49,7 @@
     let crashes = gateway.crashes.borrow();
     crashes.exchange.link_up(&gateway.links, &peer.vm_id());
     drop(crashes);
+    server_notices::link_up(gateway, &peer.vm_id());
     if peer.control {
         gateway.fleet.borrow_mut().receives_heartbeats = true;
     } else {
--- a/node/src/gateway/refusal.rs
+++ b/node/src/gateway/refusal.rs
@@ -51,8 +51,12 @@
     let origin = Origin::Refusal(refusal.reason, refusal.run);
     response.extensions_mut().insert(origin);
     if let Some(wait) = refusal.retry_after {
-        let jittered = wait.mul_f64(1.0 + fastrand::f64() * RETRY_AFTER_JITTER);
-        let seconds = format!("{:.3}", jittered.as_secs_f64());
+        let seconds = match refusal.reason {
+            // Rounded up, as a server is held back until then.
+            RefusalReason::HeldBack => (wait.as_secs_f64() * 1000.0).ceil() / 1000.0,
+            _ => wait.as_secs_f64() * (1.0 + fastrand::f64() * RETRY_AFTER_JITTER),
+        };
+        let seconds = format!("{seconds:.3}");
         if let Ok(value) = HeaderValue::try_from(seconds) {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
--- a/node/src/gateway/reservation.rs
+++ b/node/src/gateway/reservation.rs
@@ -20,6 +20,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use super::server_notices;
 use super::state::Gateway;
 
 /// Lease of a reservation.
@@ -175,6 +176,10 @@
 /// Releases the memory at one engine, with up to `RELEASE_ATTEMPTS` attempts.
 async fn release(gateway: Rc<Gateway>, endpoint: EngineEndpoint, id: String) {
     for _ in 0..RELEASE_ATTEMPTS {
+        if server_notices::is_held_back(&gateway, &endpoint.server) {
+            // The lease ends without an order.
+            return;
+        }
         let released = send_order(&gateway, &endpoint, orders::release(&id)).await;
         if matches!(released, Ok(()) | Err(OrderFailure::Refused)) {
             // An engine refuses to release what it does not hold.
@@ -204,8 +209,12 @@
     let request = order_request(endpoint, body).ok_or(OrderFailure::Refused)?;
     let connecting = gateway.pool.connect(endpoint.address, false).await;
     let mut connection = connecting.map_err(|_error| OrderFailure::Unreachable)?;
+    let incarnation = server_notices::incarnation(gateway, &endpoint.server);
     let sent = connection.send(request).await;
     let (head, response_body) = sent.map_err(|_error| OrderFailure::Silent)?.into_parts();
+    if let Some(incarnation) = incarnation {
+        server_notices::record(gateway, &incarnation, &head);
+    }
     let body = Limited::new(response_body, MAX_ORDER_RESPONSE_BYTES);
     let read = body.collect().await;
     read.map_err(|_error| OrderFailure::Silent)?;
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -101,6 +101,8 @@
     AwaitPermit,
     /// All servers have limits on their request rates; none of them takes the request soon.
     RateLimited,
+    /// All servers want no requests; holds the shortest time left.
+    HeldBack(Duration),
     /// This VM is cut off from the service, and no other VM reaches it.
     NoPath,
     /// No server is left to select.
@@ -149,6 +151,10 @@
     excluded: &[ServerId],
     is_waiting: bool,
 ) -> Selection {
+    let now = gateway.now();
+    if let Some(left) = gateway.fleet.borrow().all_held_back(now, &call.service) {
+        return Selection::HeldBack(left);
+    }
     request_permits(gateway, call, excluded);
     if has_earlier_waiter(gateway, call, excluded, is_waiting) {
         return permit_outlook(gateway, call, excluded, is_waiting);
@@ -156,6 +162,7 @@
     let selection = select_admitted(gateway, call, excluded);
     match selection {
         Err(NoChoice::NoServer) => Selection::NoServer,
+        Err(NoChoice::HeldBack(left)) => Selection::HeldBack(left),
         Err(NoChoice::RateLimited) => permit_outlook(gateway, call, excluded, is_waiting),
         Ok(selection) => {
             if let Selection::Selected(selected) = &selection
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -1,12 +1,13 @@
 //! State shared by the tasks of an entry VM.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use merlinrudder_core::census::Census;
 use merlinrudder_core::deployment::Deployment;
+use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::{ServiceName, VmId, ZoneName};
@@ -71,6 +72,8 @@
     pub(super) buffer_budget: BufferBudget,
     /// Placements made here, and changes not yet sent to the other entry VMs.
     pub(super) outbox: RefCell<Outbox>,
+    /// Lifetimes of servers that said in answers to this VM that they leave.
+    pub(super) leaving: RefCell<BTreeSet<Incarnation>>,
     /// Requests that wait for permits, and callers that were refused for lack of them.
     pub(super) permit_queues: RefCell<PermitQueues>,
     /// Crashes of backend servers, and the requests that caused them.
@@ -117,6 +120,7 @@
             pool: ConnectionPool::new(config.local_peer.address.ip()),
             buffer_budget: BufferBudget::default(),
             outbox: RefCell::default(),
+            leaving: RefCell::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
--- a/node/src/http_api/response.rs
+++ b/node/src/http_api/response.rs
@@ -125,6 +125,7 @@
         | RefusalReason::NoQuorum
         | RefusalReason::ClaimsFull
         | RefusalReason::RateLimited
+        | RefusalReason::HeldBack
         | RefusalReason::ServerRefused
         | RefusalReason::CallerGone => 503,
         RefusalReason::DeadlineUnmeetable | RefusalReason::DeadlinePassed => 504,
@@ -160,6 +161,7 @@
         }
         RefusalReason::ClaimsFull => "Too many calls with idempotency keys are kept.",
         RefusalReason::RateLimited => "The backend servers take no more requests a second.",
+        RefusalReason::HeldBack => "The backend servers take no requests for a while.",
         RefusalReason::ServerFailed => "The backend server failed.",
         RefusalReason::ServerRefused => "The backend server refused the work.",
         RefusalReason::RetryBudgetSpent => "The backend server failed, and retries are used up.",
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -14,6 +14,8 @@
 const ANNOUNCEMENTS: &str = "merlinrudder_announcements_total";
 const DROPPED_EVENTS: &str = "merlinrudder_dropped_events_total";
 const LIMITED_ANSWERS: &str = "merlinrudder_limited_answers_total";
+const LEAVING_ANSWERS: &str = "merlinrudder_leaving_answers_total";
+const RETRY_AFTER_ANSWERS: &str = "merlinrudder_retry_after_answers_total";
 const MESH_SENT: &str = "merlinrudder_mesh_sent_bytes_total";
 const MESH_DROPPED: &str = "merlinrudder_mesh_dropped_total";
 
@@ -90,6 +92,19 @@
     counter!(LIMITED_ANSWERS).increment(1);
 }
 
+/// Counts an answer in which a backend server said that it leaves.
+pub fn count_leaving_answer() {
+    counter!(LEAVING_ANSWERS).increment(1);
+}
+
+/// Counts an answer in which a backend server named a time without requests.
+///
+/// Also sets the gauge of the servers that are held back now.
+pub fn count_retry_after_answer(held: usize) {
+    counter!(RETRY_AFTER_ANSWERS).increment(1);
+    set_gauge("merlinrudder_held_back_servers", held);
+}
+
 /// Adds to the bytes sent to other VMs.
 pub fn count_mesh_sent(bytes: usize) {
     counter!(MESH_SENT).increment(bytes as u64);
--- a/node/tests/integration/failing_helpers.rs
+++ b/node/tests/integration/failing_helpers.rs
@@ -5,7 +5,7 @@
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use merlinrudder_fakes::http_client::send_request_with_headers;
 use merlinrudder_fakes::nodes::{Nodes, sample_configuration};
@@ -126,3 +126,48 @@
         assert!(refused.count() <= 1, "{refusals:?}");
     }
 }
+
+/// Guards against orders to a helper that wants no requests for a time, also to release memory.
+#[test]
+fn a_helper_whose_refused_order_names_a_time_gets_no_requests_for_that_time() {
+    let arrivals: Vec<Arc<Mutex<Vec<_>>>> = vec![Arc::default(), Arc::default()];
+    let refusing = |arrivals: &Arc<Mutex<Vec<_>>>| {
+        let arrivals = Arc::clone(arrivals);
+        RawServer::bind(move |connection, request| {
+            let mut arrivals = arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+            arrivals.push((Instant::now(), request.attempt.is_empty()));
+            write!(
+                connection,
+                "HTTP/1.1 503 Service Unavailable\r\nX-Merlinrudder-Not-Executed: 1\r\n\
+                 Retry-After: 3\r\nContent-Length: 0\r\n\r\n"
+            )
+        })
+    };
+    let mut engines: Vec<_> = arrivals
+        .iter()
+        .map(|arrivals| refusing(arrivals).expect("engine listens"))
+        .collect();
+    engines.extend((0..4).map(|_| RawServer::bind(answer).expect("engine listens")));
+    let nodes = start(&engines);
+    let start = Instant::now();
+    let mut number = 0;
+    while start.elapsed() < Duration::from_millis(2900) {
+        number += 1;
+        assert!(
+            is_served(&nodes, &format!("c{number}"), 600_000),
+            "{number}"
+        );
+    }
+    let mut orders = 0;
+    for arrivals in arrivals {
+        let arrivals = arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some((first, is_order)) = arrivals.first().copied() else {
+            continue;
+        };
+        orders += usize::from(is_order);
+        let window = first + Duration::from_millis(500)..start + Duration::from_millis(2900);
+        let late = arrivals.iter().filter(|(at, _)| window.contains(at));
+        assert!(late.count() <= 2, "{number} prompts: {arrivals:?}");
+    }
+    assert!(orders > 0, "no order came first");
+}
--- a/node/tests/integration/load.rs
+++ b/node/tests/integration/load.rs
@@ -56,8 +56,21 @@
     let nodes = start_deployment(entry_vms, &servers.iter().collect::<Vec<_>>());
     let stopped = AtomicBool::new(false);
     thread::scope(|scope| {
-        let (nodes, stopped) = (&nodes, &stopped);
-        scope.spawn(|| send_heartbeats(nodes, servers, stopped));
+        scope.spawn(|| send_heartbeats(&nodes, servers, &stopped));
+        // The heartbeats end also when the test panics.
+        let called = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            call_during(&nodes, paths, || test(&nodes))
+        }));
+        stopped.store(true, Ordering::Relaxed);
+        called.unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+    })
+}
+
+/// Runs `test` while callers send requests with each of `paths` to each of the entry VMs.
+pub fn call_during(nodes: &Nodes, paths: &[&'static str], test: impl FnOnce()) -> Vec<Call> {
+    let stopped = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let stopped = &stopped;
         let callers: Vec<_> = (CONTROL_VMS..nodes.len())
             .flat_map(|entry| paths.iter().map(move |path| (entry, *path)))
             .flat_map(|(entry, path)| (0..CALLERS).map(move |caller| (entry, path, caller)))
@@ -65,7 +78,7 @@
                 scope.spawn(move || call_until(nodes, stopped, entry, path, caller))
             })
             .collect();
-        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| test(nodes)));
+        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(test));
         stopped.store(true, Ordering::Relaxed);
         if let Err(panic) = outcome {
             std::panic::resume_unwind(panic);
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -15,6 +15,7 @@
 mod platform;
 mod rate_limits;
 mod retry_budget;
+mod server_notices;
 mod settings;
 mod silent_servers;
 mod soak;
