feature: bound the memory that answers take until slow callers have read them

16 events of up to 1 MiB each waited for each caller, and a whole answer left the budget of 16 MiB when it was read from its server, not when its caller had it. The share of the budget now moves with the body, pieces of 8 KiB go to the caller's connection, and a stream holds four of them.

--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -49,6 +49,12 @@
         self.partial.len() > MAX_EVENT_BYTES || self.comment_bytes > MAX_EVENT_BYTES
     }
 
+    /// Returns the length of the incomplete event, in bytes.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether an incomplete event is buffered.
     #[must_use]
     pub fn is_partial(&self) -> bool {
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use hyper::Response;
 use hyper::http::response::Parts;
 use merlinrudder_core::health::ServerOutcome;
@@ -14,7 +13,7 @@
 use super::body::ResponseBody;
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{Prefetched, UpstreamResponse, read_whole};
+use super::exchange::{Prefetched, UpstreamResponse, WholeBody, read_whole};
 use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
@@ -43,7 +42,7 @@
 pub(super) struct Answer {
     target: Target,
     head: Parts,
-    body: Bytes,
+    body: WholeBody,
 }
 
 /// How an attempt ended for its caller.
@@ -124,7 +123,9 @@
         "manifest" => call.manifest_number);
     call.guard.end();
     metrics::count_outcome(call.service.as_str(), "complete");
-    forwarded_response(&target, &head, ResponseBody::buffered(body))
+    let time_left = call.time_left(gateway.now());
+    let body = ResponseBody::shared(body.bytes, body.share, time_left);
+    forwarded_response(&target, &head, body)
 }
 
 /// Logs an admitted request that is refused or failed, and builds its response.
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -56,6 +56,13 @@
     pub(super) run: Option<RunGuard>,
 }
 
+/// A body that was read to its end, with its part of the VM's memory for responses.
+#[derive(Debug)]
+pub(super) struct WholeBody {
+    pub(super) bytes: Bytes,
+    pub(super) share: BufferShare,
+}
+
 /// What of a body was read before its response was chosen.
 #[derive(Debug, Default)]
 pub(super) enum Prefetched {
@@ -64,7 +71,7 @@
     /// The beginning of a stream with its first event.
     Beginning(Bytes),
     /// The whole body of a plain call.
-    Whole(Bytes),
+    Whole(WholeBody),
 }
 
 /// How far an attempt has come, for one that is dropped before its end.
@@ -292,19 +299,20 @@
     gateway: &Gateway,
     body: &mut Incoming,
     time_left: Duration,
-) -> Option<Bytes> {
+) -> Option<WholeBody> {
     let reading = read_within_budget(&gateway.buffer_budget, body);
     timeout(time_left, reading).await.ok()?
 }
 
 /// Reads a body to its end, as far as the VM's buffers allow.
-async fn read_within_budget(budget: &BufferBudget, body: &mut Incoming) -> Option<Bytes> {
+async fn read_within_budget(budget: &Rc<BufferBudget>, body: &mut Incoming) -> Option<WholeBody> {
     let mut share = BufferShare::new(budget);
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let bytes = frame.ok()?.into_data().unwrap_or_default();
-        share.grow(whole.len() + bytes.len()).ok()?;
+        share.resize(whole.len() + bytes.len()).await.ok()?;
         whole.extend_from_slice(&bytes);
     }
-    Some(whole.freeze())
+    let bytes = whole.freeze();
+    Some(WholeBody { bytes, share })
 }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -68,8 +68,8 @@
     pub(super) relay_token: u128,
     /// Idle connections to backend servers and other VMs.
     pub(super) pool: ConnectionPool,
-    /// Memory for responses that are read whole.
-    pub(super) buffer_budget: BufferBudget,
+    /// Memory for responses until their callers have read them.
+    pub(super) buffer_budget: Rc<BufferBudget>,
     /// Placements made here, and changes not yet sent to the other entry VMs.
     pub(super) outbox: RefCell<Outbox>,
     /// Lifetimes of servers that said in answers to this VM that they leave.
@@ -118,7 +118,7 @@
             relays: RefCell::default(),
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
-            buffer_budget: BufferBudget::default(),
+            buffer_budget: Rc::default(),
             outbox: RefCell::default(),
             leaving: RefCell::default(),
             permit_queues: RefCell::default(),
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -17,7 +17,8 @@
 
 use super::answer_head::{forwarded_response, is_framed, return_to_pool};
 use super::attempts::Attempts;
-use super::body::{Chunk, ChunkSender, ResponseBody};
+use super::body::{Chunk, ChunkSender, MAX_PIECE_BYTES, ResponseBody};
+use super::buffer_budget::BufferShare;
 use super::buffered::{self, Finished};
 use super::crash_verdict;
 use super::crash_watch;
@@ -31,8 +32,8 @@
 use super::target::Target;
 use crate::metrics;
 
-/// Events buffered for a caller that reads slowly.
-const EVENT_BUFFER_CAPACITY: usize = 16;
+/// Events, or pieces of them, buffered for a caller that reads slowly.
+const EVENT_BUFFER_CAPACITY: usize = 4;
 /// Lower limit of the stall timeout, after which silence between two events is hedged.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1600);
 
@@ -69,6 +70,7 @@
         call: Rc::new(call),
         attempts,
         sender,
+        share: BufferShare::new(&gateway.buffer_budget),
         event_count: 0,
         ttft: None,
         last_received: None,
@@ -109,6 +111,8 @@
     call: Rc<CallerRequest>,
     attempts: Attempts,
     sender: ChunkSender,
+    /// Memory of the bytes that are not passed on yet.
+    share: BufferShare,
     /// Number of the last event that was forwarded, or that the caller already had.
     last_event: Option<u64>,
     /// Events forwarded, over all engines.
@@ -281,7 +285,12 @@
                 Ok(None) => return SourceEnd::Ended(StreamEnd::Complete),
                 Err(end) => return end,
             };
-            for event in source.splitter.push(&bytes) {
+            let events = source.splitter.push(&bytes);
+            let held: usize = events.iter().map(|event| event.bytes.len()).sum();
+            if let Err(end) = self.make_room(source.splitter.partial_bytes() + held).await {
+                return SourceEnd::Ended(end);
+            }
+            for event in events {
                 if let Some(placement) = &source.upstream.selected.placement {
                     placement.record_event();
                 }
@@ -319,11 +328,33 @@
             self.ttft = Some(elapsed);
             metrics::observe_first_token(self.call.service.as_str(), elapsed);
         }
-        let chunk = Chunk::Data(Bytes::from(event.bytes));
-        let sent = self.sender.send(chunk).await;
+        if event.bytes.len() <= MAX_PIECE_BYTES {
+            return self.send(Bytes::from(event.bytes)).await;
+        }
+        for piece in event.bytes.chunks(MAX_PIECE_BYTES) {
+            self.send(Bytes::copy_from_slice(piece)).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends bytes to the caller; waits while it reads slowly, but not beyond the deadline.
+    async fn send(&self, bytes: Bytes) -> Result<(), StreamEnd> {
+        let time_left = self.call.time_left(self.gateway.now());
+        let sent = timeout(time_left, self.sender.send(Chunk::Data(bytes))).await;
+        let sent = sent.map_err(|_elapsed| StreamEnd::Overdue)?;
         sent.map_err(|_closed| StreamEnd::CallerGone)
     }
 
+    /// Accounts for the bytes that are held for the caller; waits while there is no room.
+    async fn make_room(&mut self, bytes: usize) -> Result<(), StreamEnd> {
+        let time_left = self.call.time_left(self.gateway.now());
+        match timeout(time_left, self.share.resize(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_too_large)) => Err(StreamEnd::Broken("an event is too long")),
+            Err(_elapsed) => Err(StreamEnd::Overdue),
+        }
+    }
+
     /// Waits for the next bytes, and sends hedges while the engine is silent.
     ///
     /// Returns `None` at the end of the engine's response.
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -18,6 +18,7 @@
 mod server_notices;
 mod settings;
 mod silent_servers;
+mod slow_readers;
 mod soak;
 mod stray_responses;
 mod util;
