feature: weigh prompts by their rank among those of their service

Ranks of routes and customers were parsed and decided nothing. A prompt of the most urgent rank of a service now weighs 2, of the least urgent one 1/2: in the cost of its placement, in what others lose by other placements, and in the decision to place, wait or refuse. Its priority at the engine changes by one. A service with one rank has weights of exactly 1.

--- a/core/src/deployment.rs
+++ b/core/src/deployment.rs
@@ -11,6 +11,7 @@
 use crate::engine_model::EngineProfile;
 use crate::manifest::ManifestNumber;
 use crate::names::{CustomerName, ServiceName};
+use crate::rank::ServiceRanks;
 
 /// Retry semantics of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -129,6 +130,8 @@
     keys: HashMap<Arc<str>, Arc<CustomerRule>>,
     /// Limits on requests and connections of callers.
     pub limits: CallerLimits,
+    /// Ranks of the requests to each service; filled by `rank_services`.
+    ranks: BTreeMap<ServiceName, ServiceRanks>,
 }
 
 impl Default for CallerLimits {
@@ -167,6 +170,26 @@
         earlier.is_none_or(|earlier| earlier.name == customer.name)
     }
 
+    /// Collects the ranks of the requests to each service, once routes and customers are complete.
+    pub fn rank_services(&mut self) {
+        let routes = self.routes.values().flat_map(HashMap::values);
+        let routes: Vec<_> = routes.collect();
+        let ranks = self.services.keys().map(|service| {
+            let leads_here = |target: &(ServiceName, u32)| target.0 == *service && target.1 > 0;
+            let routes = routes.iter().map(AsRef::as_ref);
+            let routes = routes.filter(|route| route.targets.iter().any(leads_here));
+            let customers = self.keys.values().map(AsRef::as_ref);
+            (service.clone(), ServiceRanks::new(routes, customers))
+        });
+        self.ranks = ranks.collect();
+    }
+
+    /// Returns the ranks of the requests to a service; `None` if it is unknown.
+    #[must_use]
+    pub fn ranks(&self, service: &ServiceName) -> Option<&ServiceRanks> {
+        self.ranks.get(service)
+    }
+
     /// Finds the route of this host with the longest prefix of the path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -78,10 +78,20 @@
     pub pause_objective: Duration,
     /// Time left until the caller gives up.
     pub time_left: Duration,
+    /// Factor on the value of the prompt, by its rank; 1 without other ranks.
+    pub weight: f64,
     /// Seed of the random choice between engines that are nearly as good.
     pub random_seed: u64,
 }
 
+impl PlacementRequest {
+    /// Returns the value of the request by the length and the rank of its prompt.
+    #[must_use]
+    pub fn value(&self) -> f64 {
+        prompt_value(self.prompt_tokens) * self.weight
+    }
+}
+
 /// A server that is eligible for a prompt.
 #[derive(Clone, Debug)]
 pub struct Candidate<'a> {
@@ -333,7 +343,7 @@
                 } else {
                     pause_loss(part, before, after)
                 };
-                lost * prompt_value(part.prompt_tokens)
+                lost * prompt_value(part.prompt_tokens) * part.weight
             })
             .sum()
     }
@@ -353,7 +363,7 @@
     /// It exceeds the value of the request if the KV cache has no room for it.
     fn lead_cost(&self, request: &PlacementRequest, server: &ServerRecord) -> f64 {
         let overflow = if request.prompt_tokens + request.answer_tokens > self.free_tokens(server) {
-            prompt_value(request.prompt_tokens) + 1.0
+            request.value() + 1.0
         } else {
             0.0
         };
@@ -439,7 +449,7 @@
 /// Returns the value that the prompt itself loses if its first token takes `ttft`.
 fn own_cost(request: &PlacementRequest, ttft: f64) -> f64 {
     let time = millis(request.waited) + ttft;
-    let value = prompt_value(request.prompt_tokens);
+    let value = request.value();
     let late = miss_probability(time, millis(request.ttft_objective)) * (1.0 - LATE_VALUE_FRACTION);
     let lost = miss_probability(ttft, millis(request.time_left)) * LATE_VALUE_FRACTION;
     value * (late + lost) + ttft * COST_PER_MS
--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -66,6 +66,7 @@
     }
     let seconds = prefill / 1000.0;
     let value = prompt_value(request.prompt_tokens).max(seconds * MIN_PREFILL_VALUE);
+    let value = value * request.weight;
     let gain = value * (1.0 - miss_probability(ttft, objective) * (1.0 - LATE_VALUE_FRACTION));
     let engine_cost = seconds * BUSY_ENGINE_VALUE * busy_fraction;
     let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
--- a/core/src/engine_placement/loads.rs
+++ b/core/src/engine_placement/loads.rs
@@ -42,6 +42,8 @@
     pub ttft_objective: Duration,
     /// Objective for the longest pause between two events of the answer.
     pub pause_objective: Duration,
+    /// Factor on the value of the prompt, by its rank; 1 without other ranks.
+    pub weight: f64,
 }
 
 /// The part of a placed prompt that one engine processes.
@@ -63,6 +65,8 @@
     pub ttft_objective: Duration,
     /// Objective for the longest pause between two events of the answer.
     pub pause_objective: Duration,
+    /// Factor on the value of the prompt, by its rank.
+    pub weight: f64,
     /// Weight of a delay on a helper: 1 over the number of engines of the prompt.
     ///
     /// A delay on one of these engines is likely to delay them all, and counts once for all.
@@ -204,6 +208,7 @@
                 received_at: placed.received_at,
                 ttft_objective: placed.ttft_objective,
                 pause_objective: placed.pause_objective,
+                weight: placed.weight,
                 delay_weight: 1.0 / as_float(parts as u64),
                 prefill_ms,
                 in_pass,
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::engine_model::{EngineProfile, as_float};
 use crate::engine_placement::decision::{PlacementDecision, decide_placement};
 use crate::engine_placement::loads::{LoadTable, PlacedPrompt, PlacementKey};
-use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer, prompt_value};
+use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer};
 use crate::health::{HealthTable, ServerOutcome};
 use crate::hold_off::HoldOffs;
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
@@ -156,7 +156,7 @@
         tried: &[ServerId],
     ) -> Result<(Placement, PlacementDecision), NoChoice> {
         let servers = self.eligible_servers(now, service, tried)?;
-        let value = prompt_value(request.prompt_tokens);
+        let value = request.value();
         let candidates: Vec<_> = servers
             .into_iter()
             .map(|server| Candidate {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod outcome;
 pub mod placement;
 pub mod queue;
+pub mod rank;
 pub mod rate_limit;
 pub mod reach;
 pub mod registry;
--- a/core/tests/integration/engine_placement_load.rs
+++ b/core/tests/integration/engine_placement_load.rs
@@ -105,6 +105,7 @@
             received_at: moment,
             ttft_objective: request.ttft_objective,
             pause_objective: request.pause_objective,
+            weight: request.weight,
         };
         self.report(entry, now, &key, || Report::Placed(placed.clone()));
         self.report(entry, now + PREFILL_MS, &key, || Report::FirstEvent);
--- a/core/tests/integration/fleets.rs
+++ b/core/tests/integration/fleets.rs
@@ -68,6 +68,7 @@
         waited: Duration::ZERO,
         ttft_objective: Duration::from_millis(objective),
         pause_objective: Duration::from_millis(pause),
+        weight: 1.0,
         time_left: Duration::from_secs(10),
         random_seed: 1,
     }
@@ -103,6 +104,7 @@
         received_at: now,
         ttft_objective: request.ttft_objective,
         pause_objective: request.pause_objective,
+        weight: request.weight,
     };
     if decision == PlacementDecision::Place {
         fleet.add_placement(now, &key, &profile(), &placed);
--- a/core/tests/integration/long_prompt_bursts.rs
+++ b/core/tests/integration/long_prompt_bursts.rs
@@ -1,6 +1,7 @@
 //! Bursts of prompts of very different lengths: what callers of each length get.
 
 use merlinrudder_core::engine_model::EngineProfile;
+use merlinrudder_core::rank::ServiceRanks;
 
 use crate::fleets::profile;
 use crate::util::burst_sim::{BurstSim, Kind, Load, Outcome, Record, Trouble};
@@ -23,6 +24,7 @@
         pause_ms: 250,
         deadline_ms: 10_000,
         value: 1.3,
+        rank: 0,
     },
     Kind {
         mean: 45_000.0,
@@ -33,6 +35,7 @@
         pause_ms: 600,
         deadline_ms: 10_000,
         value: 3.3,
+        rank: 0,
     },
     Kind {
         mean: 190_000.0,
@@ -43,6 +46,7 @@
         pause_ms: 1000,
         deadline_ms: 15_000,
         value: 20.0,
+        rank: 0,
     },
 ];
 
@@ -66,6 +70,7 @@
             usual,
         ],
         troubles: Vec::new(),
+        ranks: ServiceRanks::default(),
     }
 }
 
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod long_prompt_bursts;
 mod manifest_pull;
 mod membership;
+mod ranks;
 mod rate_limits;
 mod reach;
 mod retry;
--- a/core/tests/integration/util/burst_sim.rs
+++ b/core/tests/integration/util/burst_sim.rs
@@ -15,6 +15,7 @@
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::{ServerId, VmId, ZoneName};
+use merlinrudder_core::rank::{ServiceRanks, Standing};
 use merlinrudder_core::time::Moment;
 
 use super::engine_sim::{JobId, Part, SimEngine};
@@ -29,8 +30,6 @@
 const RETURN_MS: f64 = 500.0;
 /// Time that a connection to a dead engine takes to fail.
 const DEAD_CONNECT_MS: u64 = 150;
-/// Priorities at engines by upper bound of the prefill time in milliseconds, as entry VMs send them.
-const PRIORITIES: [(f64, u8); 3] = [(80.0, 2), (700.0, 4), (f64::INFINITY, 6)];
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug)]
@@ -48,6 +47,8 @@
     pub deadline_ms: u64,
     /// Value of an answer of mean length in time.
     pub value: f64,
+    /// Rank of the route.
+    pub rank: u8,
 }
 
 impl Kind {
@@ -98,6 +99,15 @@
     /// Phases one after the other: length in milliseconds, and the rate of each kind a second.
     pub phases: Vec<(u64, Vec<f64>)>,
     pub troubles: Vec<Trouble>,
+    /// Ranks of the kinds.
+    pub ranks: ServiceRanks,
+}
+
+impl Load {
+    /// Returns how requests of a kind stand against the others.
+    fn standing(&self, kind: &Kind) -> Standing {
+        self.ranks.standing(kind.rank)
+    }
 }
 
 /// A request with its outcome.
@@ -437,6 +447,7 @@
             waited: Duration::from_millis(now - job.received_at),
             ttft_objective: Duration::from_millis(kind.objective_ms),
             pause_objective: Duration::from_millis(kind.pause_ms),
+            weight: self.load.standing(&kind).weight,
             time_left: Duration::from_millis(kind.deadline_ms - (now - job.came_at)),
             random_seed: job.seed,
         };
@@ -489,16 +500,15 @@
         let part_tokens = as_float(request.prompt_tokens) / as_float(parts);
         let on_helpers = placement.helper_tokens * (parts - 1);
         let lead_context = request.prompt_tokens.saturating_sub(on_helpers);
-        let priority = PRIORITIES
-            .iter()
-            .find(|(max, _)| profile.prefill_time(request.prompt_tokens) < *max);
+        let standing = self.load.standing(&self.load.kinds[self.jobs[number].kind]);
+        let priority = standing.engine_priority(&profile, request.prompt_tokens);
         for (index, engine) in engines.iter().enumerate() {
             self.arrivals += 1;
             let leads = index == 0;
             self.engines[*engine].add(Part {
                 job: number,
                 leads,
-                priority: priority.map_or(9, |(_, priority)| *priority),
+                priority,
                 kv_tokens: if leads {
                     lead_context
                 } else {
@@ -519,6 +529,7 @@
             received_at: Moment::from_millis(self.jobs[number].received_at),
             ttft_objective: request.ttft_objective,
             pause_objective: request.pause_objective,
+            weight: request.weight,
         };
         let key = placement_key(self.placements);
         self.news.push_back((now, key, News::Placed(placed)));
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -8,7 +8,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
-use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::outcome::RunState;
 use merlinrudder_platform::orders;
 use slog::debug;
@@ -33,11 +32,6 @@
 
 /// Lower limit of the hang timeout, after which a missing response head is hedged.
 const MIN_HANG_TIMEOUT: Duration = Duration::from_millis(900);
-/// Engine priorities by upper bound of the prefill time, in milliseconds; shorter goes first.
-///
-/// The prefill time is that of the whole prompt on one otherwise idle engine.
-const ENGINE_PRIORITIES: [(f64, u8); 3] = [(80.0, 2), (700.0, 4), (f64::INFINITY, 6)];
-
 /// A response whose head has arrived and belongs to the request.
 #[derive(Debug)]
 pub(super) struct UpstreamResponse {
@@ -166,7 +160,8 @@
         return Err(Failure::Unreachable);
     }
     let priority = call.engine_profile.as_ref().zip(call.token_counts);
-    let priority = priority.map(|(profile, tokens)| engine_priority(profile, tokens.prompt));
+    let priority =
+        priority.map(|(profile, tokens)| call.standing.engine_priority(profile, tokens.prompt));
     let server_headers = ServerHeaders {
         server: selected.target.incarnation().map(|i| i.server.as_str()),
         helpers: helpers.join(","),
@@ -279,15 +274,6 @@
     Err(Failure::NoMemory)
 }
 
-/// Returns the scheduling priority at the engine, from 0 (first) to 9.
-fn engine_priority(profile: &EngineProfile, prompt_tokens: u64) -> u8 {
-    let prefill_ms = profile.prefill_time(prompt_tokens);
-    let priority = ENGINE_PRIORITIES
-        .iter()
-        .find(|(max_ms, _)| prefill_ms < *max_ms);
-    priority.map_or(9, |(_, priority)| *priority)
-}
-
 /// Returns the time without a response head after which a hedge is sent to another server.
 pub(super) fn hang_timeout(call: &CallerRequest, selected: &SelectedServers) -> Duration {
     let expected = selected.predicted_wait.unwrap_or_default() * 2;
--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -8,6 +8,7 @@
 use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::{ServerId, ServiceName, VmId};
+use merlinrudder_core::rank::ServiceRanks;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::MeshMessage;
 use merlinrudder_wire::peers::{WirePlacement, WirePlacementChange, WirePlacements};
@@ -178,7 +179,8 @@
         match change {
             WirePlacementChange::Made(placement) => {
                 let number = placement.number;
-                let (service, placed) = placement.into_core(now);
+                let (service, mut placed) = placement.into_core(now);
+                placed.weight = weight_by_objectives(gateway, &service, &placed);
                 add_to_load_table(gateway, now, from, number, &service, &placed);
             }
             WirePlacementChange::FirstEvent(number) => {
@@ -198,6 +200,16 @@
     }
 }
 
+/// Returns the weight of a prompt that another VM placed, by what is known of its route.
+fn weight_by_objectives(gateway: &Gateway, service: &ServiceName, placed: &PlacedPrompt) -> f64 {
+    let deployment = gateway.deployment();
+    let ranks = deployment.as_ref().and_then(|d| d.ranks(service));
+    let weight = |ranks: &ServiceRanks| {
+        ranks.weight_by_objectives(placed.ttft_objective, placed.pause_objective)
+    };
+    ranks.map_or(1.0, weight)
+}
+
 fn placement_key(entry: &VmId, number: u64) -> PlacementKey {
     let entry = entry.clone();
     PlacementKey { entry, number }
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -18,6 +18,7 @@
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::names::ServiceName;
 use merlinrudder_core::outcome::{Refusal, RefusalReason};
+use merlinrudder_core::rank::Standing;
 use merlinrudder_core::time::{Moment, duration_millis};
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_platform::headers::{self, TokenCounts};
@@ -63,6 +64,8 @@
     pub(super) service: ServiceName,
     /// Performance model of the service's engines; `None` for a plain service.
     pub(super) engine_profile: Option<EngineProfile>,
+    /// How the request stands by its rank against the others of its service.
+    pub(super) standing: Standing,
     /// Number of the manifest that the request was admitted under.
     pub(super) manifest_number: u64,
     /// Time at which the request head had arrived.
@@ -244,6 +247,8 @@
         .or_else(|| route.choose_service(fastrand::f64()).cloned());
     let service = service.ok_or(retryable(RefusalReason::UnknownService))?;
     let rule = deployment.services.get(&service);
+    let ranks = deployment.ranks(&service);
+    let standing = ranks.map(|ranks| ranks.standing_of(route, customer.as_deref()));
     let token_counts =
         text_header(&head.headers, headers::TOKENS).and_then(headers::parse_token_counts);
     let content = RequestContent {
@@ -264,6 +269,7 @@
         route: Arc::clone(route),
         service,
         engine_profile: rule.and_then(|rule| rule.engine),
+        standing: standing.unwrap_or_default(),
         manifest_number: deployment.number.0,
         received_at,
         deadline: received_at + time_limit,
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use merlinrudder_core::deployment::CallKind;
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
@@ -12,6 +11,7 @@
 use merlinrudder_core::engine_placement::{Placement, PlacementRequest};
 use merlinrudder_core::fleet::NoChoice;
 use merlinrudder_core::names::ServerId;
+use merlinrudder_core::rank::pause_objective;
 use merlinrudder_core::time::Moment;
 use merlinrudder_platform::headers;
 
@@ -308,6 +308,7 @@
         received_at: call.received_at,
         ttft_objective: prompt.ttft_objective,
         pause_objective: prompt.pause_objective,
+        weight: prompt.weight,
     };
     let local_placement = LocalPlacement::new(gateway, &call.service, placed_prompt);
     SelectedServers {
@@ -333,16 +334,13 @@
     tokens: headers::TokenCounts,
 ) -> PlacementRequest {
     let now = gateway.now();
-    let pause = match call.route.kind {
-        CallKind::Stream { pause, .. } => pause,
-        CallKind::Idempotent | CallKind::AtMostOnce => call.route.timeout,
-    };
     PlacementRequest {
         prompt_tokens: tokens.prompt,
         answer_tokens: tokens.answer.min(profile.mean_answer * 2),
         waited: now.since(call.received_at),
         ttft_objective: call.route.objective,
-        pause_objective: pause,
+        pause_objective: pause_objective(&call.route),
+        weight: call.standing.weight,
         time_left: call.time_left(now),
         random_seed: call.tie_breaker,
     }
--- a/wire/src/peers.rs
+++ b/wire/src/peers.rs
@@ -165,6 +165,8 @@
     }
 
     /// Converts to the service and the core's placement, on the receiver's clock.
+    ///
+    /// The weight of the prompt is not sent, and is 1.
     #[must_use]
     pub fn into_core(self, now: Moment) -> (ServiceName, PlacedPrompt) {
         let placed = PlacedPrompt {
@@ -176,6 +178,7 @@
             received_at: now - Duration::from_millis(self.waited_ms),
             ttft_objective: Duration::from_millis(self.ttft_ms),
             pause_objective: Duration::from_millis(self.pause_ms),
+            weight: 1.0,
         };
         (ServiceName::from(self.service), placed)
     }
