--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -12,13 +12,14 @@
 use crate::cold::plan::ColdBounds;
 use crate::cold::{ColdOutlook, ColdTable, Warmth};
 use crate::deployment::Deployment;
-use crate::directory::{Directory, Merged, ServerRecord, ServerStage};
+use crate::directory::{Directory, Incarnation, Merged, ServerRecord, ServerStage};
 use crate::engine_model::{EngineProfile, as_float};
 use crate::engine_placement::decision::{PlacementDecision, decide_placement};
 use crate::engine_placement::loads::{LoadTable, PlacedPrompt, PlacementKey};
-use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer, prompt_value};
+use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer};
 use crate::evacuation::Evacuations;
 use crate::health::{HealthTable, ServerOutcome};
+use crate::hold_off::HoldOffs;
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
 use crate::rate_limit::RateLimits;
 use crate::time::Moment;
@@ -61,6 +62,8 @@
     RateLimited,
     /// All that are left are cold, and this VM may not send to any of them now.
     Cold,
+    /// All servers of the service want no requests; holds the shortest time left.
+    HeldBack(Duration),
 }
 
 /// Servers, engine loads and server health as one entry VM sees them.
@@ -77,6 +80,8 @@
     pub rates: RateLimits,
     /// Cold servers, and when this VM may send to them.
     pub cold: ColdTable,
+    /// Servers that want no requests for a time which they named.
+    pub hold_offs: HoldOffs,
     /// Links to VMs by availability zone, which show that a zone is cut off.
     pub zone_links: ZoneLinks,
     /// Zones whose servers get no new requests; the newest set that this VM was told.
@@ -107,6 +112,7 @@
             directory: Directory::default(),
             loads: LoadTable::default(),
             health: HealthTable::default(),
+            hold_offs: HoldOffs::default(),
             zone_links: ZoneLinks::default(),
             evacuations: Evacuations::default(),
             capacities: None,
@@ -129,6 +135,7 @@
         if merged == Merged::Changed && known.map(|known| known.born) != earlier {
             self.health.forget(&id);
             self.rates.forget(&id);
+            self.hold_offs.forget(&id);
         }
         merged
     }
@@ -170,6 +177,24 @@
         evacuated.map(|(_, calls)| calls).sum()
     }
 
+    /// Holds a lifetime of a server back, which said in an answer that it wants no requests.
+    ///
+    /// Returns whether that extends the time; a lifetime that has ended is ignored.
+    pub fn hold_back(&mut self, now: Moment, incarnation: &Incarnation, time: Duration) -> bool {
+        let record = self.directory.get(&incarnation.server);
+        record.is_some_and(|record| record.born == incarnation.born)
+            && self.hold_offs.hold(now, incarnation, time)
+    }
+
+    /// Returns the shortest time left if all servers of a service are held back.
+    #[must_use]
+    pub fn all_held_back(&self, now: Moment, service: &ServiceName) -> Option<Duration> {
+        let ready = self.open_servers(service);
+        let left = ready.map(|(record, _)| self.hold_offs.time_left(now, &record.id));
+        let left: Option<Vec<_>> = left.collect();
+        left?.into_iter().min()
+    }
+
     /// Adds a placement made by this or another entry VM.
     pub fn add_placement(
         &mut self,
@@ -196,7 +221,7 @@
         tried: &[ServerId],
     ) -> Result<(Placement, PlacementDecision), NoChoice> {
         let servers = self.eligible_servers(now, service, tried)?;
-        let value = prompt_value(request.prompt_tokens);
+        let value = request.value();
         let mut rng = Rng::with_seed(request.random_seed);
         let mut blind_penalty = || match self.sees_placements {
             true => 0.0,
@@ -285,7 +310,10 @@
     ) -> Vec<ServerId> {
         let ready = self.open_servers(service).map(|(record, _)| &record.id);
         let limited = ready.filter(|id| {
-            self.rates.is_limited(id) && !tried.contains(id) && !self.health.is_suspended(now, id)
+            self.rates.is_limited(id)
+                && !tried.contains(id)
+                && !self.health.is_suspended(now, id)
+                && self.hold_offs.time_left(now, id).is_none()
         });
         limited.cloned().collect()
     }
@@ -449,10 +477,10 @@
 
     /// Returns the servers of a service that may get work, except those in `tried`.
     ///
-    /// Servers in evacuated zones get none. Servers with a limit need a permit, and cold ones a turn
-    /// of this VM. Prefers servers that send heartbeats, are not suspended and are not in an
-    /// unreachable zone. If there are none, unreachable zones are ignored; if there are still none,
-    /// every ready server outside of evacuated zones is used.
+    /// Servers that are held back or in evacuated zones get none. Servers with a limit need a permit,
+    /// and cold ones a turn of this VM. Prefers servers that send heartbeats, are not suspended and are
+    /// not in an unreachable zone. If there are none, unreachable zones are ignored; if there are still
+    /// none, every ready server that is left is used.
     fn eligible_servers<'a>(
         &'a self,
         now: Moment,
@@ -461,9 +489,13 @@
     ) -> Result<Vec<&'a ServerRecord>, NoChoice> {
         let fresh =
             |heard_at: Moment| !self.receives_heartbeats || now.since(heard_at) < HEARTBEAT_TIMEOUT;
+        if let Some(left) = self.all_held_back(now, service) {
+            return Err(NoChoice::HeldBack(left));
+        }
+        let is_held = |id: &ServerId| self.hold_offs.time_left(now, id).is_some();
         let ready: Vec<_> = self
             .open_servers(service)
-            .filter(|(record, _)| !tried.contains(&record.id))
+            .filter(|(record, _)| !tried.contains(&record.id) && !is_held(&record.id))
             .collect();
         if ready.is_empty() {
             return Err(NoChoice::NoServer);
--- a/core/tests/integration/learned_capacity.rs
+++ b/core/tests/integration/learned_capacity.rs
@@ -1,6 +1,7 @@
 //! What callers get before servers of different and changing speed, with capacities learned or not.
 
 use merlinrudder_core::engine_model::EngineProfile;
+use merlinrudder_core::rank::ServiceRanks;
 
 use crate::util::burst_sim::{BurstSim, Kind, Load, Outcome, Record, Trouble};
 use crate::util::call_sim::{self, CallLoad};
@@ -37,6 +38,7 @@
         pause_ms,
         deadline_ms: 15_000,
         value,
+        rank: 1,
     };
     vec![
         kind(5_000.0, 0.9, 24_000.0, 31, objectives[0], 250, 1.3),
@@ -67,6 +69,7 @@
             ..EntryVms::default()
         },
         knee: None,
+        ranks: ServiceRanks::default(),
     }
 }
 
--- a/core/tests/integration/long_prompt_bursts.rs
+++ b/core/tests/integration/long_prompt_bursts.rs
@@ -1,6 +1,7 @@
 //! Bursts of prompts of very different lengths: what callers of each length get.
 
 use merlinrudder_core::engine_model::EngineProfile;
+use merlinrudder_core::rank::ServiceRanks;
 
 use crate::fleets::profile;
 use crate::util::burst_sim::{BurstSim, Kind, Load, Outcome, Record, Trouble};
@@ -24,6 +25,7 @@
         pause_ms: 250,
         deadline_ms: 10_000,
         value: 1.3,
+        rank: 0,
     },
     Kind {
         mean: 45_000.0,
@@ -34,6 +36,7 @@
         pause_ms: 600,
         deadline_ms: 10_000,
         value: 3.3,
+        rank: 0,
     },
     Kind {
         mean: 190_000.0,
@@ -44,6 +47,7 @@
         pause_ms: 1000,
         deadline_ms: 15_000,
         value: 20.0,
+        rank: 0,
     },
 ];
 
@@ -69,6 +73,7 @@
         troubles: Vec::new(),
         entry_vms: EntryVms::default(),
         knee: None,
+        ranks: ServiceRanks::default(),
     }
 }
 
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -3,6 +3,7 @@
 //! One thread carries all traffic and owns the state of the backend servers. That state is not
 //! persisted: control VMs and other entry VMs restore it within a second of a start.
 
+mod answer_head;
 mod attempts;
 mod body;
 mod buffer_budget;
@@ -13,6 +14,7 @@
 mod crash_watch;
 mod evacuation;
 mod exchange;
+mod failure;
 mod hedge;
 mod ingress;
 mod link_events;
@@ -26,6 +28,7 @@
 mod request;
 mod reservation;
 mod selection;
+mod server_notices;
 mod state;
 mod stream;
 mod stream_source;
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -7,7 +7,8 @@
 use tokio::time::sleep;
 
 use super::crash_verdict::{self, Permission};
-use super::exchange::{Failure, UpstreamResponse, record_failure};
+use super::exchange::UpstreamResponse;
+use super::failure::{Failure, record_failure};
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::rate_limits::{self, PermitWaiter};
@@ -139,6 +140,7 @@
                 Selection::AwaitPermit | Selection::RateLimited => {
                     return Err(self.rate_refusal(gateway, call));
                 }
+                Selection::HeldBack(left) => return Err(self.held_back_refusal(left)),
                 Selection::Refuse => return Err(self.refusal(RefusalReason::QueueFull)),
                 Selection::NoPath => return Err(self.path_refusal()),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
@@ -215,7 +217,7 @@
         // A refused or misdirected request reached a server, so the next attempt spends a retry.
         let is_free = matches!(
             failure,
-            Failure::Unreachable | Failure::NoPath | Failure::NoMemory
+            Failure::Unreachable | Failure::NoPath | Failure::Withdrawn | Failure::NoMemory
         );
         let permitted = is_free || gateway.spend_retry(&call.service);
         if self.not_run >= MAX_NOT_RUN_FAILURES || !permitted {
@@ -247,6 +249,14 @@
         refusal
     }
 
+    /// Builds the refusal of a request while all servers want none; it ends with the shortest time.
+    fn held_back_refusal(&mut self, left: Duration) -> Refusal {
+        self.permit_waiter = None;
+        let mut refusal = self.refusal(RefusalReason::HeldBack);
+        refusal.retry_after = refusal.retry_after.map(|_| left);
+        refusal
+    }
+
     /// Whether the request may wait for a permit; begins the wait if it has not begun.
     fn may_await_permit(&mut self, gateway: &Rc<Gateway>, call: &CallerRequest) -> bool {
         let waiter = self
--- a/node/src/gateway/buffer_budget.rs
+++ b/node/src/gateway/buffer_budget.rs
@@ -1,52 +1,103 @@
-//! Bound on the memory that responses of servers take while they are read whole.
+//! Bound on the memory that responses of servers take until their callers have read them.
 
 use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
 
 use crate::constants::MAX_BUFFERED_RESPONSE_BYTES;
 
 /// Bytes that each response may take, whatever the others take.
-const OWN_BYTES: usize = 256 * 1024;
+///
+/// With all descriptors of an entry VM in use, this part stays below half of its memory.
+const OWN_BYTES: usize = 32 * 1024;
 /// Bytes that all responses may take together beyond their own.
 const MAX_SHARED_BYTES: usize = 16 * 1024 * 1024;
 
-/// Memory that the responses share which are being read.
+/// Memory that the responses share which are being read or passed on.
 #[derive(Debug, Default)]
 pub(super) struct BufferBudget {
     /// Bytes taken, at most `MAX_SHARED_BYTES`.
     taken: Cell<usize>,
+    /// Notified when a response returns a part.
+    freed: Notify,
 }
 
-/// A response is larger than it may be, or all responses are together.
+/// Longest time that one response waits for room, in total.
+///
+/// Responses that are read at once may all wait for each other.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
+
+/// A response is larger than it may be, or found no room in time.
 #[derive(Debug)]
-pub(super) struct BufferFull;
+pub(super) struct NoRoom;
 
 /// The part of the memory that one response takes; dropping it returns that part.
 #[derive(Debug)]
-pub(super) struct BufferShare<'a> {
-    budget: &'a BufferBudget,
+pub(super) struct BufferShare {
+    budget: Rc<BufferBudget>,
     taken: usize,
+    /// How much longer the response may wait for room.
+    wait_left: Duration,
 }
 
-impl<'a> BufferShare<'a> {
-    pub(super) const fn new(budget: &'a BufferBudget) -> Self {
-        Self { budget, taken: 0 }
+impl BufferShare {
+    pub(super) fn new(budget: &Rc<BufferBudget>) -> Self {
+        Self {
+            budget: Rc::clone(budget),
+            taken: 0,
+            wait_left: MAX_ROOM_WAIT,
+        }
     }
 
-    /// Makes room for a response of `length` bytes so far.
-    pub(super) fn grow(&mut self, length: usize) -> Result<(), BufferFull> {
-        let needed = length.saturating_sub(OWN_BYTES).max(self.taken);
-        let taken = self.budget.taken.get() - self.taken + needed;
-        if length > MAX_BUFFERED_RESPONSE_BYTES || taken > MAX_SHARED_BYTES {
-            return Err(BufferFull);
+    /// Makes room for a response that takes `length` bytes now.
+    ///
+    /// Waits while there is none, for `MAX_ROOM_WAIT` at most over all calls.
+    pub(super) async fn resize(&mut self, length: usize) -> Result<(), NoRoom> {
+        if length > MAX_BUFFERED_RESPONSE_BYTES {
+            return Err(NoRoom);
         }
-        self.budget.taken.set(taken);
-        self.taken = needed;
+        let needed = length.saturating_sub(OWN_BYTES);
+        let start = Instant::now();
+        let waited = timeout(self.wait_left, self.await_room(needed)).await;
+        self.wait_left = self.wait_left.saturating_sub(start.elapsed());
+        waited.map_err(|_elapsed| NoRoom)?;
+        self.set(needed);
         Ok(())
     }
+
+    /// Waits until the response may take `needed` bytes of the shared memory.
+    async fn await_room(&self, needed: usize) {
+        let budget = Rc::clone(&self.budget);
+        loop {
+            let freed = budget.freed.notified();
+            let taken = budget.taken.get() - self.taken + needed;
+            if needed <= self.taken || taken <= MAX_SHARED_BYTES {
+                return;
+            }
+            freed.await;
+        }
+    }
+
+    /// Whether the response takes more than its own part.
+    pub(super) const fn is_shared(&self) -> bool {
+        self.taken > 0
+    }
+
+    fn set(&mut self, needed: usize) {
+        let budget = &self.budget;
+        budget.taken.set(budget.taken.get() - self.taken + needed);
+        if needed < self.taken {
+            budget.freed.notify_waiters();
+        }
+        self.taken = needed;
+    }
 }
 
-impl Drop for BufferShare<'_> {
+impl Drop for BufferShare {
     fn drop(&mut self) {
-        self.budget.taken.set(self.budget.taken.get() - self.taken);
+        self.set(0);
     }
 }
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -2,20 +2,18 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use hyper::Response;
 use hyper::http::response::Parts;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
 
+use super::answer_head::{forwarded_response, is_framed, return_to_pool};
 use super::attempts::Attempts;
 use super::body::ResponseBody;
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{
-    Prefetched, UpstreamResponse, forwarded_response, is_framed, read_whole, return_to_pool,
-};
+use super::exchange::{Prefetched, UpstreamResponse, WholeBody, read_whole};
 use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
@@ -44,7 +42,7 @@
 pub(super) struct Answer {
     target: Target,
     head: Parts,
-    body: Bytes,
+    body: WholeBody,
 }
 
 /// How an attempt ended for its caller.
@@ -131,7 +129,9 @@
         "manifest" => call.manifest_number);
     call.guard.end();
     metrics::count_outcome(call.service.as_str(), "complete");
-    forwarded_response(&target, &head, ResponseBody::buffered(body))
+    let time_left = call.time_left(gateway.now());
+    let body = ResponseBody::shared(body.bytes, body.share, time_left);
+    forwarded_response(&target, &head, body)
 }
 
 /// Logs an admitted request that is refused or failed, and builds its response.
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -25,6 +25,7 @@
 use super::placement_sync;
 use super::rate_limits;
 use super::reach;
+use super::server_notices;
 use super::state::Gateway;
 use crate::links::LinkEvent;
 
@@ -51,6 +52,7 @@
     fleet.zone_links.opened(peer.vm_id(), zone);
     drop(fleet);
     crash_watch::link_up(gateway, peer);
+    server_notices::link_up(gateway, &peer.vm_id());
     if peer.control {
         gateway.fleet.borrow_mut().receives_heartbeats = true;
         cold::control_link_up(gateway, &peer.vm_id());
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -12,6 +12,7 @@
 use merlinrudder_core::engine_placement::{Placement, PlacementRequest};
 use merlinrudder_core::fleet::NoChoice;
 use merlinrudder_core::names::ServerId;
+use merlinrudder_core::rank::pause_objective;
 use merlinrudder_core::time::Moment;
 use merlinrudder_platform::headers;
 
@@ -113,6 +114,8 @@
     AwaitTurn,
     /// All servers are cold; the request may come back after this time.
     Cold(Duration),
+    /// All servers want no requests; holds the shortest time left.
+    HeldBack(Duration),
     /// This VM is cut off from the service, and no other VM reaches it.
     NoPath,
     /// No server is left to select.
@@ -162,6 +165,10 @@
     excluded: &[ServerId],
     is_waiting: bool,
 ) -> Selection {
+    let now = gateway.now();
+    if let Some(left) = gateway.fleet.borrow().all_held_back(now, &call.service) {
+        return Selection::HeldBack(left);
+    }
     request_permits(gateway, call, excluded);
     if has_earlier_waiter(gateway, call, excluded, is_waiting) {
         return permit_outlook(gateway, call, excluded, is_waiting);
@@ -173,6 +180,7 @@
     cold::count_left_out(gateway);
     match selection {
         Err(NoChoice::NoServer) => Selection::NoServer,
+        Err(NoChoice::HeldBack(left)) => Selection::HeldBack(left),
         Err(NoChoice::RateLimited) => permit_outlook(gateway, call, excluded, is_waiting),
         Err(NoChoice::Cold) => cold::outlook(gateway, call, excluded, is_waiting),
         Ok(selection) => {
@@ -336,6 +344,7 @@
         received_at: call.received_at,
         ttft_objective: prompt.ttft_objective,
         pause_objective: prompt.pause_objective,
+        weight: prompt.weight,
     };
     let fleet = gateway.fleet.borrow();
     let engines = std::iter::once(&placement.lead).chain(&placed_prompt.helpers);
@@ -379,16 +388,13 @@
     tokens: headers::TokenCounts,
 ) -> PlacementRequest {
     let now = gateway.now();
-    let pause = match call.route.kind {
-        CallKind::Stream { pause, .. } => pause,
-        CallKind::Idempotent | CallKind::AtMostOnce => call.route.timeout,
-    };
     PlacementRequest {
         prompt_tokens: tokens.prompt,
         answer_tokens: tokens.answer.min(profile.mean_answer * 2),
         waited: now.since(call.received_at),
         ttft_objective: call.route.objective,
-        pause_objective: pause,
+        pause_objective: pause_objective(&call.route),
+        weight: call.standing.weight,
         time_left: call.time_left(now),
         random_seed: call.tie_breaker,
     }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of an entry VM.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,6 +9,7 @@
 use merlinrudder_core::census::Census;
 use merlinrudder_core::cold::ColdTable;
 use merlinrudder_core::deployment::Deployment;
+use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::{ServiceName, VmId, ZoneName};
@@ -71,12 +72,14 @@
     pub(super) relay_token: u128,
     /// Idle connections to backend servers and other VMs.
     pub(super) pool: ConnectionPool,
-    /// Memory for responses that are read whole.
-    pub(super) buffer_budget: BufferBudget,
+    /// Memory for responses until their callers have read them.
+    pub(super) buffer_budget: Rc<BufferBudget>,
     /// Placements made here, and changes not yet sent to the other entry VMs.
     pub(super) outbox: RefCell<Outbox>,
     /// Requests whose answers show the capacity of their servers.
     pub(super) capacity: CapacityWatch,
+    /// Lifetimes of servers that said in answers to this VM that they leave.
+    pub(super) leaving: RefCell<BTreeSet<Incarnation>>,
     /// Requests that wait for permits, and callers that were refused for lack of them.
     pub(super) permit_queues: RefCell<PermitQueues>,
     /// Crashes of backend servers, and the requests that caused them.
@@ -130,7 +133,8 @@
             relays: RefCell::default(),
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
-            buffer_budget: BufferBudget::default(),
+            buffer_budget: Rc::default(),
+            leaving: RefCell::default(),
             capacity: CapacityWatch::default(),
             permit_queues: RefCell::default(),
             crashes: RefCell::default(),
