--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -223,9 +223,12 @@
         let servers = self.eligible_servers(now, service, tried)?;
         let value = request.value();
         let mut rng = Rng::with_seed(request.random_seed);
-        let mut blind_penalty = || match self.sees_placements {
-            true => 0.0,
-            false => rng.f64() * BLIND_PENALTY,
+        let mut blind_penalty = || {
+            if self.sees_placements {
+                0.0
+            } else {
+                rng.f64() * BLIND_PENALTY
+            }
         };
         let candidates: Vec<_> = servers
             .into_iter()
