--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -122,7 +122,6 @@
             evacuations: true,
             cold: true,
             capacity: config.learn_capacity,
-            ..WireFeatures::default()
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use merlinrudder_core::outcome::RunState;
+use merlinrudder_core::time::Moment;
 use merlinrudder_platform::orders;
 use slog::debug;
 use tokio::time::timeout;
@@ -150,19 +151,7 @@
     let helpers: Vec<_> = helpers
         .map(|helper| orders::helper_entry(helper.address, reservation_id))
         .collect();
-    // The server may close an idle connection just as a request is sent on it, and then it is
-    // unknown whether the request ran. One that may run only once gets a new connection.
-    let require_new = !call.route.kind.is_idempotent();
-    let connecting = gateway.pool.connect(selected.address, require_new).await;
-    let mut connection = connecting.map_err(|_error| {
-        record_lost_connection(context, &selected.target);
-        Failure::Unreachable
-    })?;
-    // After a failure, a connection that is reset at once must not cost another attempt.
-    if context.tally.has_failed() && connection.is_new && !connection.stays_open().await {
-        record_lost_connection(context, &selected.target);
-        return Err(Failure::Unreachable);
-    }
+    let mut connection = open_connection(context, &selected).await?;
     let priority = call.engine_profile.as_ref().zip(call.token_counts);
     let priority =
         priority.map(|(profile, tokens)| call.standing.engine_priority(profile, tokens.prompt));
@@ -207,22 +196,7 @@
     };
     let checked = response.and_then(|response| {
         let (mut head, body) = response.into_parts();
-        let check = match &mut selected.target {
-            Target::Server(incarnation) => {
-                let check = check_response_head(call, &head);
-                record_head(gateway, call, incarnation, &connection, now, &head, check);
-                check.map_err(|failure| blame_helper(context, &selected.helpers, &head, failure))
-            }
-            Target::Vm { server, .. } => {
-                let check = relay::check_answer(&head.headers);
-                *server = relay::take_server(&mut head);
-                if let Some(server) = server {
-                    server_notices::record_relayed(gateway, server, &head);
-                }
-                check.and_then(|()| check_response_head(call, &head))
-            }
-        };
-        check.map(|()| (head, body))
+        check_head(context, &mut selected, &connection, now, &mut head).map(|()| (head, body))
     });
     let (head, body) = match checked {
         Ok(parts) => parts,
@@ -245,6 +219,63 @@
     })
 }
 
+/// Opens a connection for an attempt, or takes an idle one.
+///
+/// The server may close an idle connection just as a request is sent on it, and then it is unknown
+/// whether the request ran. One that may run only once gets a new connection.
+async fn open_connection(
+    context: AttemptContext<'_>,
+    selected: &SelectedServers,
+) -> Result<Connection, Failure> {
+    let AttemptContext { gateway, call, .. } = context;
+    let require_new = !call.route.kind.is_idempotent();
+    let connecting = gateway.pool.connect(selected.address, require_new).await;
+    let connection = connecting.map_err(|_error| {
+        record_lost_connection(context, &selected.target);
+        Failure::Unreachable
+    })?;
+    // After a failure, a connection that is reset at once must not cost another attempt.
+    if context.tally.has_failed() && connection.is_new && !connection.stays_open().await {
+        record_lost_connection(context, &selected.target);
+        return Err(Failure::Unreachable);
+    }
+    Ok(connection)
+}
+
+/// Checks a response head and records what it shows of its server.
+fn check_head(
+    context: AttemptContext<'_>,
+    selected: &mut SelectedServers,
+    connection: &Connection,
+    requested_at: Moment,
+    head: &mut Parts,
+) -> Result<(), Failure> {
+    let AttemptContext { gateway, call, .. } = context;
+    match &mut selected.target {
+        Target::Server(incarnation) => {
+            let check = check_response_head(call, head);
+            record_head(
+                gateway,
+                call,
+                incarnation,
+                connection,
+                requested_at,
+                head,
+                check,
+            );
+            check.map_err(|failure| blame_helper(context, &selected.helpers, head, failure))
+        }
+        Target::Vm { server, .. } => {
+            let check = relay::check_answer(&head.headers);
+            *server = relay::take_server(head);
+            if let Some(server) = server {
+                server_notices::record_relayed(gateway, server, head);
+            }
+            check.and_then(|()| check_response_head(call, head))
+        }
+    }
+}
+
 /// Records that no connection to a target could be opened, or that it was lost without an answer.
 fn record_lost_connection(context: AttemptContext<'_>, target: &Target) {
     let AttemptContext { gateway, call, .. } = context;
