bug: lack of memory for an answer is no fault of its server

Change: NoRoom is a failure of its own without retry or outcome; Retry-After counts for the server at fault; leaving servers of relayed answers are told by the other VM; nominal times as before; the time without known placements ends after 10 s; answers that are ready get 2 s at least.

--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -153,8 +153,10 @@
     ready: f64,
     /// Predicted time of a decode pass afterwards, in milliseconds.
     pass: f64,
-    /// Time to the end of that pass if the server had its nominal pace and no learned limit.
+    /// `ready` if the server had its nominal pace and no learned limit.
     nominal: f64,
+    /// `pass` if the server had its nominal pace.
+    nominal_pass: f64,
 }
 
 /// Places prompts, given the load of all engines at one moment.
@@ -219,7 +221,7 @@
             helpers: Vec::new(),
             helper_tokens: 0,
             predicted_ttft: from_millis(chosen.ready + chosen.pass),
-            nominal_ttft: from_millis(chosen.nominal),
+            nominal_ttft: from_millis(chosen.nominal + chosen.nominal_pass),
             external_cost: chosen.external_cost,
         };
         Some((cost, placement))
@@ -276,6 +278,7 @@
         let slowest = helpers.iter().fold(lead.ready, |slow, e| slow.max(e.ready));
         let ttft = slowest + lead.pass;
         let nominal = helpers.iter().fold(lead.nominal, |n, e| n.max(e.nominal));
+        let nominal = nominal + lead.nominal_pass;
         let external_cost: f64 =
             helpers.iter().map(|e| e.external_cost).sum::<f64>() + lead.external_cost;
         let penalty: f64 = helpers
@@ -334,7 +337,8 @@
         let usable = self.loads.usable_slots(self.profile, &server.id);
         let work = pass / 2.0 + backlog + prefill;
         let ready = work + slot_wait(usable) * pace;
-        let nominal = (work + pass) / pace + slot_wait(self.profile.slots);
+        let nominal = work / pace + slot_wait(self.profile.slots);
+        let nominal_pass = pass / pace;
         let ahead = if parts > 1 { prefill } else { in_pass };
         let external_cost = self.external_cost(load, in_pass, ahead, pass);
         Evaluation {
@@ -344,6 +348,7 @@
             ready,
             pass,
             nominal,
+            nominal_pass,
         }
     }
 
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -95,9 +95,9 @@
     ///
     /// Otherwise a missing heartbeat says nothing about the server.
     pub receives_heartbeats: bool,
-    /// Whether this VM hears of the placements of at least half of the other entry VMs.
+    /// Whether this VM has heard of the placements of at least half of the other entry VMs.
     ///
-    /// Otherwise a server without known load may be busy.
+    /// Until then a server without known load may be busy.
     pub sees_placements: bool,
 }
 
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -203,7 +203,9 @@
         failure: Failure,
     ) -> Result<(), Refusal> {
         if failure.run_state() == RunState::MayHaveRun {
-            if self.try_retry(gateway, call).is_ok() {
+            // Another run would meet the same lack of memory.
+            let may_retry = failure != Failure::NoRoom;
+            if may_retry && self.try_retry(gateway, call).is_ok() {
                 metrics::count_retry(RetryReason::IdempotentBroken);
                 return Ok(());
             }
--- a/node/src/gateway/buffer_budget.rs
+++ b/node/src/gateway/buffer_budget.rs
@@ -30,9 +30,14 @@
 /// Responses that are read at once may all wait for each other.
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
 
-/// A response is larger than it may be, or found no room in time.
-#[derive(Debug)]
-pub(super) struct NoRoom;
+/// Why a response gets no room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum NoRoom {
+    /// The response is larger than any may be.
+    TooLarge,
+    /// Other responses took the memory for too long, which shows nothing of the server.
+    Exhausted,
+}
 
 /// The part of the memory that one response takes; dropping it returns that part.
 #[derive(Debug)]
@@ -57,13 +62,13 @@
     /// Waits while there is none, for `MAX_ROOM_WAIT` at most over all calls.
     pub(super) async fn resize(&mut self, length: usize) -> Result<(), NoRoom> {
         if length > MAX_BUFFERED_RESPONSE_BYTES {
-            return Err(NoRoom);
+            return Err(NoRoom::TooLarge);
         }
         let needed = length.saturating_sub(OWN_BYTES);
         let start = Instant::now();
         let waited = timeout(self.wait_left, self.await_room(needed)).await;
         self.wait_left = self.wait_left.saturating_sub(start.elapsed());
-        waited.map_err(|_elapsed| NoRoom)?;
+        waited.map_err(|_elapsed| NoRoom::Exhausted)?;
         self.set(needed);
         Ok(())
     }
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -1,6 +1,7 @@
 //! Calls whose response is buffered and forwarded once it is complete.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::Response;
 use hyper::http::response::Parts;
@@ -13,7 +14,7 @@
 use super::body::ResponseBody;
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{Prefetched, UpstreamResponse, WholeBody, read_whole};
+use super::exchange::{BodyError, Prefetched, UpstreamResponse, WholeBody, read_whole};
 use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
@@ -37,6 +38,9 @@
     }
 }
 
+/// Shortest time for which a caller may read an answer that is ready.
+const MIN_DELIVERY_TIME: Duration = Duration::from_secs(2);
+
 /// A complete response of a server to a plain call.
 #[derive(Debug)]
 pub(super) struct Answer {
@@ -78,7 +82,11 @@
     let target = upstream_response.selected.target.clone();
     let run = upstream_response.run.take();
     let sample = upstream_response.selected.sample.take();
-    let answer = read_response(gateway, call, upstream_response).await;
+    let answer = match read_response(gateway, call, upstream_response).await {
+        Ok(answer) => Some(answer),
+        Err(BodyError::Broken) => None,
+        Err(BodyError::NoRoom) => return Finished::Response(fail(gateway, call, attempts)),
+    };
     let succeeded = matches!(&answer, Some(answer) if !answer.head.status.is_server_error());
     if let Some(sample) = sample
         && matches!(&answer, Some(answer) if answer.head.status.is_success())
@@ -109,15 +117,21 @@
             return Finished::Retry(answer);
         }
     }
-    let Some(answer) = answer else {
-        let refusal = Refusal {
-            reason: RefusalReason::ServerFailed,
-            run: attempts.run_state(),
-            retry_after: None,
-        };
-        return Finished::Response(refuse_request(gateway, call, &refusal));
+    let response = match answer {
+        Some(answer) => forward(gateway, call, answer),
+        None => fail(gateway, call, attempts),
     };
-    Finished::Response(forward(gateway, call, answer))
+    Finished::Response(response)
+}
+
+/// Builds the response to a request whose answer could not be read.
+fn fail(gateway: &Gateway, call: &CallerRequest, attempts: &Attempts) -> Response<ResponseBody> {
+    let refusal = Refusal {
+        reason: RefusalReason::ServerFailed,
+        run: attempts.run_state(),
+        retry_after: None,
+    };
+    refuse_request(gateway, call, &refusal)
 }
 
 /// Logs a complete response, and builds the one for the caller.
@@ -129,7 +143,8 @@
         "manifest" => call.manifest_number);
     call.guard.end();
     metrics::count_outcome(call.service.as_str(), "complete");
-    let time_left = call.time_left(gateway.now());
+    // An answer that is ready is delivered, also when it is late.
+    let time_left = call.time_left(gateway.now()).max(MIN_DELIVERY_TIME);
     let body = ResponseBody::shared(body.bytes, body.share, time_left);
     forwarded_response(&target, &head, body)
 }
@@ -150,12 +165,12 @@
     refusal::response(refusal)
 }
 
-/// Reads the response body; `None` if it is cut, too large or late.
+/// Reads the response body.
 async fn read_response(
     gateway: &Gateway,
     call: &CallerRequest,
     mut upstream_response: UpstreamResponse,
-) -> Option<Answer> {
+) -> Result<Answer, BodyError> {
     call.guard.enter(Phase::Body);
     let time_left = call.time_left(gateway.now());
     let body = match std::mem::take(&mut upstream_response.prefetched) {
@@ -167,7 +182,7 @@
         upstream_response.connection,
         &upstream_response.head,
     );
-    Some(Answer {
+    Ok(Answer {
         target: upstream_response.selected.target.clone(),
         head: upstream_response.head,
         body,
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::answer_head::{blame_helper, check_response_head, record_head};
-use super::buffer_budget::{BufferBudget, BufferShare};
+use super::buffer_budget::{BufferBudget, BufferShare, NoRoom};
 use super::crash_watch::RunGuard;
 use super::failure::Failure;
 use super::hedge::AttemptContext;
@@ -267,10 +267,8 @@
         }
         Target::Vm { server, .. } => {
             let check = relay::check_answer(&head.headers);
+            // The other VM has told of what the server says of itself.
             *server = relay::take_server(head);
-            if let Some(server) = server {
-                server_notices::record_relayed(gateway, server, head);
-            }
             check.and_then(|()| check_response_head(call, head))
         }
     }
@@ -317,25 +315,48 @@
     MIN_HANG_TIMEOUT.max(expected + call.route.objective * 2)
 }
 
-/// Reads a body to its end; `None` if it is cut, too large or late.
+/// Why a body was not read whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum BodyError {
+    /// The body was cut, too large or late.
+    Broken,
+    /// This VM had no memory for it.
+    NoRoom,
+}
+
+impl From<NoRoom> for BodyError {
+    fn from(error: NoRoom) -> Self {
+        match error {
+            NoRoom::TooLarge => Self::Broken,
+            NoRoom::Exhausted => Self::NoRoom,
+        }
+    }
+}
+
+/// Reads a body to its end.
 pub(super) async fn read_whole(
     gateway: &Gateway,
     body: &mut Incoming,
     time_left: Duration,
-) -> Option<WholeBody> {
+) -> Result<WholeBody, BodyError> {
     let reading = read_within_budget(&gateway.buffer_budget, body);
-    timeout(time_left, reading).await.ok()?
+    let read = timeout(time_left, reading).await;
+    read.unwrap_or(Err(BodyError::Broken))
 }
 
 /// Reads a body to its end, as far as the VM's buffers allow.
-async fn read_within_budget(budget: &Rc<BufferBudget>, body: &mut Incoming) -> Option<WholeBody> {
+async fn read_within_budget(
+    budget: &Rc<BufferBudget>,
+    body: &mut Incoming,
+) -> Result<WholeBody, BodyError> {
     let mut share = BufferShare::new(budget);
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let bytes = frame.ok()?.into_data().unwrap_or_default();
-        share.resize(whole.len() + bytes.len()).await.ok()?;
+        let frame = frame.map_err(|_cut| BodyError::Broken)?;
+        let bytes = frame.into_data().unwrap_or_default();
+        share.resize(whole.len() + bytes.len()).await?;
         whole.extend_from_slice(&bytes);
     }
     let bytes = whole.freeze();
-    Some(WholeBody { bytes, share })
+    Ok(WholeBody { bytes, share })
 }
--- a/node/src/gateway/failure.rs
+++ b/node/src/gateway/failure.rs
@@ -32,6 +32,8 @@
     Broken,
     /// Another server answered while this one was silent.
     Overtaken,
+    /// This VM had no memory left for the answer.
+    NoRoom,
     /// The deadline of the request passed.
     Overdue,
 }
@@ -47,7 +49,7 @@
             | Self::Replaced
             | Self::NoMemory
             | Self::HelperFailed => RunState::NotRun,
-            Self::Broken | Self::Overtaken | Self::Overdue => RunState::MayHaveRun,
+            Self::Broken | Self::Overtaken | Self::NoRoom | Self::Overdue => RunState::MayHaveRun,
         }
     }
 
@@ -68,6 +70,7 @@
             | Self::Withdrawn
             | Self::NoMemory
             | Self::HelperFailed
+            | Self::NoRoom
             | Self::Overdue => None,
         }
     }
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -17,7 +17,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::crash_verdict;
-use super::exchange::{Prefetched, Progress, UpstreamResponse, attempt, hang_timeout, read_whole};
+use super::exchange::{
+    BodyError, Prefetched, Progress, UpstreamResponse, attempt, hang_timeout, read_whole,
+};
 use super::failure::{Failure, record_failure};
 use super::request::CallerRequest;
 use super::selection::{SelectedServers, Selection, select_servers};
@@ -191,9 +193,11 @@
                 let bytes = timeout(time_left, first_event(body)).await;
                 bytes.unwrap_or_default().map(Prefetched::Beginning)
             }
-            _ => read_whole(self.gateway, body, time_left)
-                .await
-                .map(Prefetched::Whole),
+            _ => match read_whole(self.gateway, body, time_left).await {
+                Ok(body) => Some(Prefetched::Whole(body)),
+                Err(BodyError::NoRoom) => return Err(Failure::NoRoom),
+                Err(BodyError::Broken) => None,
+            },
         };
         let Some(prefetched) = prefetched else {
             if let Some(run) = response.run.take().filter(|_| is_success) {
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -29,6 +29,8 @@
 use super::state::Gateway;
 use crate::links::LinkEvent;
 
+/// Time after the start from which a VM does not wait for the placements of VMs that it cannot reach.
+const MAX_BLIND_TIME: Duration = Duration::from_secs(10);
 /// Delay after which a newer manifest may be requested from another zone.
 const PULL_RETRY_DELAY: Duration = Duration::from_millis(410);
 
@@ -160,13 +162,14 @@
     update_sight(gateway);
 }
 
-/// Updates whether the placements of most other entry VMs are known here.
+/// Notes when the placements of most other entry VMs are known here for the first time.
 fn update_sight(gateway: &Gateway) {
     let linked = gateway.links.peers();
     let linked = linked.iter().filter(|peer| !peer.control).count();
     let sharers = gateway.entry_vms.borrow_mut().sharers(gateway.now());
-    let sees_placements = sharers.is_some_and(|sharers| linked * 2 >= sharers - 1);
-    gateway.fleet.borrow_mut().sees_placements = sees_placements;
+    if sharers.is_some_and(|sharers| linked * 2 >= sharers - 1) {
+        gateway.fleet.borrow_mut().sees_placements = true;
+    }
 }
 
 /// Dials entry VMs in a random order, so that VMs that start together do not all dial the same ones.
@@ -186,10 +189,12 @@
     }
 }
 
-/// Ends the hold of links to entry VMs in any case.
+/// Ends the hold of links to entry VMs, and later the wait for their placements, in any case.
 pub(super) async fn release_later(gateway: Rc<Gateway>) {
     sleep(MAX_HOLD_TIME).await;
     release_entry_links(&gateway);
+    sleep(MAX_BLIND_TIME).await;
+    gateway.fleet.borrow_mut().sees_placements = true;
 }
 
 /// Merges a record of a backend server, which was current at `heard_at`.
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -361,7 +361,10 @@
         is_overdue: false,
     };
     drop(fleet);
-    let sample = PendingSample::new(gateway, awaited);
+    // An answer that is read whole shows no time to its first token.
+    let is_stream = matches!(call.route.kind, CallKind::Stream { .. });
+    let sample = is_stream.then(|| PendingSample::new(gateway, awaited));
+    let sample = sample.flatten();
     let local_placement = LocalPlacement::new(gateway, &call.service, placed_prompt);
     SelectedServers {
         target: Target::Server(lead.incarnation()),
--- a/node/src/gateway/server_notices.rs
+++ b/node/src/gateway/server_notices.rs
@@ -54,19 +54,23 @@
         record_leaving(gateway, incarnation);
     }
     if head.status.as_u16() == UNAVAILABLE
+        && !blames_other(gateway, incarnation, head)
         && let Some(time) = retry_after(gateway, incarnation, head)
     {
         hold_back(gateway, incarnation, time);
     }
 }
 
-/// Records what an answer that another VM passes on says of its server.
-///
-/// A `Retry-After` is meant for that VM, whose requests the server saw.
-pub(super) fn record_relayed(gateway: &Gateway, server: &ServerId, head: &Parts) {
-    if let Some(incarnation) = incarnation(gateway, server).filter(|_| says_leaving(head)) {
-        record_leaving(gateway, &incarnation);
-    }
+/// Whether a refusal names another server as its cause, by id or address.
+fn blames_other(gateway: &Gateway, incarnation: &Incarnation, head: &Parts) -> bool {
+    let Some(named) = text_header(&head.headers, headers::AT_SERVER) else {
+        return false;
+    };
+    let fleet = gateway.fleet.borrow();
+    let address = fleet.directory.get(&incarnation.server).map(|r| r.address);
+    let is_itself = named == incarnation.server.as_str()
+        || address.is_some_and(|address| named == address.to_string());
+    !is_itself
 }
 
 /// Tells a VM that has just linked which servers leave by their answers to this VM.
