bug: check evacuations again before each send, and further findings of a review

Cause (review): an attempt selected before a suspension could be sent into an evacuated zone; ids of operator calls began anew with each process, so a late reply could confirm another call; an order whose operator had moved on could still be proposed; links to reachable VMs waited for the timeouts of unreachable ones; the number of entry VMs fell to one after ten minutes without control VMs; a hedge used up permits and turns although no retry was left. Change: as said, one place each.

--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -123,15 +123,20 @@
     /// Each of `vms` VMs has the same part of the slack, and the ratio of its own requests. While
     /// their number is not known, this VM has no part of the slack.
     pub fn try_spend(&mut self, now: Moment, limits: &RetryLimits, vms: Option<usize>) -> bool {
+        let granted = self.can_spend(now, limits, vms);
+        if granted {
+            self.retries.push_back(now);
+        }
+        granted
+    }
+
+    /// Whether `try_spend` would count a retry now.
+    pub fn can_spend(&mut self, now: Moment, limits: &RetryLimits, vms: Option<usize>) -> bool {
         self.expire(now, limits);
         let requests = as_float(self.requests.len() as u64);
         let slack_share = vms.map_or(0.0, |vms| limits.slack / as_float(vms.max(1) as u64));
         let allowed = (requests * limits.ratio + slack_share) * SAFETY_FACTOR;
-        if as_float(self.retries.len() as u64) + 1.0 > allowed {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        as_float(self.retries.len() as u64) + 1.0 <= allowed
     }
 
     /// Returns the numbers of requests and of retries in the window that ends at `now`.
--- a/node/src/controller/calls.rs
+++ b/node/src/controller/calls.rs
@@ -25,14 +25,25 @@
 const TIMEOUT_PER_MIB: Duration = Duration::from_secs(2);
 
 /// Operator calls that are not answered yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PendingCalls {
-    /// Id of the newest call; the first is 1.
+    /// Id of the newest call.
+    ///
+    /// It starts at random, so that a late reply to an earlier process answers no call of this one.
     last_id: u64,
     /// Unanswered calls by id, which is also the id of their proposal.
     pending: BTreeMap<u64, Call>,
 }
 
+impl Default for PendingCalls {
+    fn default() -> Self {
+        Self {
+            last_id: fastrand::u64(..) / 2,
+            pending: BTreeMap::new(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Call {
     kind: CallKind,
@@ -139,7 +150,13 @@
 
     /// Gives up expired calls and resends those that the leader has not answered.
     pub(super) fn tick_calls(&mut self, now: Moment) {
-        let expired = self.calls.pending.iter().filter(|(_, c)| c.deadline <= now);
+        // An operator who has moved on may have given the opposite order elsewhere meanwhile.
+        let is_abandoned = |call: &Call| match &call.kind {
+            CallKind::Evacuate { reply, .. } => reply.is_closed(),
+            CallKind::Publish(..) | CallKind::Read { .. } => false,
+        };
+        let is_over = |call: &Call| call.deadline <= now || is_abandoned(call);
+        let expired = self.calls.pending.iter().filter(|(_, c)| is_over(c));
         let expired: Vec<_> = expired.map(|(id, _)| *id).collect();
         for id in expired {
             info!(self.log, "Operator call timed out"; "call" => id,
--- a/node/src/gateway/cold.rs
+++ b/node/src/gateway/cold.rs
@@ -21,6 +21,8 @@
 
 /// Interval at which the servers that are cold are counted.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which linked entry VMs are recorded; they are remembered for ten minutes.
+const RECORD_INTERVAL: Duration = Duration::from_secs(30);
 /// Divisor for the part of its objective that a request may wait for a turn: an eighth.
 const WAIT_DIVISOR: u32 = 8;
 
@@ -62,6 +64,14 @@
     gateway.fleet.borrow_mut().cold.set_rules(rules);
 }
 
+/// Records the linked entry VMs, which share limits also while no control VM names them.
+fn record_linked(gateway: &Gateway) {
+    let mut entry_vms = gateway.entry_vms.borrow_mut();
+    for peer in gateway.links.peers().iter().filter(|peer| !peer.control) {
+        entry_vms.record(gateway.now(), peer.vm_id());
+    }
+}
+
 /// Updates the VMs that share the turns at cold servers.
 pub(super) fn update_vms(gateway: &Gateway) {
     let now = gateway.now();
@@ -119,8 +129,13 @@
 /// Logs which servers become cold and warm, and forgets those that are gone, until the process exits.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let mut before = BTreeMap::new();
+    let mut next_record = gateway.now();
     loop {
         sleep(TICK_INTERVAL).await;
+        if gateway.now() >= next_record {
+            next_record = gateway.now() + RECORD_INTERVAL;
+            record_linked(&gateway);
+        }
         if !gateway.fleet.borrow().cold.has_rules() {
             continue;
         }
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -145,6 +145,9 @@
         // A resumed stream prefills more than its prompt.
         selected.sample = None;
     }
+    if is_withdrawn(gateway, &selected) {
+        return Err(Failure::Withdrawn);
+    }
     let reservation = reserve_helper_memory(gateway, &selected).await?;
     let reservation_id = reservation.as_ref().map(|r| r.id.as_str());
     let helpers = selected.helpers.iter();
@@ -169,8 +172,7 @@
         relay::add_headers(gateway, call, vm, &excluded, on_trial, &mut request)
             .ok_or(Failure::Unreachable)?;
     }
-    let is_withdrawn = |server| server_notices::is_withdrawn(gateway, server);
-    if selected.target.incarnation().is_some_and(is_withdrawn) {
+    if is_withdrawn(gateway, &selected) {
         return Err(Failure::Withdrawn);
     }
     let time_left = call.time_left(now);
@@ -219,6 +221,20 @@
     })
 }
 
+/// Whether a selected server takes no requests any more, by its own word or an evacuation.
+///
+/// The selection may be old: the VM may have been suspended since, or waited for helpers.
+fn is_withdrawn(gateway: &Gateway, selected: &SelectedServers) -> bool {
+    let lead = selected.target.incarnation();
+    if lead.is_some_and(|lead| server_notices::is_withdrawn(gateway, lead)) {
+        return true;
+    }
+    let fleet = gateway.fleet.borrow();
+    let helpers = selected.helpers.iter().map(|helper| &helper.server);
+    let mut servers = helpers.chain(lead.map(|lead| &lead.server));
+    servers.any(|server| fleet.is_evacuated(server))
+}
+
 /// Opens a connection for an attempt, or takes an idle one.
 ///
 /// The server may close an idle connection just as a request is sent on it, and then it is unknown
--- a/node/src/gateway/failure.rs
+++ b/node/src/gateway/failure.rs
@@ -20,7 +20,7 @@
     NoPath,
     /// The server refused the request and states that it did not run it.
     Refused,
-    /// The server said in another answer that it leaves or takes no requests; nothing was sent.
+    /// The server takes no requests any more, by another answer or an evacuation; nothing was sent.
     Withdrawn,
     /// Another server answered at this address.
     Replaced,
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -145,6 +145,10 @@
         if !tally.allows_hedge(call) || crash_verdict::is_suspect(gateway, call) {
             return None;
         }
+        // A selection uses up a permit or a turn at its server.
+        if !gateway.has_retry(&call.service) {
+            return None;
+        }
         let mut excluded = tally.excluded.borrow().clone();
         excluded.extend(silent.iter().chain(last_failed));
         let selection = select_servers(gateway, call, tally, &excluded, false);
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -194,6 +194,15 @@
         granted
     }
 
+    /// Whether a retry is left in this VM's share of the service's budget.
+    pub(super) fn has_retry(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let entry_vms = self.entry_vms.borrow_mut().sharers(now);
+        let mut windows = self.retry_windows.borrow_mut();
+        let window = windows.entry(service.clone()).or_default();
+        window.can_spend(now, &self.retry_limits, entry_vms)
+    }
+
     /// Begins a stage of the planned stop.
     pub(super) fn enter_stage(&self, stage: StopStage) {
         self.stop_stage.send_replace(stage);
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -214,7 +214,7 @@
 async fn dial(shared: Arc<Shared>, address: SocketAddr, seed: bool) {
     let mut failures = 0;
     while seed || failures < MAX_CONNECT_FAILURES {
-        failures = dial_once(&shared, address, failures, None).await;
+        failures = dial_once(&shared, address, failures, false).await;
     }
     give_up(&shared, address);
 }
@@ -225,12 +225,7 @@
     let mut failures = 0;
     while failures < MAX_CONNECT_FAILURES {
         wait_unlinked(&shared, address, delay, &lost).await;
-        // The semaphore is never closed, so this does not fail.
-        let permit = shared.pair_dials.acquire().await.ok();
-        // The other VM may have opened a link while this one waited for the permit.
-        if !shared.table.is_linked(address) {
-            failures = dial_once(&shared, address, failures, permit).await;
-        }
+        failures = dial_once(&shared, address, failures, true).await;
     }
     give_up(&shared, address);
 }
@@ -251,20 +246,23 @@
 
 /// Connects, and runs the link until it is closed; returns the failed attempts in a row.
 ///
-/// `permit` is returned once the link is open or has failed.
-async fn dial_once(
-    shared: &Shared,
-    address: SocketAddr,
-    failures: u32,
-    permit: Option<SemaphorePermit<'_>>,
-) -> u32 {
+/// A link of a `pair` needs a permit to be opened. It is taken after the connection is made, so that
+/// VMs that cannot be reached do not hold up the others.
+async fn dial_once(shared: &Shared, address: SocketAddr, failures: u32, pair: bool) -> u32 {
     let connected = timeout(LINK_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     if let Ok(Ok(stream)) = connected {
-        serve(shared, stream, address, permit).await;
-        sleep(RECONNECT_DELAY).await;
+        let mut permit = None;
+        if pair {
+            // The semaphore is never closed, so this does not fail.
+            permit = shared.pair_dials.acquire().await.ok();
+        }
+        // The other VM may have opened a link while this one waited for the permit.
+        if !pair || !shared.table.is_linked(address) {
+            serve(shared, stream, address, permit).await;
+            sleep(RECONNECT_DELAY).await;
+        }
         return 0;
     }
-    drop(permit);
     sleep(CONNECT_RETRY_DELAY).await;
     failures + 1
 }
