refactor: split requests and link events of the gateway along their jobs

Cause: request.rs also admitted requests and edited header fields; link_events.rs also dialled entry VMs and pulled manifests. Change: new modules admission, header_fields, entry_links and manifest_sync. Functions are moved unchanged, but for the handling of a received manifest, which is a function of its own now.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -3,6 +3,7 @@
 //! One thread carries all traffic and owns the state of the backend servers. That state is not
 //! persisted: control VMs and other entry VMs restore it within a second of a start.
 
+mod admission;
 mod answer_head;
 mod attempts;
 mod body;
@@ -12,12 +13,15 @@
 mod cold;
 mod crash_verdict;
 mod crash_watch;
+mod entry_links;
 mod evacuation;
 mod exchange;
 mod failure;
+mod header_fields;
 mod hedge;
 mod ingress;
 mod link_events;
+mod manifest_sync;
 mod open_requests;
 mod placement_sync;
 mod rate_limits;
@@ -129,7 +133,7 @@
         }
         let gateway = Rc::new(Gateway::new(&config, relay.token, links, log));
         spawn_local(link_events::run(Rc::clone(&gateway), receiver));
-        spawn_local(link_events::release_later(Rc::clone(&gateway)));
+        spawn_local(entry_links::release_later(Rc::clone(&gateway)));
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
         spawn_local(cold::run(Rc::clone(&gateway)));
--- a/node/src/gateway/answer_head.rs
+++ b/node/src/gateway/answer_head.rs
@@ -13,11 +13,12 @@
 
 use super::crash_watch;
 use super::failure::Failure;
+use super::header_fields::{strip_hop_by_hop, text_header};
 use super::hedge::AttemptContext;
 use super::rate_limits::{self, AnswerHead};
 use super::refusal::Origin;
 use super::relay;
-use super::request::{CallerRequest, text_header};
+use super::request::CallerRequest;
 use super::reservation::EngineEndpoint;
 use super::server_notices;
 use super::state::Gateway;
@@ -145,9 +146,9 @@
         response.extensions_mut().insert(origin);
     }
     let mut kept_headers = head.headers.clone();
-    super::request::strip_hop_by_hop(&mut kept_headers);
+    strip_hop_by_hop(&mut kept_headers);
     relay::remove_headers(&mut kept_headers);
-    kept_headers.remove(hyper::header::CONTENT_LENGTH);
+    kept_headers.remove(CONTENT_LENGTH);
     *response.headers_mut() = kept_headers;
     response
 }
--- /dev/null
+++ b/node/src/gateway/entry_links.rs
@@ -0,0 +1,68 @@
+//! Entry VMs: which of them this VM knows, when it dials them, and whether it sees their placements.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use merlinrudder_core::pair_start::MAX_HOLD_TIME;
+use merlinrudder_wire::peers::WirePeer;
+use slog::info;
+use tokio::time::sleep;
+
+use super::cold;
+use super::rate_limits;
+use super::state::Gateway;
+
+/// Connects to the VMs that a control VM knows, and counts the entry VMs among them.
+pub(super) fn receive(gateway: &Gateway, peers: &[WirePeer]) {
+    let now = gateway.now();
+    let mut entry_vms = gateway.entry_vms.borrow_mut();
+    let mut addresses = Vec::new();
+    let linked = gateway.links.peers();
+    for peer in peers.iter().chain(&linked) {
+        if peer.control {
+            gateway.links.dial(peer.address, false);
+        } else if peer.vm_id() != gateway.vm {
+            addresses.push(peer.address);
+            entry_vms.record(now, peer.vm_id());
+        }
+    }
+    entry_vms.mark_complete();
+    drop(entry_vms);
+    cold::update_vms(gateway);
+    let addresses = gateway.pair_start.borrow_mut().learnt(addresses);
+    dial_entry_vms(gateway, addresses);
+    rate_limits::update_vms(gateway);
+    update_sight(gateway);
+}
+
+/// Updates whether the placements of most other entry VMs are known here.
+pub(super) fn update_sight(gateway: &Gateway) {
+    let linked = gateway.links.peers();
+    let linked = linked.iter().filter(|peer| !peer.control).count();
+    let sharers = gateway.entry_vms.borrow_mut().sharers(gateway.now());
+    let sees_placements = sharers.is_some_and(|sharers| linked * 2 >= sharers - 1);
+    gateway.fleet.borrow_mut().sees_placements = sees_placements;
+}
+
+/// Dials entry VMs in a random order, so that VMs that start together do not all dial the same ones.
+fn dial_entry_vms(gateway: &Gateway, mut addresses: Vec<SocketAddr>) {
+    fastrand::shuffle(&mut addresses);
+    for address in addresses {
+        gateway.links.dial_pair(address);
+    }
+}
+
+/// Dials the entry VMs that were learnt while this VM started.
+pub(super) fn release(gateway: &Gateway) {
+    let addresses = gateway.pair_start.borrow_mut().release();
+    if !addresses.is_empty() {
+        info!(gateway.log, "Opening links to entry VMs"; "vms" => addresses.len());
+        dial_entry_vms(gateway, addresses);
+    }
+}
+
+/// Ends the hold of links to entry VMs in any case.
+pub(super) async fn release_later(gateway: Rc<Gateway>) {
+    sleep(MAX_HOLD_TIME).await;
+    release(&gateway);
+}
--- a/node/src/gateway/ingress.rs
+++ b/node/src/gateway/ingress.rs
@@ -21,7 +21,7 @@
 use super::open_requests::OpenRequest;
 use super::request::CallerRequest;
 use super::state::{ConnectionGuard, Gateway, StopStage};
-use super::{buffered, refusal, relay_ingress, request, stream};
+use super::{admission, buffered, refusal, relay_ingress, stream};
 use crate::constants::ACCEPT_RETRY_DELAY;
 use crate::sockets;
 
@@ -144,7 +144,7 @@
 
 /// Admits a caller's request and returns its response.
 async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
-    match request::admit(gateway, request).await {
+    match admission::admit(gateway, request).await {
         Ok(call) => {
             gateway.count_request(&call.service);
             serve_until_exit(gateway, call).await
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -1,27 +1,22 @@
 //! Handles links and messages from control VMs and other entry VMs.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
 
 use merlinrudder_core::directory::{Merged, ServerRecord};
-use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::{VmId, ZoneName};
-use merlinrudder_core::pair_start::MAX_HOLD_TIME;
-use merlinrudder_platform::config;
+use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::MeshMessage;
 use merlinrudder_wire::peers::WirePeer;
-use slog::{debug, error, info};
+use slog::{debug, info};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 use super::capacity;
 use super::cold;
 use super::crash_verdict;
 use super::crash_watch;
+use super::entry_links;
 use super::evacuation;
+use super::manifest_sync;
 use super::placement_sync;
 use super::rate_limits;
 use super::reach;
@@ -29,9 +24,6 @@
 use super::state::Gateway;
 use crate::links::LinkEvent;
 
-/// Delay after which a newer manifest may be requested from another zone.
-const PULL_RETRY_DELAY: Duration = Duration::from_millis(410);
-
 /// Handles link events until the process exits.
 pub(super) async fn run(gateway: Rc<Gateway>, mut events: UnboundedReceiver<LinkEvent>) {
     while let Some(event) = events.recv().await {
@@ -43,7 +35,7 @@
     }
 }
 
-/// Sends the active placements to an entry VM that connected.
+/// Records a link that has opened, and sends the other VM what it may have missed while there was none.
 ///
 /// With a link to a control VM, missing heartbeats count against a server.
 fn link_up(gateway: &Rc<Gateway>, peer: &WirePeer) {
@@ -64,7 +56,7 @@
         rate_limits::link_up(gateway, &peer.vm_id());
         capacity::link_up(gateway, &peer.vm_id());
         relay_link_up(gateway, peer);
-        update_sight(gateway);
+        entry_links::update_sight(gateway);
     }
 }
 
@@ -96,7 +88,7 @@
     }
     drop(fleet);
     rate_limits::update_vms(gateway);
-    update_sight(gateway);
+    entry_links::update_sight(gateway);
 }
 
 fn handle_message(gateway: &Rc<Gateway>, from: &VmId, message: MeshMessage) {
@@ -111,14 +103,12 @@
             }
         }
         MeshMessage::ColdServers(servers) => cold::receive(gateway, servers),
-        MeshMessage::Peers(peers) => handle_peers(gateway, &peers),
+        MeshMessage::Peers(peers) => entry_links::receive(gateway, &peers),
         MeshMessage::NewestManifest { number, current } => {
-            handle_newest_manifest(gateway, from, number, current);
+            manifest_sync::receive_number(gateway, from, number, current);
         }
         MeshMessage::Manifest { number, bytes, .. } => {
-            gateway.manifest_pull.borrow_mut().received();
-            activate_manifest(gateway, number, &bytes);
-            pull_manifest(gateway);
+            manifest_sync::receive(gateway, number, &bytes);
         }
         MeshMessage::PullQuarantineList { have } => {
             let now = gateway.now();
@@ -137,69 +127,10 @@
     }
 }
 
-/// Connects to the VMs that a control VM knows, and counts the entry VMs among them.
-fn handle_peers(gateway: &Gateway, peers: &[WirePeer]) {
-    let now = gateway.now();
-    let mut entry_vms = gateway.entry_vms.borrow_mut();
-    let mut addresses = Vec::new();
-    let linked = gateway.links.peers();
-    for peer in peers.iter().chain(&linked) {
-        if peer.control {
-            gateway.links.dial(peer.address, false);
-        } else if peer.vm_id() != gateway.vm {
-            addresses.push(peer.address);
-            entry_vms.record(now, peer.vm_id());
-        }
-    }
-    entry_vms.mark_complete();
-    drop(entry_vms);
-    cold::update_vms(gateway);
-    let addresses = gateway.pair_start.borrow_mut().learnt(addresses);
-    dial_entry_vms(gateway, addresses);
-    rate_limits::update_vms(gateway);
-    update_sight(gateway);
-}
-
-/// Updates whether the placements of most other entry VMs are known here.
-fn update_sight(gateway: &Gateway) {
-    let linked = gateway.links.peers();
-    let linked = linked.iter().filter(|peer| !peer.control).count();
-    let sharers = gateway.entry_vms.borrow_mut().sharers(gateway.now());
-    let sees_placements = sharers.is_some_and(|sharers| linked * 2 >= sharers - 1);
-    gateway.fleet.borrow_mut().sees_placements = sees_placements;
-}
-
-/// Dials entry VMs in a random order, so that VMs that start together do not all dial the same ones.
-fn dial_entry_vms(gateway: &Gateway, mut addresses: Vec<SocketAddr>) {
-    fastrand::shuffle(&mut addresses);
-    for address in addresses {
-        gateway.links.dial_pair(address);
-    }
-}
-
-/// Dials the entry VMs that were learnt while this VM started.
-fn release_entry_links(gateway: &Gateway) {
-    let addresses = gateway.pair_start.borrow_mut().release();
-    if !addresses.is_empty() {
-        info!(gateway.log, "Opening links to entry VMs"; "vms" => addresses.len());
-        dial_entry_vms(gateway, addresses);
-    }
-}
-
-/// Ends the hold of links to entry VMs in any case.
-pub(super) async fn release_later(gateway: Rc<Gateway>) {
-    sleep(MAX_HOLD_TIME).await;
-    release_entry_links(&gateway);
-}
-
 /// Merges a record of a backend server, which was current at `heard_at`.
 ///
 /// A later lifetime shows that an earlier one, which has not said goodbye, has crashed.
-fn merge_server(
-    gateway: &Rc<Gateway>,
-    heard_at: merlinrudder_core::time::Moment,
-    record: ServerRecord,
-) {
+fn merge_server(gateway: &Rc<Gateway>, heard_at: Moment, record: ServerRecord) {
     let (id, stage, born) = (record.id.clone(), record.stage, record.born);
     let mut fleet = gateway.fleet.borrow_mut();
     let ended = fleet.directory.ended_by(&record);
@@ -213,74 +144,3 @@
             "born" => born);
     }
 }
-
-/// Returns the number of the manifest in force; 0 if there is none.
-fn manifest_number(gateway: &Gateway) -> u64 {
-    let deployment = gateway.deployment.borrow();
-    deployment.as_ref().map_or(0, |d| d.number.0)
-}
-
-/// Handles a manifest number that a control VM advertises, and pulls a newer manifest.
-///
-/// `current` tells whether that VM is in contact with the leader. Only then does an equal or
-/// lower number confirm that the manifest in force is the newest.
-fn handle_newest_manifest(gateway: &Rc<Gateway>, from: &VmId, newest: u64, current: bool) {
-    let local_number = manifest_number(gateway);
-    if newest <= local_number {
-        if current && newest > 0 && !gateway.manifest_confirmed.replace(true) {
-            info!(gateway.log, "Manifest confirmed as the newest"; "number" => local_number,
-                "by" => %from);
-            release_entry_links(gateway);
-        }
-        return;
-    }
-    let peers = gateway.links.peers();
-    let same_zone = peers
-        .iter()
-        .any(|peer| peer.vm_id() == *from && peer.zone == gateway.zone.as_str());
-    let now = gateway.now();
-    let newest = ManifestNumber(newest);
-    gateway
-        .manifest_pull
-        .borrow_mut()
-        .advertised(now, from, newest, same_zone);
-    pull_manifest(gateway);
-    spawn_local(pull_manifest_later(Rc::clone(gateway)));
-}
-
-/// Requests a newer manifest from one VM, unless a request is pending.
-fn pull_manifest(gateway: &Gateway) {
-    let have = manifest_number(gateway);
-    let next = gateway
-        .manifest_pull
-        .borrow_mut()
-        .next_source(gateway.now(), ManifestNumber(have));
-    if let Some(vm) = next {
-        gateway.links.send(&vm, &MeshMessage::PullManifest { have });
-    }
-}
-
-/// Pulls after a delay, from another zone if this zone has not delivered.
-async fn pull_manifest_later(gateway: Rc<Gateway>) {
-    sleep(PULL_RETRY_DELAY).await;
-    pull_manifest(&gateway);
-}
-
-/// Decodes a manifest and puts it in force; ignores one that is not newer.
-fn activate_manifest(gateway: &Gateway, number: u64, bytes: &[u8]) {
-    if number <= manifest_number(gateway) {
-        return;
-    }
-    match config::read_config(bytes) {
-        Ok(deployment) => {
-            info!(gateway.log, "Manifest in force"; "number" => number, "bytes" => bytes.len(),
-                "services" => deployment.services.len());
-            cold::update_rules(gateway, &deployment);
-            *gateway.deployment.borrow_mut() = Some(Arc::new(deployment));
-        }
-        // Unexpected: every manifest was validated before it was accepted.
-        Err(error) => {
-            error!(gateway.log, "Cannot decode manifest"; "number" => number, "error" => %error);
-        }
-    }
-}
--- a/node/src/gateway/relay.rs
+++ b/node/src/gateway/relay.rs
@@ -9,7 +9,8 @@
 use merlinrudder_wire::relay::{self, WireRelay};
 
 use super::failure::Failure;
-use super::request::{CallerRequest, set_header, text_header};
+use super::header_fields::{set_header, text_header};
+use super::request::CallerRequest;
 use super::selection::SelectedServers;
 use super::state::Gateway;
 use super::target::{Excluded, Target};
--- a/node/src/gateway/relay_ingress.rs
+++ b/node/src/gateway/relay_ingress.rs
@@ -14,10 +14,12 @@
 use merlinrudder_wire::relay;
 use slog::info;
 
+use super::admission::{self, Admission};
 use super::body::ResponseBody;
+use super::header_fields::{parse_header, set_header, text_header};
 use super::ingress;
 use super::refusal::{self, Origin, retryable};
-use super::request::{self, Admission, CallerRequest, parse_header, set_header, text_header};
+use super::request::CallerRequest;
 use super::state::Gateway;
 
 /// What another VM says of a request that it sends by way of this one.
@@ -92,7 +94,7 @@
         service: Some(service),
         relayed: Some(relayed),
     };
-    request::admit_body(gateway, head, body, admission).await
+    admission::admit_body(gateway, head, body, admission).await
 }
 
 /// Finds the route by this VM's configuration; it allows one attempt, as the other VM counts them.
--- a/node/src/gateway/server_notices.rs
+++ b/node/src/gateway/server_notices.rs
@@ -15,7 +15,7 @@
 use merlinrudder_wire::peers::WireServer;
 use slog::{info, warn};
 
-use super::request::text_header;
+use super::header_fields::text_header;
 use super::state::Gateway;
 use crate::metrics;
 
