refactor: names that say what is meant, for readers new to the code

Cause: some names of the recent parts were figurative (blind, sight, void, news). Change: fallback turns of cold servers, penalty for unseen load, kept changes of ended placements, ColdChange::is_change and update_sees_placements. Names on the wire, of settings, metrics and log lines are unchanged.

--- a/core/src/cold.rs
+++ b/core/src/cold.rs
@@ -35,10 +35,10 @@
 const REOPENED_TIME: Duration = Duration::from_secs(3);
 /// Time after the reopening of a zone before which a heartbeat counts as sent earlier.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
-/// Period of the turns of a VM that was never told the number of VMs.
-const BLIND_PERIOD: Duration = Duration::from_secs(30);
+/// Period of the fallback turns, in which a VM that was never told the number of VMs uses cold servers.
+const FALLBACK_PERIOD: Duration = Duration::from_secs(30);
 /// Length of such a turn.
-const BLIND_TURN: Duration = Duration::from_secs(1);
+const FALLBACK_TURN: Duration = Duration::from_secs(1);
 /// Number of turns up to which they are looked for in order.
 const MAX_TURNS: usize = 64;
 
@@ -99,7 +99,7 @@
     settled_count: usize,
     grown_at: Moment,
     /// Whether a linked control VM reports which servers are cold.
-    is_told: bool,
+    expects_reports: bool,
     /// Servers left out of choices since `take_left_out`.
     left_out: Cell<u64>,
 }
@@ -117,7 +117,7 @@
             others: None,
             settled_count: 0,
             grown_at: Moment::default(),
-            is_told: false,
+            expects_reports: false,
             left_out: Cell::new(0),
         }
     }
@@ -137,7 +137,7 @@
     ///
     /// From then on, a server without a report counts as cold for the cold time of its service.
     pub const fn expect_reports(&mut self) {
-        self.is_told = true;
+        self.expects_reports = true;
     }
 
     /// Updates the other entry VMs; `None` while they are not known.
@@ -247,7 +247,7 @@
         let reported = self.reports.cold_until(&record.id, record.born);
         let own_until = match (reported, server) {
             (Some(until), _) => until,
-            (None, Some(server)) if self.is_told => Some(server.first_heard + rule.time),
+            (None, Some(server)) if self.expects_reports => Some(server.first_heard + rule.time),
             (None, _) => None,
         };
         let reopening = server.and_then(|server| server.reopening);
@@ -278,7 +278,7 @@
             .partition(|server| self.admits(now, record(server)));
         if admitted.is_empty() {
             let is_last_resort = |server: &T| match self.warmth(now, record(server)) {
-                Warmth::Cold(_) => self.is_blind_turn(now, &record(server).id),
+                Warmth::Cold(_) => self.is_fallback_turn(now, &record(server).id),
                 Warmth::Warm | Warmth::Ramping(_) => true,
             };
             let warm = |server: &T| !matches!(self.warmth(now, record(server)), Warmth::Cold(_));
@@ -390,11 +390,11 @@
     /// Whether a VM that was never told the number of VMs may send to a cold server.
     ///
     /// The turns of the VMs are spread by hash.
-    fn is_blind_turn(&self, now: Moment, id: &ServerId) -> bool {
-        let period = duration_millis(BLIND_PERIOD);
+    fn is_fallback_turn(&self, now: Moment, id: &ServerId) -> bool {
+        let period = duration_millis(FALLBACK_PERIOD);
         let offset = stable_hash(&[id.as_str().as_bytes(), self.vm.as_str().as_bytes()]) % period;
-        let in_turn = (now.as_millis() + offset) % period < duration_millis(BLIND_TURN);
-        self.others.is_none() && in_turn && self.is_due(now, id, BLIND_PERIOD / 2)
+        let in_turn = (now.as_millis() + offset) % period < duration_millis(FALLBACK_TURN);
+        self.others.is_none() && in_turn && self.is_due(now, id, FALLBACK_PERIOD / 2)
     }
 }
 
--- a/core/src/cold/reports.rs
+++ b/core/src/cold/reports.rs
@@ -40,7 +40,7 @@
 impl ColdChange {
     /// Whether other VMs must be told at once.
     #[must_use]
-    pub const fn is_news(self) -> bool {
+    pub const fn is_change(self) -> bool {
         matches!(self, Self::BecameCold | Self::BecameWarm | Self::Extended)
     }
 }
--- a/core/src/fleet/choice.rs
+++ b/core/src/fleet/choice.rs
@@ -27,7 +27,7 @@
 ///
 /// It outweighs a predicted time to first token that is up to 250 ms longer. VMs that start at the same
 /// moment see all servers idle, and would otherwise send the returning callers to the same ones.
-const BLIND_PENALTY: f64 = 0.05;
+const UNSEEN_LOAD_PENALTY: f64 = 0.05;
 
 /// Additional occupancy of a server that takes twice its usual time for plain calls.
 const PACE_LOAD: f64 = 0.25;
@@ -63,18 +63,18 @@
         let servers = self.eligible_servers(now, service, tried)?;
         let value = request.value();
         let mut rng = Rng::with_seed(request.random_seed);
-        let mut blind_penalty = || {
+        let mut unseen_load_penalty = || {
             if self.sees_placements {
                 0.0
             } else {
-                rng.f64() * BLIND_PENALTY
+                rng.f64() * UNSEEN_LOAD_PENALTY
             }
         };
         let candidates: Vec<_> = servers
             .into_iter()
             .map(|server| Candidate {
                 server,
-                penalty: self.health.failure_rate(now, &server.id) * value + blind_penalty(),
+                penalty: self.health.failure_rate(now, &server.id) * value + unseen_load_penalty(),
                 may_help: !self.rates.is_limited(&server.id)
                     && self.cold.warmth(now, server) == Warmth::Warm,
             })
--- a/core/src/placement_batches.rs
+++ b/core/src/placement_batches.rs
@@ -47,7 +47,7 @@
     /// When to send them; `None` if there are none.
     due: Option<Moment>,
     /// Whether a VM may know placements from changes not yet sent, as its link opened after them.
-    keeps_void: bool,
+    keeps_ended: bool,
 }
 
 /// A batch that is to be sent.
@@ -75,9 +75,9 @@
             vms: BTreeSet::new(),
             changes: Vec::new(),
             due: None,
-            keeps_void: false,
+            keeps_ended: false,
         });
-        batch.keeps_void = !batch.changes.is_empty();
+        batch.keeps_ended = !batch.changes.is_empty();
         batch.vms.insert(vm);
     }
 
@@ -119,8 +119,8 @@
             }
             batch.due = None;
             let mut changes = std::mem::take(&mut batch.changes);
-            if !std::mem::take(&mut batch.keeps_void) {
-                changes = without_void(changes, &kind);
+            if !std::mem::take(&mut batch.keeps_ended) {
+                changes = without_ended(changes, &kind);
             }
             if !changes.is_empty() {
                 let vms = batch.vms.iter().cloned().collect();
@@ -132,7 +132,7 @@
 }
 
 /// Removes all changes of placements that begin and end among them.
-fn without_void<C>(mut changes: Vec<C>, kind: &impl Fn(&C) -> ChangeKind) -> Vec<C> {
+fn without_ended<C>(mut changes: Vec<C>, kind: &impl Fn(&C) -> ChangeKind) -> Vec<C> {
     let mut made = BTreeSet::new();
     let mut void = BTreeSet::new();
     for change in &changes {
--- a/node/src/controller/cold.rs
+++ b/node/src/controller/cold.rs
@@ -52,7 +52,7 @@
         first_hand: bool,
     ) -> ColdChange {
         let change = self.servers.cold.record(now, report);
-        if change.is_news() {
+        if change.is_change() {
             info!(self.log, "Coldness of a backend server changed"; "server" => %report.server,
                 "born" => report.born, "change" => ?change, "left_ms" => report.left.as_millis(),
                 "first_hand" => first_hand);
@@ -70,7 +70,7 @@
         change: ColdChange,
         first_hand: bool,
     ) {
-        if !change.is_news() {
+        if !change.is_change() {
             return;
         }
         let report = self.servers.cold.report(now, &report.server, report.born);
--- a/node/src/gateway/entry_links.rs
+++ b/node/src/gateway/entry_links.rs
@@ -32,11 +32,11 @@
     let addresses = gateway.pair_start.borrow_mut().learnt(addresses);
     dial_entry_vms(gateway, addresses);
     rate_limits::update_vms(gateway);
-    update_sight(gateway);
+    update_sees_placements(gateway);
 }
 
 /// Updates whether the placements of most other entry VMs are known here.
-pub(super) fn update_sight(gateway: &Gateway) {
+pub(super) fn update_sees_placements(gateway: &Gateway) {
     let linked = gateway.links.peers();
     let linked = linked.iter().filter(|peer| !peer.control).count();
     let sharers = gateway.entry_vms.borrow_mut().sharers(gateway.now());
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -56,7 +56,7 @@
         rate_limits::link_up(gateway, &peer.vm_id());
         capacity::link_up(gateway, &peer.vm_id());
         relay_link_up(gateway, peer);
-        entry_links::update_sight(gateway);
+        entry_links::update_sees_placements(gateway);
     }
 }
 
@@ -88,7 +88,7 @@
     }
     drop(fleet);
     rate_limits::update_vms(gateway);
-    entry_links::update_sight(gateway);
+    entry_links::update_sees_placements(gateway);
 }
 
 fn handle_message(gateway: &Rc<Gateway>, from: &VmId, message: MeshMessage) {
