refactor: send a message to several VMs by send_all; check features in one way

Cause: several parts sent one message in a loop, which encodes it for each VM, and asked in three ways whether a VM understands a message. Two places sent the coldness of one server. Change: Links::send_all everywhere; Links::supports replaces tells_cold; Controller::send_cold_of. Receivers, order and contents of the messages are unchanged.

--- a/node/src/controller/cold.rs
+++ b/node/src/controller/cold.rs
@@ -70,12 +70,17 @@
         change: ColdChange,
         first_hand: bool,
     ) {
-        if !change.is_change() {
-            return;
+        if change.is_change() {
+            self.send_cold_of(now, &report.server, report.born, first_hand);
         }
-        let report = self.servers.cold.report(now, &report.server, report.born);
-        let reports: Vec<_> = report.into_iter().collect();
-        self.send_cold(&reports, |peer| first_hand || !peer.control);
+    }
+
+    /// Sends what is known of the coldness of one lifetime of a server.
+    ///
+    /// Unless the server called this VM itself, `first_hand`, only entry VMs get it.
+    pub(super) fn send_cold_of(&self, now: Moment, id: &ServerId, born: u64, first_hand: bool) {
+        let report = self.servers.cold.report(now, id, born);
+        self.send_cold(report.as_slice(), |peer| first_hand || !peer.control);
     }
 
     /// Sends reports to the linked VMs that match and understand them.
@@ -87,11 +92,9 @@
         let message = MeshMessage::ColdServers(reports.collect());
         let able = self.links.vms_with(|features| features.cold);
         let peers = self.links.peers();
-        for peer in peers.iter().filter(|peer| matches(peer)) {
-            let vm = peer.vm_id();
-            if able.contains(&vm) {
-                self.send(&vm, &message);
-            }
-        }
+        let matching = peers.iter().filter(|peer| matches(peer));
+        let mut receivers: Vec<_> = matching.map(WirePeer::vm_id).collect();
+        receivers.retain(|vm| able.contains(vm));
+        self.links.send_all(&receivers, &message);
     }
 }
--- a/node/src/controller/evacuations.rs
+++ b/node/src/controller/evacuations.rs
@@ -59,9 +59,8 @@
     pub(super) fn send_evacuations(&self, entries: &[VmId]) {
         let evacuations = self.replica.state.evacuations.clone();
         let message = MeshMessage::Evacuations(evacuations.into());
-        let with_feature = self.links.vms_with(|features| features.evacuations);
-        for entry in with_feature.iter().filter(|vm| entries.contains(vm)) {
-            self.send(entry, &message);
-        }
+        let mut receivers = self.links.vms_with(|features| features.evacuations);
+        receivers.retain(|vm| entries.contains(vm));
+        self.links.send_all(&receivers, &message);
     }
 }
--- a/node/src/controller/servers.rs
+++ b/node/src/controller/servers.rs
@@ -8,7 +8,7 @@
 use merlinrudder_core::names::ServerId;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::MeshMessage;
-use merlinrudder_wire::peers::WireServer;
+use merlinrudder_wire::peers::{WirePeer, WireServer};
 use slog::info;
 
 use super::input::Reply;
@@ -108,9 +108,9 @@
         }
         self.send_cold(&self.servers.cold_among(now, &refreshed_ids), |_| true);
         let message = MeshMessage::Servers(records);
-        for peer in self.links.peers() {
-            self.send(&peer.vm_id(), &message);
-        }
+        let peers = self.links.peers();
+        let receivers: Vec<_> = peers.iter().map(WirePeer::vm_id).collect();
+        self.links.send_all(&receivers, &message);
     }
 
     /// Confirms a heartbeat or deregistration to a server.
@@ -148,12 +148,10 @@
             "address" => %record.address, "stage" => ?record.stage, "born" => record.born,
             "first_hand" => first_hand);
         let message = MeshMessage::Servers(vec![WireServer::new(now, now, record)]);
-        let report = self.servers.cold.report(now, id, record.born);
-        let report: Vec<_> = report.into_iter().collect();
-        self.send_cold(&report, |peer| first_hand || !peer.control);
+        self.send_cold_of(now, id, record.born, first_hand);
         let peers = self.links.peers();
-        for peer in peers.iter().filter(|peer| first_hand || !peer.control) {
-            self.send(&peer.vm_id(), &message);
-        }
+        let receivers = peers.iter().filter(|peer| first_hand || !peer.control);
+        let receivers: Vec<_> = receivers.map(WirePeer::vm_id).collect();
+        self.links.send_all(&receivers, &message);
     }
 }
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -407,9 +407,7 @@
         if self.replica.state.evacuations.revision > 0 {
             self.send_evacuations(&entries);
         }
-        for entry in entries {
-            self.send(&entry, &newest);
-        }
+        self.links.send_all(&entries, &newest);
     }
 
     /// Returns all linked VMs and this one.
--- a/node/src/crash_exchange.rs
+++ b/node/src/crash_exchange.rs
@@ -178,9 +178,7 @@
         let subscribers: Vec<_> = vms.filter(|vm| self.is_subscriber(vm)).collect();
         for batch in reports.chunks(MAX_REPORTS) {
             let message = message(now, batch);
-            for vm in &subscribers {
-                links.send(vm, &message);
-            }
+            links.send_all(&subscribers, &message);
         }
     }
 
--- a/node/src/gateway/capacity.rs
+++ b/node/src/gateway/capacity.rs
@@ -151,8 +151,8 @@
     let capacities = fleet.capacities.as_ref();
     let reports = capacities.map(|capacities| capacities.snapshot(now));
     drop(fleet);
-    let knows = gateway.links.vms_with(|features| features.capacity);
-    if let Some(reports) = reports.filter(|reports| !reports.is_empty() && knows.contains(vm)) {
+    let supports = || gateway.links.supports(vm, |features| features.capacity);
+    if let Some(reports) = reports.filter(|reports| !reports.is_empty() && supports()) {
         send(gateway, std::slice::from_ref(vm), &reports);
     }
 }
@@ -170,9 +170,7 @@
     let now = gateway.now();
     let reports = reports.iter().map(|report| WireCapacity::new(now, report));
     let message = MeshMessage::Capacities(reports.collect());
-    for vm in receivers {
-        gateway.links.send(vm, &message);
-    }
+    gateway.links.send_all(receivers, &message);
 }
 
 fn log_change(gateway: &Gateway, change: &CapacityChange) {
--- a/node/src/gateway/cold.rs
+++ b/node/src/gateway/cold.rs
@@ -26,7 +26,7 @@
 
 /// Records that a control VM was linked, which may tell which servers are cold.
 pub(super) fn control_link_up(gateway: &Gateway, vm: &VmId) {
-    if gateway.links.tells_cold(vm) {
+    if gateway.links.supports(vm, |features| features.cold) {
         gateway.fleet.borrow_mut().cold.expect_reports();
     }
 }
@@ -50,7 +50,7 @@
     record: &ServerRecord,
 ) {
     let mut fleet = gateway.fleet.borrow_mut();
-    if fleet.cold.has_rules() && gateway.links.tells_cold(from) {
+    if fleet.cold.has_rules() && gateway.links.supports(from, |features| features.cold) {
         fleet.cold.record_heartbeat(heard_at, record);
     }
 }
--- a/node/src/gateway/server_notices.rs
+++ b/node/src/gateway/server_notices.rs
@@ -12,7 +12,7 @@
 use merlinrudder_core::names::{ServerId, VmId};
 use merlinrudder_platform::headers;
 use merlinrudder_wire::mesh::MeshMessage;
-use merlinrudder_wire::peers::WireServer;
+use merlinrudder_wire::peers::{WirePeer, WireServer};
 use slog::{info, warn};
 
 use super::header_fields::text_header;
@@ -118,9 +118,9 @@
     forget_gone(gateway);
     gateway.leaving.borrow_mut().insert(incarnation.clone());
     let message = MeshMessage::Servers(record.into_iter().collect());
-    for peer in gateway.links.peers() {
-        gateway.links.send(&peer.vm_id(), &message);
-    }
+    let peers = gateway.links.peers();
+    let vms: Vec<_> = peers.iter().map(WirePeer::vm_id).collect();
+    gateway.links.send_all(&vms, &message);
 }
 
 /// Returns the longest time that an answer names; values that are none are logged.
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -176,11 +176,11 @@
         self.shared.table.features(vm)?.relay
     }
 
-    /// Whether a linked VM tells which servers are cold.
+    /// Whether a VM is linked and its features match.
     #[must_use]
-    pub fn tells_cold(&self, vm: &VmId) -> bool {
+    pub fn supports(&self, vm: &VmId, matches: impl FnOnce(&WireFeatures) -> bool) -> bool {
         let features = self.shared.table.features(vm);
-        features.is_some_and(|features| features.cold)
+        features.is_some_and(|features| matches(&features))
     }
 
     /// Returns the number of open links; of two VMs that dialled each other both links count.
