refactor: keep the waits for permits and for turns in one place

Cause: rate_limits and cold each decided whether a request must wait behind earlier ones, the queues of both stood in rate_limits, and the retry loop built six refusals in as many ways. Change: the module waiting holds the queues and awaited_earlier; Attempts::refusal_after builds all refusals.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -39,6 +39,7 @@
 mod tally;
 mod target;
 mod upstream;
+mod waiting;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -11,12 +11,12 @@
 use super::failure::{Failure, record_failure};
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
-use super::rate_limits::{self, PermitWaiter};
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
 use super::selection::{Selection, select_servers};
 use super::state::{Gateway, StopStage};
 use super::tally::Tally;
+use super::waiting::{self, Waiter};
 use crate::metrics;
 
 /// Failed attempts that did not run the request, after which it is refused.
@@ -28,7 +28,7 @@
 
 /// Time in which a VM notices the end of a cut, after which its callers may come back.
 const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(600);
-/// Interval at which a request that waits for a permit looks for it.
+/// Interval at which a request that waits for a permit or a turn looks for it.
 const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest wait for a permit; it is promised at most a second ahead.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(1200);
@@ -53,7 +53,7 @@
     /// Failed attempts that did not run the request; limited by `MAX_NOT_RUN_FAILURES`.
     not_run: u32,
     /// Set while the request waits for a permit, or for a turn at a cold server.
-    permit_waiter: Option<PermitWaiter>,
+    waiter: Option<Waiter>,
 }
 
 impl Attempts {
@@ -71,7 +71,7 @@
         Self {
             tally: Rc::new(tally),
             not_run: 0,
-            permit_waiter: None,
+            waiter: None,
         }
     }
 
@@ -114,7 +114,7 @@
                 Permission::Refuse(left) => return Err(self.quarantine_refusal(left)),
             }
             let excluded = self.tally.excluded.borrow().clone();
-            let is_waiting = self.permit_waiter.is_some();
+            let is_waiting = self.waiter.is_some();
             let selected = match select_servers(gateway, call, &self.tally, &excluded, is_waiting) {
                 Selection::Selected(selected) => *selected,
                 Selection::Wait | Selection::AwaitPermit | Selection::AwaitTurn
@@ -131,8 +131,7 @@
                     continue;
                 }
                 Selection::AwaitTurn => {
-                    self.permit_waiter
-                        .get_or_insert_with(|| PermitWaiter::new(gateway, &call.service));
+                    self.begin_wait(gateway, call);
                     sleep(PERMIT_POLL_INTERVAL).await;
                     continue;
                 }
@@ -145,7 +144,7 @@
                 Selection::NoPath => return Err(self.path_refusal()),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
-            self.permit_waiter = None;
+            self.waiter = None;
             let context = AttemptContext {
                 gateway,
                 call,
@@ -234,53 +233,55 @@
 
     /// Builds the refusal; it suggests coming back only if no attempt may have run.
     fn refusal(&self, reason: RefusalReason) -> Refusal {
+        self.refusal_after(reason, || DEFAULT_RETRY_AFTER)
+    }
+
+    /// Builds the refusal, with the time after which the caller may come back.
+    ///
+    /// `wait` is only called if no attempt may have run: it may promise the caller a turn.
+    fn refusal_after(&self, reason: RefusalReason, wait: impl FnOnce() -> Duration) -> Refusal {
         let run = self.run_state();
         Refusal {
             reason,
             run,
-            retry_after: (run == RunState::NotRun).then_some(DEFAULT_RETRY_AFTER),
+            retry_after: (run == RunState::NotRun).then(wait),
         }
     }
 
     /// Builds the refusal of a request for which neither this nor another VM reaches a server.
     fn path_refusal(&self) -> Refusal {
-        let mut refusal = self.refusal(RefusalReason::NoPath);
-        refusal.retry_after = refusal.retry_after.map(|_| NO_PATH_RETRY_AFTER);
-        refusal
+        self.refusal_after(RefusalReason::NoPath, || NO_PATH_RETRY_AFTER)
     }
 
     /// Builds the refusal of a request while all servers want none; it ends with the shortest time.
     fn held_back_refusal(&mut self, left: Duration) -> Refusal {
-        self.permit_waiter = None;
-        let mut refusal = self.refusal(RefusalReason::HeldBack);
-        refusal.retry_after = refusal.retry_after.map(|_| left);
-        refusal
+        self.waiter = None;
+        self.refusal_after(RefusalReason::HeldBack, || left)
+    }
+
+    /// Begins the wait for a permit or a turn if it has not begun.
+    fn begin_wait(&mut self, gateway: &Rc<Gateway>, call: &CallerRequest) -> &Waiter {
+        self.waiter
+            .get_or_insert_with(|| Waiter::new(gateway, &call.service))
     }
 
     /// Whether the request may wait for a permit; begins the wait if it has not begun.
     fn may_await_permit(&mut self, gateway: &Rc<Gateway>, call: &CallerRequest) -> bool {
-        let waiter = self
-            .permit_waiter
-            .get_or_insert_with(|| PermitWaiter::new(gateway, &call.service));
-        gateway.now().since(waiter.since) < MAX_PERMIT_WAIT
+        let since = self.begin_wait(gateway, call).since;
+        gateway.now().since(since) < MAX_PERMIT_WAIT
     }
 
     /// Builds the refusal of a request that no server takes soon, by its limit.
     fn rate_refusal(&mut self, gateway: &Gateway, call: &CallerRequest) -> Refusal {
-        self.permit_waiter = None;
-        let mut refusal = self.refusal(RefusalReason::RateLimited);
-        if refusal.retry_after.is_some() {
-            refusal.retry_after = Some(rate_limits::return_after(gateway, &call.service));
-        }
-        refusal
+        self.waiter = None;
+        let wait = || waiting::return_after(gateway, &call.service);
+        self.refusal_after(RefusalReason::RateLimited, wait)
     }
 
     /// Builds the refusal of a request for which all servers are too cold.
     fn cold_refusal(&mut self, wait: Duration) -> Refusal {
-        self.permit_waiter = None;
-        let mut refusal = self.refusal(RefusalReason::RateLimited);
-        refusal.retry_after = refusal.retry_after.map(|_| wait);
-        refusal
+        self.waiter = None;
+        self.refusal_after(RefusalReason::RateLimited, || wait)
     }
 
     /// Whether a planned stop refuses the request instead of letting it wait.
@@ -301,11 +302,6 @@
 
     /// Builds the refusal of a content that crashed servers; it ends with the quarantine.
     fn quarantine_refusal(&self, left: Duration) -> Refusal {
-        let run = self.run_state();
-        Refusal {
-            reason: RefusalReason::Quarantined,
-            run,
-            retry_after: (run == RunState::NotRun).then_some(left),
-        }
+        self.refusal_after(RefusalReason::Quarantined, || left)
     }
 }
--- a/node/src/gateway/cold.rs
+++ b/node/src/gateway/cold.rs
@@ -13,10 +13,10 @@
 use slog::info;
 use tokio::time::sleep;
 
-use super::rate_limits;
 use super::request::CallerRequest;
 use super::selection::Selection;
 use super::state::Gateway;
+use super::waiting;
 use crate::metrics;
 
 /// Interval at which the servers that are cold are counted.
@@ -69,18 +69,6 @@
     gateway.fleet.borrow_mut().cold.set_vms(now, others);
 }
 
-/// Whether all servers are cold, and requests that came earlier wait for turns.
-pub(super) fn has_earlier_waiter(
-    gateway: &Gateway,
-    call: &CallerRequest,
-    excluded: &[ServerId],
-) -> bool {
-    let fleet = gateway.fleet.borrow();
-    fleet.cold.has_rules()
-        && gateway.permit_queues.borrow().waiting(&call.service) > 0
-        && fleet.are_all_cold(gateway.now(), &call.service, excluded)
-}
-
 /// Decides whether a request waits for a turn at a cold server.
 ///
 /// It waits for an eighth of its objective at most.
@@ -91,7 +79,7 @@
     is_waiting: bool,
 ) -> Selection {
     let now = gateway.now();
-    let waiting = gateway.permit_queues.borrow().waiting(&call.service);
+    let waiting = gateway.wait_queues.borrow().waiting(&call.service);
     let ahead = if is_waiting { 0 } else { waiting };
     let fleet = gateway.fleet.borrow();
     let outlook = fleet.cold_outlook(now, &call.service, excluded, ahead);
@@ -100,11 +88,7 @@
     if now < give_up_at && now + outlook.wait <= give_up_at {
         Selection::AwaitTurn
     } else {
-        Selection::Cold(rate_limits::return_after_turn(
-            gateway,
-            &call.service,
-            &outlook,
-        ))
+        Selection::Cold(waiting::return_after_turn(gateway, &call.service, &outlook))
     }
 }
 
--- a/node/src/gateway/rate_limits.rs
+++ b/node/src/gateway/rate_limits.rs
@@ -1,19 +1,16 @@
 //! Limits on their request rate that backend servers name in their answers.
 //!
 //! The decisions are those of `merlinrudder_core::rate_limit`; this module feeds them with answers
-//! and messages, and keeps the requests that wait for a permit.
+//! and messages.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::header::HeaderMap;
-use merlinrudder_core::cold::ColdOutlook;
 use merlinrudder_core::directory::Incarnation;
-use merlinrudder_core::names::{ServiceName, VmId};
+use merlinrudder_core::names::{ServerId, VmId};
 use merlinrudder_core::rate_limit::limits::{LimitChange, Observation, Rate};
 use merlinrudder_core::rate_limit::message::{Outgoing, RateMessage, Recipient};
-use merlinrudder_core::rate_limit::return_times::ReturnTimes;
 use merlinrudder_core::time::Moment;
 use merlinrudder_platform::headers;
 use merlinrudder_wire::mesh::MeshMessage;
@@ -22,74 +19,33 @@
 use tokio::time::sleep;
 
 use super::request::CallerRequest;
+use super::selection::Selection;
 use super::state::Gateway;
 use crate::metrics;
 
 /// Interval at which loans of shares are renewed.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Requests that wait for permits or turns, and callers that were refused for lack of them, by service.
-#[derive(Debug, Default)]
-pub(super) struct PermitQueues {
-    waiting: BTreeMap<ServiceName, usize>,
-    return_times: BTreeMap<ServiceName, ReturnTimes>,
-}
-
-impl PermitQueues {
-    /// Returns how many requests of a service wait for a permit.
-    pub(super) fn waiting(&self, service: &ServiceName) -> usize {
-        self.waiting.get(service).copied().unwrap_or_default()
-    }
-}
-
-/// Counts a request as waiting for a permit until this is dropped.
-#[derive(Debug)]
-pub(super) struct PermitWaiter {
-    gateway: Rc<Gateway>,
-    service: ServiceName,
-    /// When the wait began.
-    pub(super) since: Moment,
-}
-
-impl PermitWaiter {
-    pub(super) fn new(gateway: &Rc<Gateway>, service: &ServiceName) -> Self {
-        let mut queues = gateway.permit_queues.borrow_mut();
-        *queues.waiting.entry(service.clone()).or_default() += 1;
-        Self {
-            gateway: Rc::clone(gateway),
-            service: service.clone(),
-            since: gateway.now(),
-        }
-    }
-}
-
-impl Drop for PermitWaiter {
-    fn drop(&mut self) {
-        let mut queues = self.gateway.permit_queues.borrow_mut();
-        if let Some(waiting) = queues.waiting.get_mut(&self.service) {
-            *waiting -= 1;
-        }
-    }
-}
-
-/// Returns when a caller may come back for which no server of a service has a permit.
-pub(super) fn return_after(gateway: &Gateway, service: &ServiceName) -> Duration {
-    let now = gateway.now();
-    let rate = gateway.fleet.borrow().fair_rate(now, service);
-    let mut queues = gateway.permit_queues.borrow_mut();
-    let times = queues.return_times.entry(service.clone()).or_default();
-    times.promise(now, rate)
-}
-
-/// Returns when a caller may come back for which all servers of a service are cold.
-pub(super) fn return_after_turn(
+/// Decides whether a request waits for a permit: one request for each that is expected.
+pub(super) fn outlook(
     gateway: &Gateway,
-    service: &ServiceName,
-    outlook: &ColdOutlook,
-) -> Duration {
-    let mut queues = gateway.permit_queues.borrow_mut();
-    let times = queues.return_times.entry(service.clone()).or_default();
-    times.promise_after(gateway.now(), outlook.wait, outlook.rate)
+    call: &CallerRequest,
+    excluded: &[ServerId],
+    is_waiting: bool,
+) -> Selection {
+    let fleet = gateway.fleet.borrow();
+    let promised = fleet.promised_permits(gateway.now(), &call.service, excluded);
+    let waiting = gateway.wait_queues.borrow().waiting(&call.service);
+    let is_expected = if is_waiting {
+        promised > 0
+    } else {
+        waiting < promised
+    };
+    if is_expected {
+        Selection::AwaitPermit
+    } else {
+        Selection::RateLimited
+    }
 }
 
 /// Head of an answer of a server.
@@ -209,8 +165,6 @@
             Recipient::All => gateway.links.vms_with(|features| features.rates),
             Recipient::Vm(vm) => vec![vm],
         };
-        for vm in receivers {
-            gateway.links.send(&vm, &wire);
-        }
+        gateway.links.send_all(&receivers, &wire);
     }
 }
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -26,6 +26,7 @@
 use super::state::Gateway;
 use super::tally::Tally;
 use super::target::{Excluded, Target};
+use super::waiting;
 
 /// Servers selected for one attempt.
 ///
@@ -158,7 +159,7 @@
 ///
 /// Engines are selected by the performance model of their service. Plain servers, and engines
 /// for a request without token counts, are selected by their share of busy slots. A request that
-/// waits for a permit, `is_waiting`, goes before those that come later.
+/// waits for a permit or a turn, `is_waiting`, goes before those that come later.
 fn select_reached(
     gateway: &Rc<Gateway>,
     call: &CallerRequest,
@@ -166,22 +167,27 @@
     is_waiting: bool,
 ) -> Selection {
     let now = gateway.now();
+    // Before permits are asked for: servers that are held back need none.
     if let Some(left) = gateway.fleet.borrow().all_held_back(now, &call.service) {
         return Selection::HeldBack(left);
     }
     request_permits(gateway, call, excluded);
-    if has_earlier_waiter(gateway, call, excluded, is_waiting) {
-        return permit_outlook(gateway, call, excluded, is_waiting);
-    }
-    if !is_waiting && cold::has_earlier_waiter(gateway, call, excluded) {
-        return cold::outlook(gateway, call, excluded, is_waiting);
-    }
-    let selection = select_admitted(gateway, call, excluded);
-    cold::count_left_out(gateway);
+    let earlier = if is_waiting {
+        None
+    } else {
+        waiting::awaited_earlier(gateway, call, excluded)
+    };
+    let selection = if let Some(reason) = earlier {
+        Err(reason)
+    } else {
+        let selection = select_admitted(gateway, call, excluded);
+        cold::count_left_out(gateway);
+        selection
+    };
     match selection {
         Err(NoChoice::NoServer) => Selection::NoServer,
         Err(NoChoice::HeldBack(left)) => Selection::HeldBack(left),
-        Err(NoChoice::RateLimited) => permit_outlook(gateway, call, excluded, is_waiting),
+        Err(NoChoice::RateLimited) => rate_limits::outlook(gateway, call, excluded, is_waiting),
         Err(NoChoice::Cold) => cold::outlook(gateway, call, excluded, is_waiting),
         Ok(selection) => {
             if let Selection::Selected(selected) = &selection
@@ -206,42 +212,6 @@
     }
 }
 
-/// Whether all servers have limits, and requests that came earlier wait for their permits.
-fn has_earlier_waiter(
-    gateway: &Gateway,
-    call: &CallerRequest,
-    excluded: &[ServerId],
-    is_waiting: bool,
-) -> bool {
-    let fleet = gateway.fleet.borrow();
-    !is_waiting
-        && fleet.rates.has_limits()
-        && gateway.permit_queues.borrow().waiting(&call.service) > 0
-        && fleet.are_all_limited(&call.service, excluded)
-}
-
-/// Decides whether a request waits for a permit: one request for each that is expected.
-fn permit_outlook(
-    gateway: &Gateway,
-    call: &CallerRequest,
-    excluded: &[ServerId],
-    is_waiting: bool,
-) -> Selection {
-    let fleet = gateway.fleet.borrow();
-    let promised = fleet.promised_permits(gateway.now(), &call.service, excluded);
-    let waiting = gateway.permit_queues.borrow().waiting(&call.service);
-    let is_expected = if is_waiting {
-        promised > 0
-    } else {
-        waiting < promised
-    };
-    if is_expected {
-        Selection::AwaitPermit
-    } else {
-        Selection::RateLimited
-    }
-}
-
 fn select_admitted(
     gateway: &Rc<Gateway>,
     call: &CallerRequest,
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -28,8 +28,8 @@
 use super::crash_watch::CrashWatch;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
-use super::rate_limits::PermitQueues;
 use super::upstream::ConnectionPool;
+use super::waiting::WaitQueues;
 use crate::clock::Clock;
 use crate::links::Links;
 use crate::metrics;
@@ -80,8 +80,8 @@
     pub(super) capacity: CapacityWatch,
     /// Lifetimes of servers that said in answers to this VM that they leave.
     pub(super) leaving: RefCell<BTreeSet<Incarnation>>,
-    /// Requests that wait for permits, and callers that were refused for lack of them.
-    pub(super) permit_queues: RefCell<PermitQueues>,
+    /// Requests that wait for permits or turns, and callers that were refused for lack of them.
+    pub(super) wait_queues: RefCell<WaitQueues>,
     /// Crashes of backend servers, and the requests that caused them.
     pub(super) crashes: RefCell<CrashWatch>,
     /// Entry VMs that share the retry budgets.
@@ -136,7 +136,7 @@
             buffer_budget: Rc::default(),
             leaving: RefCell::default(),
             capacity: CapacityWatch::default(),
-            permit_queues: RefCell::default(),
+            wait_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
             pair_start: RefCell::default(),
