--- a/core/src/fleet/choice.rs
+++ b/core/src/fleet/choice.rs
@@ -25,8 +25,8 @@
 
 /// Largest random penalty of a server while the placements of other entry VMs are unknown.
 ///
-/// It outweighs a predicted time to first token that is up to 250 ms longer. VMs that start at the same
-/// moment see all servers idle, and would otherwise send the returning callers to the same ones.
+/// It outweighs a predicted time to first token that is up to 250 ms longer. VMs that start at the
+/// same moment see all servers idle, and would otherwise send the returning callers to the same ones.
 const UNSEEN_LOAD_PENALTY: f64 = 0.05;
 
 /// Additional occupancy of a server that takes twice its usual time for plain calls.
@@ -127,10 +127,10 @@
 
     /// Returns the servers of a service that may get work, except those in `tried`.
     ///
-    /// Servers that are held back or in evacuated zones get none. Servers with a limit need a permit,
-    /// and cold ones a turn of this VM. Prefers servers that send heartbeats, are not suspended and are
-    /// not in an unreachable zone. If there are none, unreachable zones are ignored; if there are still
-    /// none, every ready server that is left is used.
+    /// Servers that are held back or in evacuated zones get none. Servers with a limit need a
+    /// permit, and cold ones a turn of this VM. Prefers servers that send heartbeats, are not
+    /// suspended and are not in an unreachable zone. If there are none, unreachable zones are
+    /// ignored; if there are still none, every ready server that is left is used.
     fn eligible_servers<'a>(
         &'a self,
         now: Moment,
--- a/node/src/gateway/entry_links.rs
+++ b/node/src/gateway/entry_links.rs
@@ -1,4 +1,5 @@
-//! Entry VMs: which of them this VM knows, when it dials them, and whether it sees their placements.
+//! Links to the other entry VMs: when they are dialled, and whether enough are open to see the
+//! placements of most VMs.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,7 +45,9 @@
     gateway.fleet.borrow_mut().sees_placements = sees_placements;
 }
 
-/// Dials entry VMs in a random order, so that VMs that start together do not all dial the same ones.
+/// Dials entry VMs in a random order.
+///
+/// VMs that start together would otherwise all dial the same ones first.
 fn dial_entry_vms(gateway: &Gateway, mut addresses: Vec<SocketAddr>) {
     fastrand::shuffle(&mut addresses);
     for address in addresses {
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -35,7 +35,7 @@
     }
 }
 
-/// Records a link that has opened, and sends the other VM what it may have missed while there was none.
+/// Records a link that has opened, and sends the other VM what it missed while there was none.
 ///
 /// With a link to a control VM, missing heartbeats count against a server.
 fn link_up(gateway: &Rc<Gateway>, peer: &WirePeer) {
--- a/node/src/gateway/waiting.rs
+++ b/node/src/gateway/waiting.rs
@@ -15,7 +15,7 @@
 use super::request::CallerRequest;
 use super::state::Gateway;
 
-/// Requests that wait for permits or turns, and callers that were refused for lack of them, by service.
+/// Requests that wait, and return times of the callers that were refused, by service.
 #[derive(Debug, Default)]
 pub(super) struct WaitQueues {
     waiting: BTreeMap<ServiceName, usize>,
