--- a/node/src/gateway/cold.rs
+++ b/node/src/gateway/cold.rs
@@ -13,10 +13,10 @@
 use slog::info;
 use tokio::time::sleep;
 
-use super::rate_limits;
 use super::request::CallerRequest;
 use super::selection::Selection;
 use super::state::Gateway;
+use super::waiting;
 use crate::metrics;
 
 /// Interval at which the servers that are cold are counted.
@@ -28,7 +28,7 @@
 
 /// Records that a control VM was linked, which may tell which servers are cold.
 pub(super) fn control_link_up(gateway: &Gateway, vm: &VmId) {
-    if gateway.links.tells_cold(vm) {
+    if gateway.links.supports(vm, |features| features.cold) {
         gateway.fleet.borrow_mut().cold.expect_reports();
     }
 }
@@ -52,7 +52,7 @@
     record: &ServerRecord,
 ) {
     let mut fleet = gateway.fleet.borrow_mut();
-    if fleet.cold.has_rules() && gateway.links.tells_cold(from) {
+    if fleet.cold.has_rules() && gateway.links.supports(from, |features| features.cold) {
         fleet.cold.record_heartbeat(heard_at, record);
     }
 }
@@ -79,18 +79,6 @@
     gateway.fleet.borrow_mut().cold.set_vms(now, others);
 }
 
-/// Whether all servers are cold, and requests that came earlier wait for turns.
-pub(super) fn has_earlier_waiter(
-    gateway: &Gateway,
-    call: &CallerRequest,
-    excluded: &[ServerId],
-) -> bool {
-    let fleet = gateway.fleet.borrow();
-    fleet.cold.has_rules()
-        && gateway.permit_queues.borrow().waiting(&call.service) > 0
-        && fleet.are_all_cold(gateway.now(), &call.service, excluded)
-}
-
 /// Decides whether a request waits for a turn at a cold server.
 ///
 /// It waits for an eighth of its objective at most.
@@ -101,7 +89,7 @@
     is_waiting: bool,
 ) -> Selection {
     let now = gateway.now();
-    let waiting = gateway.permit_queues.borrow().waiting(&call.service);
+    let waiting = gateway.wait_queues.borrow().waiting(&call.service);
     let ahead = if is_waiting { 0 } else { waiting };
     let fleet = gateway.fleet.borrow();
     let outlook = fleet.cold_outlook(now, &call.service, excluded, ahead);
@@ -110,11 +98,7 @@
     if now < give_up_at && now + outlook.wait <= give_up_at {
         Selection::AwaitTurn
     } else {
-        Selection::Cold(rate_limits::return_after_turn(
-            gateway,
-            &call.service,
-            &outlook,
-        ))
+        Selection::Cold(waiting::return_after_turn(gateway, &call.service, &outlook))
     }
 }
 
