--- a/ctl/src/commands/soak.rs
+++ b/ctl/src/commands/soak.rs
@@ -28,6 +28,7 @@
     let parts: usize = number_option(matches, "parts")?;
     let silences = matches.get_flag("silences");
     let (limits, cuts) = (matches.get_flag("limits"), matches.get_flag("cuts"));
+    let evacuations = matches.get_flag("evacuations");
     let entry_vms: u8 = number_option(matches, "entry-vms")?;
     let mut passed = true;
     for seed in first..first.saturating_add(seeds) {
@@ -40,6 +41,7 @@
             silences,
             limits,
             cuts,
+            evacuations,
         };
         let report = soak::run(&program, options)?;
         println!("seed {seed}: {report}");
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -97,6 +97,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also cut entry VMs off from all servers"),
         )
+        .arg(
+            Arg::new("evacuations")
+                .long("evacuations")
+                .action(ArgAction::SetTrue)
+                .help("Also evacuate the availability zone of some servers"),
+        )
         .arg(option("entry-vms", "NUMBER", "Number of entry VMs").default_value("3"))
 }
 
--- a/fakes/src/soak.rs
+++ b/fakes/src/soak.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod cut_off;
 mod cuts;
+mod evacuations;
 mod faults;
 mod limits;
 mod parts;
@@ -47,6 +48,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Seed and length of one soak test.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag adds one kind of fault"
+)]
 #[derive(Clone, Copy, Debug)]
 pub struct SoakOptions {
     /// Seed of the injected faults and of the traffic.
@@ -65,6 +70,8 @@
     pub limits: bool,
     /// Whether entry VMs are also cut off from all servers.
     pub cuts: bool,
+    /// Whether an operator also evacuates a zone.
+    pub evacuations: bool,
 }
 
 /// Counts and violated invariants of one soak test.
@@ -165,6 +172,10 @@
     cut_entries: Mutex<Vec<usize>>,
     /// Cuts of entry VMs that have ended.
     cut_off: Mutex<Vec<cut_off::CutOff>>,
+    /// Held while a zone is evacuated.
+    evacuating: Mutex<()>,
+    /// Evacuations that were acknowledged and have ended.
+    evacuations: Mutex<Vec<evacuations::Evacuation>>,
     /// All requests of callers.
     first_tries: Mutex<Vec<cut_off::FirstTry>>,
     /// Attempts of streams that were cut through undisturbed VMs, and when.
@@ -213,6 +224,8 @@
             named_limits: Mutex::default(),
             cut_entries: Mutex::default(),
             cut_off: Mutex::default(),
+            evacuating: Mutex::default(),
+            evacuations: Mutex::default(),
             first_tries: Mutex::default(),
             cut_streams: Mutex::default(),
             crash_attempts: Mutex::default(),
@@ -375,6 +388,7 @@
     cuts::check(&harness);
     limits::check(&harness);
     cut_off::check(&harness);
+    evacuations::check(&harness);
     let violations = std::mem::take(&mut *lock(&harness.violations));
     let logs = if violations.is_empty() {
         String::new()
--- a/fakes/src/soak/cut_off.rs
+++ b/fakes/src/soak/cut_off.rs
@@ -22,8 +22,10 @@
 }
 
 /// A caller's request, as far as the check needs it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct FirstTry {
+    /// Id of the attempt.
+    pub(super) attempt: String,
     pub(super) entry: usize,
     pub(super) start: Instant,
     pub(super) end: Instant,
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -8,7 +8,9 @@
 use fastrand::Rng;
 use nix::sys::signal::Signal;
 
-use super::{PROXIED_BACKENDS, SoakHarness, SoakOptions, cut_off, limits, lock, traffic};
+use super::{
+    PROXIED_BACKENDS, SoakHarness, SoakOptions, cut_off, evacuations, limits, lock, traffic,
+};
 use crate::backend::BackendFault;
 use crate::nodes::CONTROL_VMS;
 use crate::proxy::Impairment;
@@ -59,6 +61,8 @@
     Limit,
     /// Some entry VMs are cut off from all backend servers.
     CutOff,
+    /// An operator evacuates a zone for a while.
+    Evacuate,
 }
 
 /// Pause of a stalled stream.
@@ -80,6 +84,9 @@
 /// Further faults with the option `cuts`.
 const CUT_KINDS: [FaultKind; 3] = [FaultKind::CutOff; 3];
 
+/// Further faults with the option `evacuations`.
+const EVACUATION_KINDS: [FaultKind; 3] = [FaultKind::Evacuate; 3];
+
 const FAULT_KINDS: [FaultKind; 17] = [
     FaultKind::KillEntry,
     FaultKind::PauseEntry,
@@ -152,7 +159,8 @@
             | FaultKind::CrashBackend
             | FaultKind::CrashHalf
             | FaultKind::Limit
-            | FaultKind::CutOff => Vec::new(),
+            | FaultKind::CutOff
+            | FaultKind::Evacuate => Vec::new(),
         };
         Self {
             kind,
@@ -169,10 +177,11 @@
 
 /// Returns the kinds of faults that a soak injects.
 fn fault_kinds(options: SoakOptions) -> Vec<FaultKind> {
-    let further: [(bool, &[FaultKind]); 3] = [
+    let further: [(bool, &[FaultKind]); 4] = [
         (options.silences, &SILENCE_KINDS),
         (options.limits, &LIMIT_KINDS),
         (options.cuts, &CUT_KINDS),
+        (options.evacuations, &EVACUATION_KINDS),
     ];
     let further = further.into_iter().filter(|(is_used, _)| *is_used);
     let further = further.flat_map(|(_, kinds)| kinds);
@@ -283,6 +292,7 @@
         FaultKind::CrashBackend => harness.backends[*backend].server.crash(),
         FaultKind::Limit => limits::apply(harness, *backend, *duration),
         FaultKind::CutOff => cut_off::apply(harness, *backend, *duration),
+        FaultKind::Evacuate => evacuations::apply(harness, *duration),
         FaultKind::CrashHalf => {
             for backend in harness.backends.iter().skip(*backend % 2).step_by(2) {
                 backend.server.crash();
--- a/fakes/src/soak/traffic.rs
+++ b/fakes/src/soak/traffic.rs
@@ -9,7 +9,9 @@
 use fastrand::Rng;
 
 use super::cut_off::FirstTry;
-use super::{AtMostOnceCall, SoakHarness, crashes, cuts, lock, parts, sample_configuration};
+use super::{
+    AtMostOnceCall, SoakHarness, crashes, cuts, evacuations, lock, parts, sample_configuration,
+};
 use crate::http_client::{Connection, HttpResponse, send_request_with_headers};
 use crate::nodes::{CONTROL_VMS, Heartbeat};
 
@@ -55,7 +57,7 @@
     let mut sequence = 0;
     while !harness.is_stopped() {
         sequence += 1;
-        for backend in &harness.backends {
+        for (number, backend) in harness.backends.iter().enumerate() {
             // Read before the start: a crash in between leaves no start.
             let id = backend.server.current_id();
             let Some(born) = backend.server.born() else {
@@ -69,8 +71,10 @@
                 draining: false,
             };
             // A heartbeat that no control VM accepts is retried in the next round.
-            let _accepted =
-                (0..CONTROL_VMS).any(|control| harness.nodes.send_heartbeat(control, &heartbeat));
+            let zone = evacuations::zone(harness, number);
+            let nodes = &harness.nodes;
+            let _accepted = (0..CONTROL_VMS)
+                .any(|control| nodes.send_heartbeat_from(zone, control, &heartbeat));
         }
         thread::sleep(HEARTBEAT_INTERVAL);
     }
@@ -177,6 +181,7 @@
         let left = timeout.saturating_sub(start.elapsed());
         let is_stream = method_path.contains("/stream/");
         lock(&harness.first_tries).push(FirstTry {
+            attempt: attempt.clone(),
             entry,
             start,
             end: Instant::now(),
--- a/node/tests/integration/soak.rs
+++ b/node/tests/integration/soak.rs
@@ -21,6 +21,7 @@
         silences: false,
         limits: false,
         cuts: false,
+        evacuations: false,
     }
 }
 
@@ -67,3 +68,12 @@
         ..options(4)
     });
 }
+
+#[test]
+fn no_guarantee_is_violated_by_evacuations_in_a_short_soak() {
+    run_soak(SoakOptions {
+        culprits: 0,
+        evacuations: true,
+        ..options(5)
+    });
+}
