--- a/core/src/rank.rs
+++ b/core/src/rank.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Returns the ranks, the most urgent one first.
+    pub fn iter(&self) -> impl Iterator<Item = u8> + '_ {
+        self.ranks.iter().copied()
+    }
+
     /// Returns the standing of a rank; a rank that is not listed stands as the next one that is.
     #[must_use]
     pub fn standing(&self, rank: u8) -> Standing {
--- a/node/src/gateway/manifest_sync.rs
+++ b/node/src/gateway/manifest_sync.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::VmId;
+use merlinrudder_core::rank::ServiceRanks;
 use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
 use slog::{error, info};
@@ -78,6 +80,19 @@
     pull_manifest(&gateway);
 }
 
+/// Describes the ranks of each service for the log, as in `drafts 0 1, calls 2`.
+fn ranks(deployment: &Deployment) -> String {
+    let services = deployment.services.keys().map(|service| {
+        let ranks = deployment
+            .ranks(service)
+            .into_iter()
+            .flat_map(ServiceRanks::iter);
+        let ranks: Vec<_> = ranks.map(|rank| rank.to_string()).collect();
+        format!("{service} {}", ranks.join(" "))
+    });
+    services.collect::<Vec<_>>().join(", ")
+}
+
 /// Decodes a manifest and puts it in force; ignores one that is not newer.
 fn activate_manifest(gateway: &Gateway, number: u64, bytes: &[u8]) {
     if number <= manifest_number(gateway) {
@@ -86,7 +101,7 @@
     match config::read_config(bytes) {
         Ok(deployment) => {
             info!(gateway.log, "Manifest in force"; "number" => number, "bytes" => bytes.len(),
-                "services" => deployment.services.len());
+                "services" => deployment.services.len(), "ranks" => ranks(&deployment));
             cold::update_rules(gateway, &deployment);
             *gateway.deployment.borrow_mut() = Some(Arc::new(deployment));
         }
