bug: weigh prompts by the ranks of their routes alone

Ranks of plain calls stretched the scale of prompts besides. Change: weights follow the ranks of routes, for engines those of streams; a customer's rank goes before the route's at engines only. The test of customers' ranks asserted their weights; it now asserts the priority at engines, and weights that do not change, as strictly.

--- a/core/src/deployment.rs
+++ b/core/src/deployment.rs
@@ -181,6 +181,10 @@
             let leads_here = |target: &(ServiceName, u32)| target.0 == *service && target.1 > 0;
             let routes = routes.iter().map(AsRef::as_ref);
             let routes = routes.filter(|route| route.targets.iter().any(leads_here));
+            // Plain calls do not compete with prompts, so their ranks are no scale for them.
+            let has_prompts = self.services[service].engine.is_some();
+            let routes = routes
+                .filter(|route| !has_prompts || matches!(route.kind, CallKind::Stream { .. }));
             let customers = self.keys.values().map(AsRef::as_ref);
             (service.clone(), ServiceRanks::new(routes, customers))
         });
--- a/core/src/rank.rs
+++ b/core/src/rank.rs
@@ -1,9 +1,12 @@
 //! Weight of requests by their rank, relative to the other ranks of their service.
 //!
-//! Rank 0 goes first. A customer's rank takes precedence over that of the route. Only the order of
-//! the ranks counts: the most urgent rank of a service weighs most and the least urgent one least,
-//! in even steps between, so that many ranks make no larger difference than two. A service with
-//! one rank has equal weights, and its requests are placed as without ranks.
+//! Rank 0 goes first. Only the order of the ranks counts: the most urgent rank of a service weighs
+//! most and the least urgent one least, in even steps between, so that many ranks make no larger
+//! difference than two. A service with one rank has equal weights, and its requests are placed as
+//! without ranks.
+//!
+//! Placement weighs the ranks of routes, which all VMs know of each other's prompts. A customer's
+//! rank takes precedence over that of the route where requests are in one place: at an engine.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -58,7 +61,10 @@
 /// Ranks of the requests that a service may get.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ServiceRanks {
+    /// Ranks of the routes.
     ranks: BTreeSet<u8>,
+    /// Ranks of the routes and of all customers.
+    all_ranks: BTreeSet<u8>,
     /// Objectives for the first event and for pauses, and the rank, of each route.
     routes: Vec<(Duration, Duration, u8)>,
 }
@@ -66,8 +72,10 @@
 impl FromIterator<u8> for ServiceRanks {
     /// Collects ranks without their routes.
     fn from_iter<T: IntoIterator<Item = u8>>(iter: T) -> Self {
+        let ranks: BTreeSet<_> = iter.into_iter().collect();
         Self {
-            ranks: iter.into_iter().collect(),
+            all_ranks: ranks.clone(),
+            ranks,
             routes: Vec::new(),
         }
     }
@@ -83,35 +91,43 @@
         let routes: Vec<_> = routes
             .map(|route| (route.objective, pause_objective(route), route.priority))
             .collect();
-        let by_route = routes.iter().map(|(_, _, rank)| *rank);
-        let ranks = by_route.chain(customers.filter_map(|customer| customer.priority));
+        let ranks: BTreeSet<_> = routes.iter().map(|(_, _, rank)| *rank).collect();
+        let of_customers = customers.filter_map(|customer| customer.priority);
         Self {
-            ranks: ranks.collect(),
+            all_ranks: of_customers.chain(ranks.iter().copied()).collect(),
+            ranks,
             routes,
         }
     }
 
-    /// Returns the ranks, the most urgent one first.
+    /// Returns the ranks of routes and customers, the most urgent one first.
     pub fn iter(&self) -> impl Iterator<Item = u8> + '_ {
-        self.ranks.iter().copied()
+        self.all_ranks.iter().copied()
     }
 
-    /// Returns the standing of a rank; a rank that is not listed stands as the next one that is.
+    /// Returns the standing of a request on a route of this rank, whose customer has none.
     #[must_use]
     pub fn standing(&self, rank: u8) -> Standing {
-        let Some(last) = self.ranks.len().checked_sub(1).filter(|last| *last > 0) else {
-            return Standing::default();
-        };
-        let position = self.ranks.range(..rank).count().min(last);
-        let step = |count: usize| f64::from(u8::try_from(count).unwrap_or(u8::MAX));
-        let urgency = 1.0 - 2.0 * step(position) / step(last);
         Standing {
-            weight: LARGEST_WEIGHT.powf(urgency),
-            priority_change: match position {
-                0 => -1,
-                position if position == last => 1,
-                _ => 0,
-            },
+            weight: self.weight(rank),
+            priority_change: self.priority_change(rank),
+        }
+    }
+
+    /// Returns the weight of a route's rank.
+    fn weight(&self, rank: u8) -> f64 {
+        let step = |count: usize| f64::from(u8::try_from(count).unwrap_or(u8::MAX));
+        position(&self.ranks, rank).map_or(1.0, |(position, last)| {
+            LARGEST_WEIGHT.powf(1.0 - 2.0 * step(position) / step(last))
+        })
+    }
+
+    /// Returns by how much a rank changes the priority at an engine.
+    fn priority_change(&self, rank: u8) -> i8 {
+        match position(&self.all_ranks, rank) {
+            Some((0, _)) => -1,
+            Some((position, last)) if position == last => 1,
+            _ => 0,
         }
     }
 
@@ -119,13 +135,15 @@
     #[must_use]
     pub fn standing_of(&self, route: &RouteRule, customer: Option<&CustomerRule>) -> Standing {
         let of_customer = customer.and_then(|customer| customer.priority);
-        self.standing(of_customer.unwrap_or(route.priority))
+        Standing {
+            weight: self.weight(route.priority),
+            priority_change: self.priority_change(of_customer.unwrap_or(route.priority)),
+        }
     }
 
     /// Returns the weight of a prompt that another VM placed, of which only objectives are known.
     ///
-    /// They tell its route; the rank of its customer is not known. Weighs 1 if routes of several
-    /// ranks have these objectives, or none has.
+    /// They tell its route. Weighs 1 if routes of several ranks have these objectives, or none has.
     #[must_use]
     pub fn weight_by_objectives(&self, first_event: Duration, pause: Duration) -> f64 {
         let millis = |time: Duration| time.as_millis();
@@ -134,12 +152,20 @@
         });
         let ranks: BTreeSet<_> = routes.map(|(_, _, rank)| *rank).collect();
         match ranks.first() {
-            Some(rank) if ranks.len() == 1 => self.standing(*rank).weight,
+            Some(rank) if ranks.len() == 1 => self.weight(*rank),
             _ => 1.0,
         }
     }
 }
 
+/// Returns the position of a rank and that of the last one; `None` if there is but one rank.
+///
+/// A rank that is not listed stands as the next one that is.
+fn position(ranks: &BTreeSet<u8>, rank: u8) -> Option<(usize, usize)> {
+    let last = ranks.len().checked_sub(1).filter(|last| *last > 0)?;
+    Some((ranks.range(..rank).count().min(last), last))
+}
+
 /// Returns the objective for the longest pause between two events of an answer.
 #[must_use]
 pub fn pause_objective(route: &RouteRule) -> Duration {
