--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,13 +7,9 @@
 use merlinrudder_node::options::settings::Settings;
 use merlinrudder_node::roles;
 use merlinrudder_node::vm::RunningVm;
-use mimalloc::MiMalloc;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
-
 fn main() -> ExitCode {
     let matches = build_command().get_matches();
     let Some(action) = parse_action(&matches) else {
