bug: tests of several clones no longer take each other's ports

Cause: each run of the tests of ctl took free ports from 13,000 on. Beside a second run, a VM that restarted found its port taken ("Address already in use"), and callers of one run reached VMs of the other. Change: a process locks a block of ports.

--- a/ctl/src/deployment.rs
+++ b/ctl/src/deployment.rs
@@ -1,12 +1,12 @@
 //! Creates a deployment on loopback addresses: certificates, settings files and a manifest.
 
 use std::fmt::Write as _;
-use std::fs;
+use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::Mutex;
 
-use anyhow::{Result, bail};
+use anyhow::{Result, anyhow, bail};
 use merlinrudder_core::units::ContentDigest;
 use serde_json::{Value, json};
 
@@ -17,10 +17,45 @@
 /// Bearer token of backend servers in a local deployment.
 pub const BACKENDS_TOKEN: &str = "backends-token-on-loopback";
 
-/// Next port to try; all deployments of the process share it.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(13_000);
-/// End of the port range, exclusive.
+/// First port of the first block.
+const PORT_RANGE_START: u16 = 13_000;
+/// End of the port range, exclusive; the ephemeral ports of outgoing connections lie above it.
 const PORT_RANGE_END: u16 = 32_000;
+/// Ports that one process takes at a time.
+const PORT_BLOCK_SIZE: usize = 500;
+/// Ports of this process that are not allocated yet; all its deployments share them.
+static PORTS: Mutex<Option<PortBlock>> = Mutex::new(None);
+
+/// Ports that no other process allocates while the lock is held.
+///
+/// Without it, another process could take the ports of a VM that is restarting.
+struct PortBlock {
+    next: u16,
+    /// End of the block, exclusive.
+    end: u16,
+    /// Lock of the block, which ends with the process.
+    _lock: File,
+}
+
+impl PortBlock {
+    /// Locks the first block from port `start` on that no other process holds.
+    fn lock_from(start: u16) -> Result<Self> {
+        for next in (start..PORT_RANGE_END).step_by(PORT_BLOCK_SIZE) {
+            let path = std::env::temp_dir().join(format!("merlinrudder-ports-{next}.lock"));
+            let lock = File::options().create(true).append(true).open(path)?;
+            if lock.try_lock().is_ok() {
+                let size = u16::try_from(PORT_BLOCK_SIZE)?;
+                let end = next.saturating_add(size).min(PORT_RANGE_END);
+                return Ok(Self {
+                    next,
+                    end,
+                    _lock: lock,
+                });
+            }
+        }
+        bail!("no block of ports below {PORT_RANGE_END} is free");
+    }
+}
 
 /// Files and addresses of one VM in a local deployment.
 #[derive(Clone, Debug)]
@@ -81,11 +116,20 @@
 /// All ports lie below the ephemeral range of outgoing connections, so that no connection takes
 /// the port of a VM while it restarts.
 fn allocate_address() -> Result<SocketAddr> {
+    let mut ports = PORTS
+        .lock()
+        .map_err(|_poisoned| anyhow!("a thread panicked while it allocated a port"))?;
     loop {
-        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        if port >= PORT_RANGE_END {
-            bail!("no port below {PORT_RANGE_END} is free");
-        }
+        let block = match ports.take() {
+            Some(block) if block.next < block.end => block,
+            Some(used_up) => PortBlock::lock_from(used_up.end)?,
+            None => PortBlock::lock_from(PORT_RANGE_START)?,
+        };
+        let port = block.next;
+        *ports = Some(PortBlock {
+            next: port + 1,
+            ..block
+        });
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
