feature: starting VMs dial again and pull the manifest sooner

Cause: after a loss of all power, entry VMs dialled control VMs that did not listen yet, and waited 0.5 s; the manifest was pulled from another zone after 0.41 s; followers heard of a commit up to a heartbeat (0.15 s) later. Change: retries after 80 ms, doubling up to 0.5 s, with jitter; 80 ms for the first manifest; followers are told of a commit at the leader's next tick.

--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -29,6 +29,8 @@
     /// Progress of every voter except the leader, and of every learner.
     progress: ProgressTable,
     heartbeat_due: Moment,
+    /// Commit index that the followers were last told.
+    announced_commit: Index,
     /// Position of the no-op entry at the start of the leader's term.
     first_index: Index,
 }
@@ -104,6 +106,7 @@
         self.role = Role::Leader(Leader {
             progress,
             heartbeat_due: now,
+            announced_commit: self.commit_index,
             first_index: next,
         });
         self.append_as_leader(Payload::Noop);
@@ -125,6 +128,8 @@
     }
 
     /// Steps down without a quorum; otherwise sends heartbeats and proposes membership changes.
+    ///
+    /// Followers are told of a commit at the next tick, and apply it then.
     pub(super) fn tick_leader(&mut self, now: Moment) {
         if !self.has_quorum(now) {
             self.become_follower(now, None);
@@ -134,8 +139,9 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        if now >= leader.heartbeat_due {
+        if now >= leader.heartbeat_due || self.commit_index > leader.announced_commit {
             leader.heartbeat_due = now + HEARTBEAT_PERIOD;
+            leader.announced_commit = self.commit_index;
             self.replicate_all(now);
         }
         self.change_voters(now);
--- a/core/src/link_policy.rs
+++ b/core/src/link_policy.rs
@@ -1,4 +1,5 @@
-//! Links between VMs: which of two entry VMs dials, and what an idle link needs.
+//! Links between VMs: which of two entry VMs dials, when an attempt is repeated, and what an idle link
+//! needs.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,6 +21,27 @@
     }
 }
 
+/// Delay after the first failed connection attempt.
+///
+/// VMs that start together often fail once, as the other one does not listen yet.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(80);
+/// Longest delay after a failed connection attempt.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Largest random change of a delay, as a fraction of it.
+///
+/// It keeps VMs that start together from dialling the same VM at the same moments.
+const RETRY_DELAY_JITTER: f64 = 0.25;
+
+/// Returns the delay after `failures` failed connection attempts in a row, at least one.
+///
+/// It doubles with each failure. `draw` is a random number from 0 to 1.
+#[must_use]
+pub fn connect_retry_delay(failures: u32, draw: f64) -> Duration {
+    let doublings = failures.saturating_sub(1).min(8);
+    let delay = (FIRST_RETRY_DELAY * (1 << doublings)).min(MAX_RETRY_DELAY);
+    delay.mul_f64(1.0 + RETRY_DELAY_JITTER * (2.0 * draw - 1.0))
+}
+
 /// Times after which an idle link is kept alive or closed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct IdleLimits {
--- a/core/src/manifest_pull.rs
+++ b/core/src/manifest_pull.rs
@@ -10,16 +10,31 @@
 use crate::names::VmId;
 use crate::time::Moment;
 
-/// Delay before a VM of another zone is asked.
+/// Delay before a VM of another zone is asked for a newer manifest.
 ///
-/// It gives a control VM of the own zone time to obtain the manifest. A follower learns from the
-/// second heartbeat of its leader that a manifest is committed.
+/// It gives a control VM of the own zone time to obtain the manifest.
 const OTHER_ZONE_DELAY: Duration = Duration::from_millis(400);
+/// The same delay while no manifest is in force, as callers are refused meanwhile.
+///
+/// A follower of the own zone learns within it that its leader has committed the manifest.
+const FIRST_MANIFEST_DELAY: Duration = Duration::from_millis(80);
 /// Time after which another VM is asked.
 ///
 /// The transfer of a large manifest over a slow link takes a tenth of it.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Returns how long a VM that has manifest `have` in force waits before it asks another zone.
+///
+/// Number 0 stands for none.
+#[must_use]
+pub fn other_zone_delay(have: ManifestNumber) -> Duration {
+    if have == ManifestNumber(0) {
+        FIRST_MANIFEST_DELAY
+    } else {
+        OTHER_ZONE_DELAY
+    }
+}
+
 /// A VM that advertised a manifest.
 #[derive(Clone, Copy, Debug)]
 struct Source {
@@ -81,13 +96,13 @@
         if self.pending_since.is_some_and(in_flight) {
             return None;
         }
+        let delay = other_zone_delay(have);
         let newer = self
             .sources
             .iter_mut()
             .filter(|(_, source)| source.number > have);
-        let mut ready = newer.filter(|(_, source)| {
-            source.same_zone || now.since(source.advertised_at) >= OTHER_ZONE_DELAY
-        });
+        let mut ready = newer
+            .filter(|(_, source)| source.same_zone || now.since(source.advertised_at) >= delay);
         let first = ready.next()?;
         let best = ready.fold(first, |best, other| {
             let rank = |source: &Source| (source.requests, !source.same_zone);
--- a/core/tests/integration/consensus.rs
+++ b/core/tests/integration/consensus.rs
@@ -1,6 +1,7 @@
 //! Rules of the consensus state machine, each on a single replica.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use merlinrudder_core::consensus::log::Log;
 use merlinrudder_core::consensus::message::{
@@ -187,3 +188,37 @@
     assert_eq!(voters_left(4).len(), 4);
     assert_eq!(voters_left(usize::MAX).len(), 4);
 }
+
+/// Guards against entry VMs that wait a heartbeat period for the manifest of a new leader.
+#[test]
+fn followers_are_told_of_a_commit_at_the_next_tick() {
+    let mut consensus = open_replica(1, 3);
+    let now = elect(&mut consensus);
+    let term = consensus.term();
+    let index = Index(1);
+    consensus.tick(now);
+    consensus.take_outputs();
+    consensus.mark_synced(index, term);
+    let body = Body::AppendReply {
+        success: true,
+        index,
+    };
+    consensus.receive(now, &replica(2), Message { term, body });
+    assert_eq!(consensus.commit_index(), index);
+    consensus.take_outputs();
+    consensus.tick(now + Duration::from_millis(10));
+    let announces = |output: &Output| {
+        let Output::Send(_, message) = output else {
+            return false;
+        };
+        matches!(message.body, Body::Append { commit, .. } if commit == index)
+    };
+    assert_eq!(
+        consensus
+            .take_outputs()
+            .iter()
+            .filter(|o| announces(o))
+            .count(),
+        2
+    );
+}
--- a/core/tests/integration/link_policy.rs
+++ b/core/tests/integration/link_policy.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use merlinrudder_core::link_policy::{
-    DIAL_HELP_DELAY, IDLE_CHECK_INTERVAL, IdleAction, IdleLimits, LinkIdle, dial_delay,
+    DIAL_HELP_DELAY, IDLE_CHECK_INTERVAL, IdleAction, IdleLimits, LinkIdle, connect_retry_delay,
+    dial_delay,
 };
 
 fn address(text: &str) -> SocketAddr {
@@ -115,3 +116,21 @@
     }
     assert!(silence + step <= Duration::from_millis(1500), "{silence:?}");
 }
+
+/// Guards against callers that wait for a VM which dialled a control VM just before it listened.
+///
+/// The first retry came after 500 ms, on all VMs at once.
+#[test]
+fn a_vm_that_fails_once_dials_again_soon() {
+    for draw in [0.0, 0.5, 1.0] {
+        assert!(connect_retry_delay(1, draw) <= Duration::from_millis(100));
+    }
+}
+
+/// Guards against VMs that dial an unreachable one without end at the pace of the first retry.
+#[test]
+fn later_retries_are_rarer_up_to_a_limit() {
+    let delays: Vec<_> = (1..=20).map(|n| connect_retry_delay(n, 0.5)).collect();
+    assert!(delays.is_sorted());
+    assert_eq!(delays[19], Duration::from_millis(500));
+}
--- a/core/tests/integration/manifest_pull.rs
+++ b/core/tests/integration/manifest_pull.rs
@@ -67,3 +67,14 @@
     pull.disconnected(&vm(0));
     assert_eq!(pull.next_source(Moment::from_millis(1), HAVE), Some(vm(1)));
 }
+
+/// Guards against callers that are refused for 0.4 s because the control VM of the own zone is late.
+#[test]
+fn a_vm_without_a_manifest_asks_another_zone_soon() {
+    let none = ManifestNumber(0);
+    let mut pull = ManifestPull::default();
+    pull.advertised(Moment::default(), &vm(4), NEW, false);
+    assert_eq!(pull.next_source(Moment::default(), none), None);
+    let later = Moment::from_millis(100);
+    assert_eq!(pull.next_source(later, none), Some(vm(4)));
+}
--- a/node/src/gateway/manifest_sync.rs
+++ b/node/src/gateway/manifest_sync.rs
@@ -6,6 +6,7 @@
 
 use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::manifest::ManifestNumber;
+use merlinrudder_core::manifest_pull::other_zone_delay;
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::rank::ServiceRanks;
 use merlinrudder_platform::config;
@@ -18,8 +19,8 @@
 use super::entry_links;
 use super::state::Gateway;
 
-/// Delay after which a newer manifest may be requested from another zone.
-const PULL_RETRY_DELAY: Duration = Duration::from_millis(410);
+/// Time by which a request to another zone follows the end of its delay.
+const PULL_MARGIN: Duration = Duration::from_millis(10);
 
 /// Returns the number of the manifest in force; 0 if there is none.
 fn manifest_number(gateway: &Gateway) -> u64 {
@@ -76,7 +77,8 @@
 
 /// Pulls after a delay, from another zone if this zone has not delivered.
 async fn pull_manifest_later(gateway: Rc<Gateway>) {
-    sleep(PULL_RETRY_DELAY).await;
+    let have = ManifestNumber(manifest_number(&gateway));
+    sleep(other_zone_delay(have) + PULL_MARGIN).await;
     pull_manifest(&gateway);
 }
 
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -13,7 +13,9 @@
 use std::time::Duration;
 
 use anyhow::{Result, anyhow, bail};
-use merlinrudder_core::link_policy::{IDLE_CHECK_INTERVAL, IdleLimits, dial_delay};
+use merlinrudder_core::link_policy::{
+    IDLE_CHECK_INTERVAL, IdleLimits, connect_retry_delay, dial_delay,
+};
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::{
     MAX_FRAME_BYTES, MeshMessage, WireFeatures, decode_frame, decode_handshake, encode_frame,
@@ -40,8 +42,6 @@
 const LINK_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a closed link is opened again, and after a failed `accept`.
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
-/// Delay after a failed connection attempt.
-const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Failed connection attempts in a row after which a non-seed address is given up.
 const MAX_CONNECT_FAILURES: u32 = 120;
 /// Messages that may wait for one link.
@@ -263,8 +263,9 @@
         }
         return 0;
     }
-    sleep(CONNECT_RETRY_DELAY).await;
-    failures + 1
+    let failures = failures + 1;
+    sleep(connect_retry_delay(failures, fastrand::f64())).await;
+    failures
 }
 
 fn give_up(shared: &Shared, address: SocketAddr) {
