bug: a replica learns the voters of a new cluster also after its first entries

Cause of the two known reds with no leader for 60 s, traced by the new log lines: the first leader of a new cluster is elected, and replicates an entry, before the others have heard who the voters are (a hello every 300 ms). As their logs were not empty any more, they never took the voters from a later hello. They followed that leader, but as nobody knew a voter, none of them campaigned after it died: both logged the killed leader and its term for 60 s, and saw each other alive. An election that comes soon after the cluster is formed is enough, so it comes seldom, and on a busy machine. Ruled out: connections to earlier processes (the killed VM was never restarted), ports (own blocks by then), disks (no slow sync logged).

--- a/core/tests/integration/consensus.rs
+++ b/core/tests/integration/consensus.rs
@@ -5,7 +5,7 @@
 
 use merlinrudder_core::consensus::log::Log;
 use merlinrudder_core::consensus::message::{
-    Body, HardState, Index, Message, Payload, ReplicaId, Term, VoteKind,
+    Body, Entry, HardState, Index, Message, Payload, ReplicaId, Term, VoteKind,
 };
 use merlinrudder_core::consensus::{
     Consensus, ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN, HEARTBEAT_PERIOD, LOST_VOTER_TIMEOUT,
@@ -222,3 +222,31 @@
         2
     );
 }
+
+/// Guards against followers that never replace a leader which died.
+///
+/// A new cluster's first leader was elected, and replicated its first entry, before the others had
+/// heard who the voters are; as their logs were not empty any more, they did not learn it later.
+#[test]
+fn a_replica_learns_the_voters_after_it_received_entries() {
+    let mut consensus = Consensus::open(START, replica(2), HardState::default(), Log::default(), 2);
+    let entry = Entry {
+        term: Term(1),
+        index: Index(1),
+        payload: Payload::Noop,
+    };
+    let body = Body::Append {
+        prev_index: Index(0),
+        prev_term: Term(0),
+        entries: vec![entry],
+        commit: Index(0),
+    };
+    let term = Term(1);
+    consensus.receive(START, &replica(1), Message { term, body });
+    consensus.adopt_voters((1..=3).map(replica).collect());
+    assert_eq!(consensus.log().last_index(), Index(1), "no entry is lost");
+    consensus.take_outputs();
+    consensus.tick(START + ELECTION_TIMEOUT_MAX);
+    let asks = |output: &Output| matches!(output, Output::Send(to, _) if *to == replica(3));
+    assert!(consensus.take_outputs().iter().any(asks), "it campaigns");
+}
