--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -2,8 +2,9 @@
 //!
 //! A link is a TCP connection that carries length-prefixed frames in both directions. Either side
 //! sends heartbeats and closes a link on which nothing arrives, so a dead connection is detected
-//! while it is idle. One task visits all links for that, so an idle link needs no timer. The side that dialled connects again. Of two entry VMs, the one with the lower
-//! address dials, and the other one helps if no link opens.
+//! while it is idle. One task visits all links for that, so an idle link needs no timer. The side
+//! that dialled connects again. Of two entry VMs, the one with the lower address dials, and the
+//! other one helps if no link opens.
 
 mod table;
 
