--- a/core/tests/integration/log_fuzz.rs
+++ b/core/tests/integration/log_fuzz.rs
@@ -197,7 +197,7 @@
 
 /// Returns the time from the start of `voters` replicas, all but `missing`, until one leads.
 ///
-/// In steps of 10 ms. All lost power before; packets take up to 40 ms.
+/// The time is in steps of 10 ms. All lost power before; packets take up to 40 ms.
 fn steps_to_leader(voters: u8, missing: u8, seed: u64) -> u32 {
     let mut sim = Sim::new(voters, seed, InjectedFault::Nothing);
     sim.set_lossless();
@@ -209,7 +209,7 @@
         assert_eq!(sim.run_event(event), Ok(()), "seed {seed}");
     }
     let mut steps = 0;
-    while sim.led() == 0 {
+    while !sim.has_leader() {
         assert_eq!(sim.run_event(Event::Run(1)), Ok(()), "seed {seed}");
         steps += 1;
         assert!(steps < 2_000, "seed {seed}: nobody leads");
--- a/core/tests/integration/util.rs
+++ b/core/tests/integration/util.rs
@@ -163,15 +163,10 @@
         self.lossy = false;
     }
 
-    /// Returns the number of replicas that run and know a leader which has committed in its term.
-    pub fn led(&self) -> usize {
-        let running = self.hosts.iter().filter_map(|host| host.consensus.as_ref());
-        let leads = running.clone().any(Consensus::has_committed_in_term);
-        if leads {
-            running.filter(|c| c.leader().is_some()).count()
-        } else {
-            0
-        }
+    /// Whether a replica leads and has committed an entry of its term.
+    pub fn has_leader(&self) -> bool {
+        let mut running = self.hosts.iter().filter_map(|host| host.consensus.as_ref());
+        running.any(Consensus::has_committed_in_term)
     }
 
     /// Carries out an event; fails if a replica violates an invariant.
--- a/ctl/src/deployment.rs
+++ b/ctl/src/deployment.rs
@@ -33,24 +33,23 @@
     next: u16,
     /// End of the block, exclusive.
     end: u16,
-    /// Lock of the block, which ends with the process.
-    _lock: File,
+    /// Locks of this block and of the ones used up before; they end with the process.
+    locks: Vec<File>,
 }
 
 impl PortBlock {
     /// Locks the first block from port `start` on that no other process holds.
-    fn lock_from(start: u16) -> Result<Self> {
+    ///
+    /// `locks` are those of the blocks before.
+    fn lock_from(start: u16, mut locks: Vec<File>) -> Result<Self> {
         for next in (start..PORT_RANGE_END).step_by(PORT_BLOCK_SIZE) {
             let path = std::env::temp_dir().join(format!("merlinrudder-ports-{next}.lock"));
             let lock = File::options().create(true).append(true).open(path)?;
             if lock.try_lock().is_ok() {
                 let size = u16::try_from(PORT_BLOCK_SIZE)?;
                 let end = next.saturating_add(size).min(PORT_RANGE_END);
-                return Ok(Self {
-                    next,
-                    end,
-                    _lock: lock,
-                });
+                locks.push(lock);
+                return Ok(Self { next, end, locks });
             }
         }
         bail!("no block of ports below {PORT_RANGE_END} is free");
@@ -122,8 +121,8 @@
     loop {
         let block = match ports.take() {
             Some(block) if block.next < block.end => block,
-            Some(used_up) => PortBlock::lock_from(used_up.end)?,
-            None => PortBlock::lock_from(PORT_RANGE_START)?,
+            Some(used_up) => PortBlock::lock_from(used_up.end, used_up.locks)?,
+            None => PortBlock::lock_from(PORT_RANGE_START, Vec::new())?,
         };
         let port = block.next;
         *ports = Some(PortBlock {
--- a/node/src/replica/disk.rs
+++ b/node/src/replica/disk.rs
@@ -16,7 +16,7 @@
 
 use crate::constants::DISK_RETRY_DELAY;
 
-/// Time of a sync from which it is logged as slow; a shorter one delays no election.
+/// Time of a sync from which it is logged as slow: half of the shortest election timeout.
 const SLOW_SYNC: Duration = Duration::from_millis(300);
 
 /// Report of the disk thread after a sync.
