bug: voters of a new cluster do not campaign early, and hear of each other at once

With early campaigns the first leader was elected before the next hello told the others who the voters are; cut off within those 0.3 s, it was the only one that knew them. Change: only a replica that knew voters when it was started campaigns early, and the hello that begins a cluster names the voters. Denying votes while no voters are known was tried and dropped: log_fuzz finds a promoted learner that is needed.

--- a/core/src/consensus.rs
+++ b/core/src/consensus.rs
@@ -90,6 +90,8 @@
     election_due: Moment,
     /// When the replica was started.
     started_at: Moment,
+    /// Whether it knew voters when it was started.
+    is_restarted: bool,
     /// When this replica last requested votes (pre-votes excluded).
     campaign_start: Moment,
     /// Elections started or voted in since the last leader; at most `MAX_LEADERLESS_ELECTIONS`.
@@ -112,6 +114,7 @@
     pub fn open(now: Moment, id: ReplicaId, hard_state: HardState, log: Log, seed: u64) -> Self {
         let start = log.snapshot().index;
         let synced_index = log.last_index();
+        let is_restarted = !log.voters().is_empty();
         let mut consensus = Self {
             id,
             hard_state,
@@ -121,6 +124,7 @@
             leader_contact: None,
             election_due: now,
             started_at: now,
+            is_restarted,
             campaign_start: now,
             leaderless_elections: 0,
             commit_index: start,
--- a/core/src/consensus/election.rs
+++ b/core/src/consensus/election.rs
@@ -63,9 +63,13 @@
         EARLY_CAMPAIGN_DELAY + step.saturating_mul(rank) + jitter
     }
 
-    /// Whether this replica has started a short time ago and has had no contact to a leader.
+    /// Whether this replica has restarted a short time ago and has had no contact to a leader.
+    ///
+    /// In a new cluster the others may not know the voters yet.
     fn campaigns_early(&self, now: Moment) -> bool {
-        self.leader_contact.is_none() && now.since(self.started_at) < EARLY_CAMPAIGN_WINDOW
+        self.is_restarted
+            && self.leader_contact.is_none()
+            && now.since(self.started_at) < EARLY_CAMPAIGN_WINDOW
     }
 
     fn draw_below(&mut self, limit: Duration) -> Duration {
--- a/node/src/replica/formation.rs
+++ b/node/src/replica/formation.rs
@@ -43,12 +43,12 @@
         }
         self.next_hello = now + HELLO_PERIOD;
         let own = consensus.id().clone();
-        let voters = consensus.voters().to_vec();
-        if voters.is_empty()
+        if consensus.voters().is_empty()
             && let Some(voters) = self.initial_voters(&own)
         {
             consensus.bootstrap(voters);
         }
+        let voters = consensus.voters().to_vec();
         Some(WireHello::new(own, voters, true))
     }
 
