bug: the first entry of a new cluster names its voters

Change: a leader whose log holds no change of voters yet begins its term with an entry that names them, in place of an empty one. Whoever follows it by an entry can replace it. The adoption from a hello is removed, as nothing is left for it. Tests: followers_of_the_first_leader_can_replace_it (fails before; replaces the test of the adoption, and starts from the election itself); a_replica_that_starts_does_not_depose_a_leader_that_another_hears guards the early campaigns.

--- a/core/src/consensus.rs
+++ b/core/src/consensus.rs
@@ -234,23 +234,6 @@
             .push(Output::Persist(Record::Snapshot(snapshot)));
     }
 
-    /// Adopts the voters that another replica knows, this one among them, unless some are known here.
-    ///
-    /// A replica may receive entries before it hears with which voters the cluster was initialized.
-    /// Without them it could follow a leader, but never replace it.
-    pub fn adopt_voters(&mut self, voters: Vec<ReplicaId>) {
-        if !self.log.voters().is_empty() || !voters.contains(&self.id) {
-            return;
-        }
-        let snapshot = Snapshot {
-            voters,
-            ..self.log.snapshot().clone()
-        };
-        self.log.compact(snapshot.clone());
-        self.outputs
-            .push(Output::Persist(Record::Snapshot(snapshot)));
-    }
-
     /// Processes timeouts: heartbeats, elections, loss of quorum and membership changes.
     pub fn tick(&mut self, now: Moment) {
         if self.is_leader() {
--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -31,7 +31,7 @@
     heartbeat_due: Moment,
     /// Commit index that the followers were last told.
     announced_commit: Index,
-    /// Position of the no-op entry at the start of the leader's term.
+    /// Position of the entry at the start of the leader's term.
     first_index: Index,
 }
 
@@ -109,11 +109,24 @@
             announced_commit: self.commit_index,
             first_index: next,
         });
-        self.append_as_leader(Payload::Noop);
+        let first = self.first_payload();
+        self.append_as_leader(first);
         self.replicate_all(now);
         self.advance_commit();
     }
 
+    /// Returns the payload of the first entry of the term, which commits the entries before it.
+    ///
+    /// In a new cluster it names the voters: a replica that follows may not know them yet, and could
+    /// not campaign once this leader is lost.
+    fn first_payload(&self) -> Payload {
+        if self.log.voters_index() == Index(0) {
+            Payload::Voters(self.log.voters().to_vec())
+        } else {
+            Payload::Noop
+        }
+    }
+
     /// Appends an entry of the current term; returns its position.
     pub(super) fn append_as_leader(&mut self, payload: Payload) -> Index {
         let index = self.log.last_index().next();
--- a/core/tests/integration/consensus.rs
+++ b/core/tests/integration/consensus.rs
@@ -5,7 +5,7 @@
 
 use merlinrudder_core::consensus::log::Log;
 use merlinrudder_core::consensus::message::{
-    Body, Entry, HardState, Index, Message, Payload, ReplicaId, Term, VoteKind,
+    Body, HardState, Index, Message, Payload, ReplicaId, Term, VoteKind,
 };
 use merlinrudder_core::consensus::{
     Consensus, ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN, HEARTBEAT_PERIOD, LOST_VOTER_TIMEOUT,
@@ -226,27 +226,75 @@
 /// Guards against followers that never replace a leader which died.
 ///
 /// A new cluster's first leader was elected, and replicated its first entry, before the others had
-/// heard who the voters are; as their logs were not empty any more, they did not learn it later.
+/// heard who the voters are. They followed it, but as nobody knew a voter, nobody campaigned later.
 #[test]
-fn a_replica_learns_the_voters_after_it_received_entries() {
-    let mut consensus = Consensus::open(START, replica(2), HardState::default(), Log::default(), 2);
-    let entry = Entry {
-        term: Term(1),
-        index: Index(1),
-        payload: Payload::Noop,
-    };
-    let body = Body::Append {
-        prev_index: Index(0),
-        prev_term: Term(0),
-        entries: vec![entry],
-        commit: Index(0),
-    };
-    let term = Term(1);
-    consensus.receive(START, &replica(1), Message { term, body });
-    consensus.adopt_voters((1..=3).map(replica).collect());
-    assert_eq!(consensus.log().last_index(), Index(1), "no entry is lost");
-    consensus.take_outputs();
-    consensus.tick(START + ELECTION_TIMEOUT_MAX);
+fn followers_of_the_first_leader_can_replace_it() {
+    let mut leader = open_replica(1, 3);
+    let now = START + ELECTION_TIMEOUT_MAX;
+    leader.tick(now);
+    let mut follower = Consensus::open(now, replica(2), HardState::default(), Log::default(), 2);
+    exchange(now, &mut leader, &mut follower);
+    assert!(leader.is_leader());
+    assert_eq!(follower.leader(), Some(leader.id()));
+    follower.take_outputs();
+    follower.tick(now + ELECTION_TIMEOUT_MAX);
     let asks = |output: &Output| matches!(output, Output::Send(to, _) if *to == replica(3));
-    assert!(consensus.take_outputs().iter().any(asks), "it campaigns");
+    assert!(follower.take_outputs().iter().any(asks), "it campaigns");
+}
+
+/// Delivers the messages of two replicas to themselves and to each other until there are none.
+fn exchange(now: Moment, one: &mut Consensus, other: &mut Consensus) {
+    loop {
+        let mut messages = Vec::new();
+        for replica in [&mut *one, &mut *other] {
+            let from = replica.id().clone();
+            let sent = replica
+                .take_outputs()
+                .into_iter()
+                .filter_map(|output| match output {
+                    Output::Send(to, message) | Output::SendAfterSync(to, message) => {
+                        Some((from.clone(), to, message))
+                    }
+                    _ => None,
+                });
+            messages.extend(sent);
+        }
+        if messages.is_empty() {
+            return;
+        }
+        for (from, to, message) in messages {
+            for replica in [&mut *one, &mut *other] {
+                if *replica.id() == to {
+                    replica.receive(now, &from, message.clone());
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a replica that starts and deposes a leader which the others hear.
+#[test]
+fn a_replica_that_starts_does_not_depose_a_leader_that_another_hears() {
+    let mut leader = open_replica(1, 3);
+    let now = START + ELECTION_TIMEOUT_MAX;
+    leader.tick(now);
+    let mut follower = open_replica(2, 3);
+    exchange(now, &mut leader, &mut follower);
+    let journal = Log::new(follower.log().snapshot().clone(), Vec::new());
+    let mut started = Consensus::open(now, replica(3), HardState::default(), journal, 3);
+    let term = leader.term();
+    for millis in (0..500).step_by(10) {
+        started.tick(now + Duration::from_millis(millis));
+        exchange(
+            now + Duration::from_millis(millis),
+            &mut started,
+            &mut follower,
+        );
+    }
+    assert_eq!(
+        (started.term(), follower.term()),
+        (term, term),
+        "no new term"
+    );
+    assert!(!started.is_leader());
 }
--- a/node/src/replica/formation.rs
+++ b/node/src/replica/formation.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use merlinrudder_core::consensus::Consensus;
-use merlinrudder_core::consensus::message::ReplicaId;
+use merlinrudder_core::consensus::message::{Index, ReplicaId};
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::WireHello;
@@ -70,8 +70,10 @@
         } else {
             self.empty_peers.remove(&peer.vm);
         }
-        if known_voters.is_empty() && peer_voters.contains(&own) {
-            consensus.adopt_voters(peer_voters);
+        let own_empty = known_voters.is_empty() && consensus.log().last_index() == Index(0);
+        if own_empty && peer_voters.contains(&own) {
+            // The cluster was bootstrapped with this folder's incarnation as a voter.
+            consensus.bootstrap(peer_voters);
         } else if !known_voters.contains(&peer) {
             consensus.add_learner(now, peer);
         }
