bug: the status of a VM lists no voter for a disk that the VM has lost

Callers of the status saw a VM as voter while only its lost disk was one. The tests of ctl read the status.

--- a/node/src/control/status.rs
+++ b/node/src/control/status.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::ControlThread;
+use crate::replica::Replica;
 
 /// Status of a VM and its view of the other VMs and backend servers.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -25,6 +26,8 @@
     /// Raft term of the control log; `None` on a VM without a disk.
     pub term: Option<u64>,
     /// Voters of the control log; empty on a VM without a disk.
+    ///
+    /// This VM is listed only once its present disk is a voter, not for one that it has lost.
     pub voters: Vec<String>,
     /// Number of claims in the control state; `None` on a VM without a disk.
     pub claims: Option<usize>,
@@ -81,7 +84,7 @@
     pub(super) fn status(&self) -> VmStatus {
         let now = self.now();
         let replica = self.replica.as_ref();
-        let voters = replica.map(|r| r.consensus.voters()).unwrap_or_default();
+        let voters = replica.map(present_voters).unwrap_or_default();
         let published = self.published.load();
         let cut_off_since = self.manifests.cut_off_since(now, self.clock.start_time());
         VmStatus {
@@ -92,7 +95,7 @@
             cut_off_since_ms: cut_off_since.map(Moment::as_millis),
             leader: self.leader_vm().map(|vm| vm.to_string()),
             term: replica.map(|r| r.consensus.term().0),
-            voters: voters.iter().map(|voter| voter.vm.to_string()).collect(),
+            voters,
             claims: replica.map(|r| r.state.claims.len()),
             verdicts: published.quarantined.len(),
             held: self.in_flight.len(),
@@ -131,3 +134,11 @@
         status.collect()
     }
 }
+
+/// Returns the VMs of the voters, without a lost disk of this replica's VM.
+fn present_voters(replica: &Replica) -> Vec<String> {
+    let own = replica.consensus.id();
+    let voters = replica.consensus.voters().iter();
+    let present = voters.filter(|voter| voter.vm != own.vm || *voter == own);
+    present.map(|voter| voter.vm.to_string()).collect()
+}
