--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -51,6 +51,20 @@
         self.has_committed_in_term() && self.has_quorum(now)
     }
 
+    /// Returns the time since the last contact to each other voter; empty unless this replica leads.
+    #[must_use]
+    pub fn voter_contacts(&self, now: Moment) -> Vec<(ReplicaId, Duration)> {
+        let Role::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let voters = self.log.voters().iter();
+        let contacts = voters.filter_map(|voter| {
+            let progress = leader.progress.get(voter)?;
+            Some((voter.clone(), now.since(progress.last_contact)))
+        });
+        contacts.collect()
+    }
+
     /// Starts replicating to a replica, which becomes a voter once it has caught up.
     ///
     /// Does nothing on a replica that does not lead.
--- a/node/src/controller/calls.rs
+++ b/node/src/controller/calls.rs
@@ -47,6 +47,7 @@
 #[derive(Debug)]
 struct Call {
     kind: CallKind,
+    started_at: Moment,
     deadline: Moment,
     /// When the call was last sent to the leader; `None` if never.
     sent_at: Option<Moment>,
@@ -130,10 +131,11 @@
             (CallKind::Publish(..), answer) => {
                 if let Some(Call {
                     kind: CallKind::Publish(published, reply),
+                    started_at,
                     ..
                 }) = self.calls.pending.remove(&id)
                 {
-                    self.finish_publish(&published, reply, &answer);
+                    self.finish_publish(started_at, &published, reply, &answer);
                 }
             }
             (CallKind::Read { confirmed, .. }, Answer::Accepted(number)) => {
@@ -159,9 +161,10 @@
         let expired = self.calls.pending.iter().filter(|(_, c)| is_over(c));
         let expired: Vec<_> = expired.map(|(id, _)| *id).collect();
         for id in expired {
-            info!(self.log, "Operator call timed out"; "call" => id,
+            let call = self.calls.pending.remove(&id);
+            let after = call.map(|call| now.since(call.started_at).as_millis());
+            info!(self.log, "Operator call timed out"; "call" => id, "after_ms" => after,
                 "leader" => self.leader_vm().map(|vm| vm.to_string()));
-            self.calls.pending.remove(&id);
         }
         let needs_send = |call: &Call| {
             call.sent_at
@@ -207,7 +210,7 @@
             match (call.kind, &manifest) {
                 (CallKind::Publish(published, reply), Some(manifest)) => {
                     let answer = Answer::Accepted(manifest.number);
-                    self.finish_publish(&published, reply, &answer);
+                    self.finish_publish(call.started_at, &published, reply, &answer);
                 }
                 (CallKind::Read { reply, .. }, Some(manifest)) => {
                     // The operator may have moved on to another VM and closed the channel.
@@ -233,9 +236,16 @@
         }
     }
 
-    fn finish_publish(&self, published: &PublishedManifest, reply: Reply<()>, answer: &Answer) {
+    fn finish_publish(
+        &self,
+        started_at: Moment,
+        published: &PublishedManifest,
+        reply: Reply<()>,
+        answer: &Answer,
+    ) {
+        let took = self.clock.now().since(started_at);
         info!(self.log, "Manifest publish completed"; "number" => published.number.0,
-            "answer" => ?answer);
+            "answer" => ?answer, "took_ms" => took.as_millis());
         // The operator may have moved on to another VM and closed the channel.
         let _ignored = reply.send(());
     }
@@ -246,6 +256,7 @@
         let deadline = now + timeout;
         let call = Call {
             kind,
+            started_at: now,
             deadline,
             sent_at: None,
         };
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -139,7 +139,15 @@
 
     pub(super) fn tick(&mut self) {
         let now = self.clock.now();
+        let contacts = self.replica.consensus.voter_contacts(now);
         self.replica.consensus.tick(now);
+        if !contacts.is_empty() && !self.replica.consensus.is_leader() {
+            let contacts: Vec<_> = contacts
+                .iter()
+                .map(|(voter, age)| format!("{} {}", voter.vm, age.as_millis()))
+                .collect();
+            info!(self.log, "Leader lost its quorum"; "contact_ms" => contacts.join(", "));
+        }
         if let Some(hello) = self.formation.tick(now, &mut self.replica.consensus) {
             for peer in self.control_peers() {
                 self.send(&peer, &MeshMessage::Hello(hello.clone()));
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -22,6 +22,7 @@
 mod ingress;
 mod link_events;
 mod manifest_sync;
+mod manifest_watch;
 mod open_requests;
 mod placement_sync;
 mod rate_limits;
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -108,7 +108,7 @@
             manifest_sync::receive_number(gateway, from, number, current);
         }
         MeshMessage::Manifest { number, bytes, .. } => {
-            manifest_sync::receive(gateway, number, &bytes);
+            manifest_sync::receive(gateway, from, number, &bytes);
         }
         MeshMessage::PullQuarantineList { have } => {
             let now = gateway.now();
--- a/node/src/gateway/manifest_sync.rs
+++ b/node/src/gateway/manifest_sync.rs
@@ -11,13 +11,14 @@
 use merlinrudder_core::rank::ServiceRanks;
 use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
-use slog::{error, info};
+use slog::{debug, error, info};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::cold;
 use super::entry_links;
 use super::state::Gateway;
+use crate::metrics;
 
 /// Time by which a request to another zone follows the end of its delay.
 const PULL_MARGIN: Duration = Duration::from_millis(10);
@@ -47,6 +48,10 @@
         .iter()
         .any(|peer| peer.vm_id() == *from && peer.zone == gateway.zone.as_str());
     let now = gateway.now();
+    gateway.manifest_watch.borrow_mut().heard(now, newest);
+    metrics::set_manifest_heard(newest);
+    debug!(gateway.log, "Manifest heard"; "number" => newest, "from" => %from,
+        "in_force" => local_number, "same_zone" => same_zone, "current" => current);
     let newest = ManifestNumber(newest);
     gateway
         .manifest_pull
@@ -57,7 +62,12 @@
 }
 
 /// Handles a manifest that another VM sent, and asks for a newer one if there is one.
-pub(super) fn receive(gateway: &Gateway, number: u64, bytes: &[u8]) {
+pub(super) fn receive(gateway: &Gateway, from: &VmId, number: u64, bytes: &[u8]) {
+    let asked = gateway.manifest_watch.borrow().asked_at(from);
+    info!(gateway.log, "Manifest received"; "number" => number, "bytes" => bytes.len(),
+        "from" => %from, "in_force" => manifest_number(gateway),
+        "took_ms" => asked.map(|at| gateway.now().since(at).as_millis()));
+    metrics::count_manifest_received(bytes.len());
     gateway.manifest_pull.borrow_mut().received();
     activate_manifest(gateway, number, bytes);
     pull_manifest(gateway);
@@ -71,6 +81,12 @@
         .borrow_mut()
         .next_source(gateway.now(), ManifestNumber(have));
     if let Some(vm) = next {
+        gateway
+            .manifest_watch
+            .borrow_mut()
+            .asked(gateway.now(), &vm);
+        info!(gateway.log, "Manifest requested"; "have" => have, "from" => %vm);
+        metrics::count_manifest_pull();
         gateway.links.send(&vm, &MeshMessage::PullManifest { have });
     }
 }
@@ -102,8 +118,12 @@
     }
     match config::read_config(bytes) {
         Ok(deployment) => {
+            let now = gateway.now();
+            let waited = gateway.manifest_watch.borrow_mut().in_force(now, number);
             info!(gateway.log, "Manifest in force"; "number" => number, "bytes" => bytes.len(),
+                "heard_ms" => waited.time.as_millis(), "overtaken" => waited.overtaken,
                 "services" => deployment.services.len(), "ranks" => ranks(&deployment));
+            metrics::observe_manifest_in_force(number, waited.time);
             cold::update_rules(gateway, &deployment);
             *gateway.deployment.borrow_mut() = Some(Arc::new(deployment));
         }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -26,6 +26,7 @@
 use super::buffer_budget::BufferBudget;
 use super::capacity::CapacityWatch;
 use super::crash_watch::CrashWatch;
+use super::manifest_watch::ManifestWatch;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
 use super::upstream::ConnectionPool;
@@ -60,6 +61,8 @@
     pub(super) deployment: RefCell<Option<Arc<Deployment>>>,
     /// Chooses the VM to request a newer manifest from.
     pub(super) manifest_pull: RefCell<ManifestPull>,
+    /// Times of what was heard and asked of newer manifests, for logs and metrics.
+    pub(super) manifest_watch: RefCell<ManifestWatch>,
     /// Known backend servers with their load and health.
     pub(super) fleet: RefCell<Fleet>,
     /// Admitted requests whose outcome is not known yet.
@@ -127,6 +130,7 @@
             links,
             deployment: RefCell::new(None),
             manifest_pull: RefCell::default(),
+            manifest_watch: RefCell::default(),
             fleet: RefCell::new(fleet),
             open_requests: OpenRequests::default(),
             reach: RefCell::default(),
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -39,6 +39,8 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a byte written, while some wait, after which a link is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time to write a frame from which it is logged.
+const SLOW_WRITE: Duration = Duration::from_millis(200);
 /// Timeout for opening a TCP connection to another VM.
 const LINK_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a closed link is opened again, and after a failed `accept`.
@@ -322,7 +324,7 @@
     let result = tokio::select! {
         result = read_messages(shared, &vm, &mut reader, &signals) => result,
         () = signals.silent.notified() => Err(anyhow!("silent")),
-        result = write_frames(&mut writer, frames) => result,
+        result = write_frames(shared, &vm, &mut writer, frames) => result,
     };
     let was_last = shared.table.close(&vm, id);
     metrics::set_open_links(shared.table.count());
@@ -406,12 +408,23 @@
 }
 
 /// Writes queued frames; an empty one is a heartbeat.
+///
+/// A frame that takes long is logged, as the frames behind it wait meanwhile.
 async fn write_frames(
+    shared: &Shared,
+    vm: &VmId,
     writer: &mut OwnedWriteHalf,
     mut frames: mpsc::Receiver<Vec<u8>>,
 ) -> Result<()> {
     while let Some(frame) = frames.recv().await {
+        let start = Instant::now();
         write_frame(writer, &frame).await?;
+        let elapsed = start.elapsed();
+        metrics::observe_frame_write(elapsed);
+        if elapsed >= SLOW_WRITE {
+            info!(shared.log, "Slow write to a link"; "peer" => %vm, "bytes" => frame.len(),
+                "took_ms" => elapsed.as_millis(), "queued" => frames.len());
+        }
     }
     bail!("frame queue closed")
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the server, rendered as Prometheus text.
 
+mod manifests;
 mod servers;
 mod vms;
 
@@ -10,13 +11,17 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
+pub use self::manifests::{
+    count_manifest_pull, count_manifest_received, observe_manifest_in_force, set_manifest_heard,
+};
 pub use self::servers::{
     count_announcement, count_cold_left_out, count_dropped_event, count_leaving_answer,
     count_limited_answer, count_retry_after_answer, set_capacity_age, set_capacity_gauges,
     set_cold_gauge, set_crash_gauges, set_evacuated_requests, set_evacuated_zones,
 };
 pub use self::vms::{
-    count_mesh_dropped, count_mesh_sent, set_control_gauges, set_load_gauges, set_open_links,
+    count_mesh_dropped, count_mesh_sent, observe_frame_write, set_control_gauges, set_load_gauges,
+    set_open_links,
 };
 
 const REFUSALS: &str = "merlinrudder_refusals_total";
--- /dev/null
+++ b/node/src/metrics/manifests.rs
@@ -0,0 +1,34 @@
+//! Metrics of how manifests reach this VM.
+
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+
+const PULLS: &str = "merlinrudder_manifest_pulls_total";
+const RECEIVED: &str = "merlinrudder_manifest_received_total";
+const RECEIVED_BYTES: &str = "merlinrudder_manifest_received_bytes_total";
+const DELAY: &str = "merlinrudder_manifest_delay_seconds";
+
+/// Sets the gauge of the newest manifest number that this VM has heard of.
+pub fn set_manifest_heard(number: u64) {
+    #[expect(clippy::cast_precision_loss, reason = "numbers stay far below 2^52")]
+    gauge!("merlinrudder_manifest_heard").set(number as f64);
+}
+
+/// Counts a request for a newer manifest.
+pub fn count_manifest_pull() {
+    counter!(PULLS).increment(1);
+}
+
+/// Counts a manifest that arrived, with its bytes.
+pub fn count_manifest_received(bytes: usize) {
+    counter!(RECEIVED).increment(1);
+    counter!(RECEIVED_BYTES).increment(bytes as u64);
+}
+
+/// Sets the gauge of the manifest in force, and records the time since it was first heard of.
+pub fn observe_manifest_in_force(number: u64, delay: Duration) {
+    #[expect(clippy::cast_precision_loss, reason = "numbers stay far below 2^52")]
+    gauge!("merlinrudder_manifest_in_force").set(number as f64);
+    histogram!(DELAY).record(delay.as_secs_f64());
+}
--- a/node/src/metrics/vms.rs
+++ b/node/src/metrics/vms.rs
@@ -1,6 +1,8 @@
 //! Metrics of this VM: messages and links to other VMs, its load, and its control log.
 
-use metrics::{counter, gauge};
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
 
 use super::set_gauge;
 
@@ -12,6 +14,11 @@
     counter!(MESH_SENT).increment(bytes as u64);
 }
 
+/// Records the time that a frame took to be written to a link.
+pub fn observe_frame_write(time: Duration) {
+    histogram!("merlinrudder_mesh_write_seconds").record(time.as_secs_f64());
+}
+
 /// Counts a message to another VM that was dropped instead of sent.
 pub fn count_mesh_dropped() {
     counter!(MESH_DROPPED).increment(1);
