--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -25,6 +25,7 @@
 mod log_fuzz;
 mod long_prompt_bursts;
 mod manifest_pull;
+mod manifest_spread;
 mod membership;
 mod pair_start;
 mod peer_list;
--- a/core/tests/integration/manifest_pull.rs
+++ b/core/tests/integration/manifest_pull.rs
@@ -1,5 +1,7 @@
 //! Selection of the VM from which a new manifest is fetched.
 
+use std::time::Duration;
+
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::VmId;
@@ -78,3 +80,17 @@
     let later = Moment::from_millis(100);
     assert_eq!(pull.next_source(later, none), Some(vm(4)));
 }
+
+/// Guards against a zone without control VMs that gets no manifest while a storm lasts.
+#[test]
+fn another_zone_is_asked_during_a_storm_closer_than_its_delay() {
+    let mut pull = ManifestPull::default();
+    let mut asked = None;
+    for number in 2..42 {
+        let now = Moment::from_millis(number * 100);
+        pull.advertised(now, &vm(4), ManifestNumber(number), false);
+        asked = asked.or(pull.next_source(now, HAVE).map(|_| now));
+    }
+    let bound = Moment::from_millis(200) + Duration::from_millis(2_500 / 3);
+    assert!(asked.is_some_and(|asked| asked <= bound), "{asked:?}");
+}
--- a/core/tests/integration/util.rs
+++ b/core/tests/integration/util.rs
@@ -8,6 +8,7 @@
 mod crashes;
 pub mod engine_sim;
 pub mod learning_sim;
+pub mod manifest_sim;
 mod network;
 mod oracle;
 pub mod rate_sim;
