bug: a storm of manifests no longer keeps a zone without its control VM from asking another zone

What callers saw: VMs of a whole zone refused by a manifest that was replaced up to the length of a storm and 0.4 s before.

Cause: each higher number restarted the delay after which VMs of other zones are asked, and made a silent control VM of the own zone the first choice again. While manifests came closer together than 400 ms, a zone whose control VM was lost or behind asked nobody.

Fix: the delay counts from when this VM fell behind, and only while a control VM of the own zone answers; a VM that did not answer within 600 ms is asked last for 5 s; a request stays pending unless the VM that was asked is lost; one task sends requests when they are due, instead of at the next number. VMs of a zone spread over its control VMs, and in a retry over those of other zones: before, all took the lowest id.

--- a/core/tests/integration/util/manifest_sim.rs
+++ b/core/tests/integration/util/manifest_sim.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use merlinrudder_core::manifest::ManifestNumber;
-use merlinrudder_core::manifest_pull::{ManifestPull, other_zone_delay};
+use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::time::Moment;
 
@@ -84,8 +84,6 @@
     in_force: u64,
     /// Manifest that is being decoded, and when that ends.
     decoding: Option<(u64, u64)>,
-    /// Times at which to look whether a request is due.
-    wake_at: Vec<u64>,
     bytes: f64,
 }
 
@@ -126,10 +124,9 @@
         });
         let entry = (0..site.entry_vms).map(|number| EntryVm {
             zone: number % site.zones,
-            pull: ManifestPull::default(),
+            pull: ManifestPull::new(VmId::from(format!("entry-{number}"))),
             in_force: 1,
             decoding: None,
-            wake_at: Vec::new(),
             bytes: 0.0,
         });
         Self {
@@ -236,7 +233,7 @@
             }
             Payload::Document(number) => {
                 let entry = &mut self.entry[vm];
-                entry.pull.received();
+                entry.pull.received(&control_id(control));
                 if number > entry.in_force {
                     let decode_ms = self.storm.document_bytes * DECODE_NS / 1e6;
                     let decode =
@@ -248,17 +245,9 @@
     }
 
     fn hear(&mut self, vm: usize, control: usize, number: u64, same_zone: bool) {
-        let now = self.moment();
-        let entry = &mut self.entry[vm];
-        if number <= entry.in_force {
-            return;
-        }
         let from = control_id(control);
-        entry
-            .pull
-            .advertised(now, &from, ManifestNumber(number), same_zone);
-        let delay = other_zone_delay(ManifestNumber(entry.in_force));
-        entry.wake_at.push((now + delay).as_millis() + 10);
+        let pull = &mut self.entry[vm].pull;
+        pull.advertised(&from, ManifestNumber(number), same_zone);
         self.ask(vm);
     }
 
@@ -271,10 +260,10 @@
             return;
         }
         let have = ManifestNumber(entry.in_force);
-        let Some(source) = entry.pull.next_source(now, have) else {
+        let Some(request) = entry.pull.next_request(now, have) else {
             return;
         };
-        let source = (0..self.control.len()).find(|number| control_id(*number) == source);
+        let source = (0..self.control.len()).find(|number| control_id(*number) == request.vm);
         let control = &mut self.control[source.expect("a known VM")];
         if !control.frozen && control.newest > have.0 {
             control.queues[vm].push_back(Frame {
@@ -290,13 +279,8 @@
             if let Some((number, _)) = entry.decoding.filter(|(_, end)| *end <= self.now) {
                 entry.decoding = None;
                 entry.in_force = number;
-                self.ask(vm);
-            }
-            let now = self.now;
-            let due = self.entry[vm].wake_at.extract_if(.., |at| *at <= now);
-            if due.count() > 0 {
-                self.ask(vm);
             }
+            self.ask(vm);
             if (SILENCE_MS..SILENCE_MS + STEP_MS).contains(&self.now) {
                 for frozen in 0..self.site.frozen {
                     self.entry[vm].pull.disconnected(&control_id(frozen));
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -135,6 +135,7 @@
         }
         let gateway = Rc::new(Gateway::new(&config, relay.token, links, log));
         spawn_local(link_events::run(Rc::clone(&gateway), receiver));
+        spawn_local(manifest_sync::run(Rc::clone(&gateway)));
         spawn_local(entry_links::release_later(Rc::clone(&gateway)));
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -76,7 +76,7 @@
 fn link_down(gateway: &Rc<Gateway>, vm: &VmId) {
     let now = gateway.now();
     let has_control_link = gateway.links.peers().iter().any(|peer| peer.control);
-    gateway.manifest_pull.borrow_mut().disconnected(vm);
+    manifest_sync::link_down(gateway, vm);
     gateway.crashes.borrow_mut().exchange.link_down(vm);
     gateway.relays.borrow_mut().remove(vm);
     placement_sync::link_down(gateway, vm);
--- a/node/src/gateway/manifest_sync.rs
+++ b/node/src/gateway/manifest_sync.rs
@@ -1,18 +1,16 @@
 //! Pulls newer manifests from other VMs and puts them in force.
 
-use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
-
 use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::manifest::ManifestNumber;
-use merlinrudder_core::manifest_pull::other_zone_delay;
+use merlinrudder_core::manifest_pull::PullRequest;
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::rank::ServiceRanks;
 use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
 use slog::{debug, error, info};
-use tokio::task::spawn_local;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::sleep;
 
 use super::cold;
@@ -20,20 +18,24 @@
 use super::state::Gateway;
 use crate::metrics;
 
-/// Time by which a request to another zone follows the end of its delay.
-const PULL_MARGIN: Duration = Duration::from_millis(10);
-
 /// Returns the number of the manifest in force; 0 if there is none.
 fn manifest_number(gateway: &Gateway) -> u64 {
     let deployment = gateway.deployment.borrow();
     deployment.as_ref().map_or(0, |d| d.number.0)
 }
 
-/// Handles a manifest number that a control VM advertises, and pulls a newer manifest.
+/// Handles a manifest number that a control VM advertises; a newer manifest is pulled.
 ///
 /// `current` tells whether that VM is in contact with the leader. Only then does an equal or
 /// lower number confirm that the manifest in force is the newest.
 pub(super) fn receive_number(gateway: &Rc<Gateway>, from: &VmId, newest: u64, current: bool) {
+    let peers = gateway.links.peers();
+    let same_zone = peers
+        .iter()
+        .any(|peer| peer.vm_id() == *from && peer.zone == gateway.zone.as_str());
+    let mut pull = gateway.manifest_pull.borrow_mut();
+    pull.advertised(from, ManifestNumber(newest), same_zone);
+    drop(pull);
     let local_number = manifest_number(gateway);
     if newest <= local_number {
         if current && newest > 0 && !gateway.manifest_confirmed.replace(true) {
@@ -43,59 +45,63 @@
         }
         return;
     }
-    let peers = gateway.links.peers();
-    let same_zone = peers
-        .iter()
-        .any(|peer| peer.vm_id() == *from && peer.zone == gateway.zone.as_str());
     let now = gateway.now();
     gateway.manifest_watch.borrow_mut().heard(now, newest);
     metrics::set_manifest_heard(newest);
     debug!(gateway.log, "Manifest heard"; "number" => newest, "from" => %from,
         "in_force" => local_number, "same_zone" => same_zone, "current" => current);
-    let newest = ManifestNumber(newest);
-    gateway
-        .manifest_pull
-        .borrow_mut()
-        .advertised(now, from, newest, same_zone);
-    pull_manifest(gateway);
-    spawn_local(pull_manifest_later(Rc::clone(gateway)));
+    gateway.manifest_wake.notify_one();
 }
 
-/// Handles a manifest that another VM sent, and asks for a newer one if there is one.
+/// Handles a manifest that another VM sent; a still newer one is pulled.
 pub(super) fn receive(gateway: &Gateway, from: &VmId, number: u64, bytes: &[u8]) {
     let asked = gateway.manifest_watch.borrow().asked_at(from);
     info!(gateway.log, "Manifest received"; "number" => number, "bytes" => bytes.len(),
         "from" => %from, "in_force" => manifest_number(gateway),
         "took_ms" => asked.map(|at| gateway.now().since(at).as_millis()));
     metrics::count_manifest_received(bytes.len());
-    gateway.manifest_pull.borrow_mut().received();
+    gateway.manifest_pull.borrow_mut().received(from);
     activate_manifest(gateway, number, bytes);
-    pull_manifest(gateway);
+    gateway.manifest_wake.notify_one();
+}
+
+/// Forgets what a VM advertised that is no longer linked.
+pub(super) fn link_down(gateway: &Gateway, vm: &VmId) {
+    gateway.manifest_pull.borrow_mut().disconnected(vm);
+    gateway.manifest_wake.notify_one();
 }
 
-/// Requests a newer manifest from one VM, unless a request is pending.
-fn pull_manifest(gateway: &Gateway) {
-    let have = manifest_number(gateway);
-    let next = gateway
-        .manifest_pull
-        .borrow_mut()
-        .next_source(gateway.now(), ManifestNumber(have));
-    if let Some(vm) = next {
-        gateway
-            .manifest_watch
-            .borrow_mut()
-            .asked(gateway.now(), &vm);
-        info!(gateway.log, "Manifest requested"; "have" => have, "from" => %vm);
-        metrics::count_manifest_pull();
-        gateway.links.send(&vm, &MeshMessage::PullManifest { have });
+/// Requests newer manifests until the process exits.
+pub(super) async fn run(gateway: Rc<Gateway>) {
+    loop {
+        let wait = request_if_due(&gateway);
+        tokio::select! {
+            () = gateway.manifest_wake.notified() => {}
+            () = sleep(wait) => {}
+        }
+    }
+}
+
+/// Requests a newer manifest if that is due; returns the time until it may be due next.
+fn request_if_due(gateway: &Gateway) -> Duration {
+    let have = ManifestNumber(manifest_number(gateway));
+    let now = gateway.now();
+    let mut pull = gateway.manifest_pull.borrow_mut();
+    if let Some(request) = pull.next_request(now, have) {
+        send_request(gateway, &request, have);
     }
+    let due = pull.next_due(now, have);
+    due.map_or(Duration::MAX, |due| due.since(now))
 }
 
-/// Pulls after a delay, from another zone if this zone has not delivered.
-async fn pull_manifest_later(gateway: Rc<Gateway>) {
-    let have = ManifestNumber(manifest_number(&gateway));
-    sleep(other_zone_delay(have) + PULL_MARGIN).await;
-    pull_manifest(&gateway);
+fn send_request(gateway: &Gateway, request: &PullRequest, have: ManifestNumber) {
+    let now = gateway.now();
+    gateway.manifest_watch.borrow_mut().asked(now, &request.vm);
+    info!(gateway.log, "Manifest requested"; "have" => have.0, "from" => %request.vm,
+        "reason" => ?request.reason);
+    metrics::count_manifest_pull(request.reason);
+    let message = MeshMessage::PullManifest { have: have.0 };
+    gateway.links.send(&request.vm, &message);
 }
 
 /// Describes the ranks of each service for the log, as in `drafts 0 1, calls 2`.
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -20,7 +20,7 @@
 use merlinrudder_core::retry::{RetryLimits, RetryWindow};
 use merlinrudder_core::time::Moment;
 use slog::{Logger, debug, o};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::GatewayConfig;
 use super::buffer_budget::BufferBudget;
@@ -61,6 +61,8 @@
     pub(super) deployment: RefCell<Option<Arc<Deployment>>>,
     /// Chooses the VM to request a newer manifest from.
     pub(super) manifest_pull: RefCell<ManifestPull>,
+    /// Wakes the task that requests manifests, once what it knows has changed.
+    pub(super) manifest_wake: Notify,
     /// Times of what was heard and asked of newer manifests, for logs and metrics.
     pub(super) manifest_watch: RefCell<ManifestWatch>,
     /// Known backend servers with their load and health.
@@ -123,14 +125,15 @@
             .learn_capacity
             .then(|| CapacityTable::new(vm.clone()));
         Self {
-            vm,
             outbox: RefCell::new(Outbox::new(zone.clone())),
             zone,
             clock,
             links,
             deployment: RefCell::new(None),
-            manifest_pull: RefCell::default(),
+            manifest_pull: RefCell::new(ManifestPull::new(vm.clone())),
+            manifest_wake: Notify::new(),
             manifest_watch: RefCell::default(),
+            vm,
             fleet: RefCell::new(fleet),
             open_requests: OpenRequests::default(),
             reach: RefCell::default(),
--- a/node/src/metrics/manifests.rs
+++ b/node/src/metrics/manifests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use merlinrudder_core::manifest_pull::PullReason;
 use metrics::{counter, gauge, histogram};
 
 const PULLS: &str = "merlinrudder_manifest_pulls_total";
@@ -15,9 +16,14 @@
     gauge!("merlinrudder_manifest_heard").set(number as f64);
 }
 
-/// Counts a request for a newer manifest.
-pub fn count_manifest_pull() {
-    counter!(PULLS).increment(1);
+/// Counts a request for a newer manifest by why its VM is asked.
+pub fn count_manifest_pull(reason: PullReason) {
+    let reason = match reason {
+        PullReason::OwnZone => "own_zone",
+        PullReason::OtherZone => "other_zone",
+        PullReason::Retry => "retry",
+    };
+    counter!(PULLS, "reason" => reason).increment(1);
 }
 
 /// Counts a manifest that arrived, with its bytes.
