bug: documents no longer crowd out what else control VMs send each other

Fix: the leader lets a repeat, or a manifest that is overtaken, wait for the entry that is not committed yet, and answers by what is in force then (core/src/publishing.rs); frames from 4 KiB on are compressed for VMs that understand it; bytes are encoded in one piece, the same on the wire; documents are checked on another thread.

--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -84,6 +84,7 @@
         let features = WireFeatures {
             evacuations: true,
             cold: true,
+            compressed_frames: true,
             ..WireFeatures::default()
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::{Error, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -23,6 +24,7 @@
 use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
+use tokio::task::spawn_blocking;
 
 use super::crashes::QuarantineEntry;
 use super::input::{Input, InputSender, Reply};
@@ -110,7 +112,7 @@
     };
     let body = body.to_bytes();
     match call {
-        ControlCall::PutConfig => put_config(&body, inputs, log).await,
+        ControlCall::PutConfig => put_config(body, inputs, log).await,
         ControlCall::GetConfig => get_config(inputs).await,
         ControlCall::Heartbeat(id) => match instances::read_heartbeat(&id, &body) {
             Ok((record, report)) => {
@@ -130,19 +132,29 @@
     }
 }
 
-async fn put_config(body: &[u8], inputs: &InputSender, log: &Logger) -> ApiResponse {
-    let number = match config::read_config(body) {
-        Ok(deployment) => deployment.number,
+async fn put_config(body: Bytes, inputs: &InputSender, log: &Logger) -> ApiResponse {
+    let bytes = body.len();
+    // A long document is checked beside the links, whose heartbeats must not wait.
+    let checked = spawn_blocking(move || check_config(&body)).await;
+    let published = match checked.map_err(Error::from).flatten() {
+        Ok(published) => published,
         Err(error) => {
-            warn!(log, "Rejected a manifest"; "bytes" => body.len(), "error" => %error);
+            warn!(log, "Rejected a manifest"; "bytes" => bytes, "error" => %error);
             return text_response(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
-    let bytes = Arc::from(body);
-    let published = PublishedManifest { number, bytes };
     submit(inputs, |reply| Input::Publish(published, reply)).await
 }
 
+/// Validates a configuration.
+fn check_config(body: &[u8]) -> Result<PublishedManifest> {
+    let deployment = config::read_config(body)?;
+    Ok(PublishedManifest {
+        number: deployment.number,
+        bytes: Arc::from(body),
+    })
+}
+
 async fn get_config(inputs: &InputSender) -> ApiResponse {
     match request_reply(inputs, Input::Read).await {
         Some(bytes) => json_response(Bytes::copy_from_slice(&bytes)),
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -130,6 +130,7 @@
             cold: true,
             capacity: config.learn_capacity,
             manifest_updates: true,
+            compressed_frames: true,
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -19,8 +19,8 @@
 };
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::{
-    MAX_FRAME_BYTES, MeshMessage, WireFeatures, decode_frame, decode_handshake, encode_frame,
-    encode_handshake,
+    MAX_FRAME_BYTES, MeshMessage, WireFeatures, compress_frame, decode_frame, decode_handshake,
+    encode_frame, encode_handshake,
 };
 use merlinrudder_wire::peers::WirePeer;
 use merlinrudder_wire::relay::WireRelay;
@@ -158,7 +158,12 @@
     /// Queues a message for several VMs, as `send` does; encodes it once.
     pub fn send_all(&self, vms: &[VmId], message: &MeshMessage) {
         let frame = encode_frame(message);
+        let compressed = compress_frame(&frame);
         for vm in vms {
+            let compressed = compressed
+                .as_ref()
+                .filter(|_| self.supports(vm, |features| features.compressed_frames));
+            let frame = compressed.unwrap_or(&frame);
             if self.shared.table.send(vm, frame.clone()) {
                 metrics::count_mesh_sent(frame.len());
             } else {
--- a/node/src/replica.rs
+++ b/node/src/replica.rs
@@ -14,18 +14,19 @@
     Entry, Index, Message, Payload, Record, ReplicaId, Term,
 };
 use merlinrudder_core::consensus::{Consensus, NotLeader, Output};
-use merlinrudder_core::control::{Answer, Command, ControlState};
+use merlinrudder_core::control::{Answer, Command, ControlState, PublishedManifest};
 use merlinrudder_core::names::VmId;
+use merlinrudder_core::publishing::{PublishDecision, Publishing};
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::control::{decode_command, decode_state, encode_command, encode_state};
-use slog::{Logger, info, o};
+use slog::{Logger, debug, info, o};
 
 use self::disk::{DiskJob, DiskWriter, OpenedDisk, SyncReport};
 use crate::constants::{COMPACT_BYTES, COMPACT_ENTRIES};
 use crate::logging;
 
 /// Origin of a proposal, to which the outcome is sent.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Requester {
     pub(crate) vm: VmId,
     /// Number that the VM gave the proposal; the reply repeats it.
@@ -40,14 +41,37 @@
     pub(crate) answer: Option<Answer>,
 }
 
+/// An entry that was appended as leader, and who waits for it.
+#[derive(Debug)]
+struct PendingProposal {
+    term: Term,
+    requester: Requester,
+    /// Publishes that need no entry of their own, once this one is applied.
+    joined: Vec<(Requester, PublishedManifest)>,
+}
+
+impl PendingProposal {
+    /// Adds a publish, unless its requester waits already.
+    fn join(&mut self, requester: Requester, published: PublishedManifest) {
+        let mut joined = self.joined.iter().map(|(requester, _)| requester);
+        if self.requester != requester && !joined.any(|joined| *joined == requester) {
+            self.joined.push((requester, published));
+        }
+    }
+}
+
 /// Replica of the control log, with the control state built from it.
 #[derive(Debug)]
 pub(crate) struct Replica {
     pub(crate) consensus: Consensus,
     pub(crate) state: ControlState,
     disk: DiskWriter,
-    /// Proposals appended as leader but not applied yet, with the term of their entry.
-    pending: BTreeMap<Index, (Term, Requester)>,
+    /// Proposals appended as leader but not applied yet.
+    pending: BTreeMap<Index, PendingProposal>,
+    /// The newest manifest that was appended as leader.
+    publishing: Publishing,
+    /// Outcomes of proposals that needed no entry.
+    answered: Vec<ProposalOutcome>,
     applied_index: Index,
     compacted_index: Index,
     /// Size of the commands applied since the last compaction.
@@ -98,6 +122,8 @@
             state,
             disk,
             pending: BTreeMap::new(),
+            publishing: Publishing::default(),
+            answered: Vec::new(),
             applied_index: snapshot.index,
             compacted_index: snapshot.index,
             uncompacted_bytes: 0,
@@ -117,13 +143,67 @@
         requester: Requester,
         command: Command,
     ) -> Result<(), NotLeader> {
+        if let Command::Publish(published) = &command
+            && self.consensus.is_leader()
+        {
+            return self.publish(now, requester, published.clone());
+        }
         let command = self.set_timestamp(now, command);
-        let payload = Payload::Command(encode_command(command));
-        let (term, index) = self.consensus.propose(now, payload)?;
-        self.pending.insert(index, (term, requester));
+        self.append(now, requester, Payload::Command(encode_command(command)))?;
+        Ok(())
+    }
+
+    /// Appends a manifest, or answers it by what was appended before.
+    fn publish(
+        &mut self,
+        now: Moment,
+        requester: Requester,
+        published: PublishedManifest,
+    ) -> Result<(), NotLeader> {
+        let number = published.number;
+        let applied = self.state.manifest_number();
+        let term = self.consensus.term();
+        let decision = self
+            .publishing
+            .decide(number, applied, term, self.applied_index);
+        debug!(self.log, "Publish proposed"; "number" => number.0, "requester" => %requester.vm,
+            "bytes" => published.bytes.len(), "decision" => ?decision);
+        match decision {
+            PublishDecision::Append => {
+                let command = encode_command(Command::Publish(published));
+                let index = self.append(now, requester, Payload::Command(command))?;
+                self.publishing.appended(number, term, index);
+            }
+            PublishDecision::Join(index) => {
+                if let Some(pending) = self.pending.get_mut(&index) {
+                    pending.join(requester, published);
+                }
+            }
+            PublishDecision::Answer => {
+                let answer = Some(self.state.apply(Command::Publish(published)));
+                self.answered.push(ProposalOutcome { requester, answer });
+            }
+        }
         Ok(())
     }
 
+    /// Appends an entry as leader; returns its position.
+    fn append(
+        &mut self,
+        now: Moment,
+        requester: Requester,
+        payload: Payload,
+    ) -> Result<Index, NotLeader> {
+        let (term, index) = self.consensus.propose(now, payload)?;
+        let pending = PendingProposal {
+            term,
+            requester,
+            joined: Vec::new(),
+        };
+        self.pending.insert(index, pending);
+        Ok(index)
+    }
+
     /// Confirms to `requester` that this replica leads, by committing an empty entry.
     ///
     /// The answer holds the number of the newest manifest: no newer one was accepted before the
@@ -136,8 +216,7 @@
         now: Moment,
         requester: Requester,
     ) -> Result<(), NotLeader> {
-        let (term, index) = self.consensus.propose(now, Payload::Noop)?;
-        self.pending.insert(index, (term, requester));
+        self.append(now, requester, Payload::Noop)?;
         Ok(())
     }
 
@@ -178,7 +257,10 @@
     ///
     /// Returns the outcomes and messages to send at once.
     pub(crate) fn flush(&mut self) -> ReplicaOutputs {
-        let mut outputs = ReplicaOutputs::default();
+        let mut outputs = ReplicaOutputs {
+            outcomes: std::mem::take(&mut self.answered),
+            ..ReplicaOutputs::default()
+        };
         let mut job = DiskJob {
             records: Vec::new(),
             replace: false,
@@ -235,8 +317,8 @@
         });
     }
 
-    /// Applies a committed entry; returns the outcome if this replica proposed it.
-    fn apply(&mut self, entry: Entry) -> Option<ProposalOutcome> {
+    /// Applies a committed entry; returns its outcomes if this replica proposed it.
+    fn apply(&mut self, entry: Entry) -> Vec<ProposalOutcome> {
         self.applied_index = entry.index;
         let answer = match entry.payload {
             Payload::Noop => Some(Answer::Accepted(self.state.manifest_number())),
@@ -250,9 +332,20 @@
                 Some(self.apply_command(&bytes))
             }
         };
-        let (term, requester) = self.pending.remove(&entry.index)?;
-        let answer = answer.filter(|_| term == entry.term);
-        Some(ProposalOutcome { requester, answer })
+        let Some(pending) = self.pending.remove(&entry.index) else {
+            return Vec::new();
+        };
+        let is_own = pending.term == entry.term;
+        let mut outcomes = vec![ProposalOutcome {
+            requester: pending.requester,
+            answer: answer.filter(|_| is_own),
+        }];
+        for (requester, published) in pending.joined {
+            // Nothing changes, as this manifest is not newer than the one that was applied.
+            let answer = is_own.then(|| self.state.apply(Command::Publish(published)));
+            outcomes.push(ProposalOutcome { requester, answer });
+        }
+        outcomes
     }
 
     fn apply_command(&mut self, bytes: &Arc<[u8]>) -> Answer {
@@ -282,13 +375,15 @@
     /// Fails all pending proposals, because this replica no longer leads.
     fn fail_pending(&mut self) -> Vec<ProposalOutcome> {
         let pending = std::mem::take(&mut self.pending);
-        pending
-            .into_values()
-            .map(|(_, requester)| ProposalOutcome {
-                requester,
-                answer: None,
-            })
-            .collect()
+        let requesters = pending.into_values().flat_map(|pending| {
+            let joined = pending.joined.into_iter().map(|(requester, _)| requester);
+            std::iter::once(pending.requester).chain(joined)
+        });
+        let outcome = |requester| ProposalOutcome {
+            requester,
+            answer: None,
+        };
+        requesters.map(outcome).collect()
     }
 
     /// Compacts the log once enough entries or bytes were applied since the last time.
--- a/wire/src/common.rs
+++ b/wire/src/common.rs
@@ -50,3 +50,39 @@
         })
     }
 }
+
+/// Encodes shared bytes in one piece; they are the same on the wire as a list of numbers.
+pub(crate) mod shared_bytes {
+    use std::fmt;
+    use std::sync::Arc;
+
+    use serde::de::{Error, Visitor};
+    use serde::{Deserializer, Serializer};
+
+    pub(crate) fn serialize<S: Serializer>(
+        bytes: &Arc<[u8]>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(bytes)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Arc<[u8]>, D::Error> {
+        deserializer.deserialize_bytes(SharedBytes)
+    }
+
+    struct SharedBytes;
+
+    impl Visitor<'_> for SharedBytes {
+        type Value = Arc<[u8]>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+            formatter.write_str("bytes")
+        }
+
+        fn visit_bytes<E: Error>(self, v: &[u8]) -> Result<Self::Value, E> {
+            Ok(Arc::from(v))
+        }
+    }
+}
--- a/wire/src/consensus.rs
+++ b/wire/src/consensus.rs
@@ -67,7 +67,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 enum WirePayload {
     Noop,
-    Command(Arc<[u8]>),
+    Command(#[serde(with = "crate::common::shared_bytes")] Arc<[u8]>),
     Voters(Vec<WireReplica>),
 }
 
@@ -76,6 +76,7 @@
     index: u64,
     term: u64,
     voters: Vec<WireReplica>,
+    #[serde(with = "crate::common::shared_bytes")]
     data: Arc<[u8]>,
 }
 
--- a/wire/src/control.rs
+++ b/wire/src/control.rs
@@ -62,6 +62,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct WirePublishedManifest {
     number: u64,
+    #[serde(with = "crate::common::shared_bytes")]
     bytes: Arc<[u8]>,
 }
 
--- a/wire/src/manifest_update.rs
+++ b/wire/src/manifest_update.rs
@@ -26,6 +26,7 @@
     base: u64,
     number: u64,
     length: u32,
+    #[serde(with = "crate::common::shared_bytes")]
     data: Arc<[u8]>,
 }
 
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -8,6 +8,7 @@
 
 use crate::announce::WireAnnouncement;
 use crate::capacities::WireCapacity;
+use crate::compression::{MAX_DOCUMENT_BYTES, compress, expand};
 use crate::consensus::{WireRaftMessage, WireReplica, voters_from_wire, voters_to_wire};
 use crate::control::{WireAnswer, WireCommand};
 use crate::crashes::WireCrashReport;
@@ -22,6 +23,10 @@
 
 /// Protocol version; frames with another version are rejected.
 pub const MESH_VERSION: u8 = 1;
+/// Version of a frame that holds another one, compressed.
+const COMPRESSED_VERSION: u8 = 2;
+/// Size from which a frame is compressed, in bytes; smaller ones cost more time than they save.
+const MIN_COMPRESSED_BYTES: usize = 4096;
 /// Maximum frame size; a snapshot of the control state is the largest message.
 pub const MAX_FRAME_BYTES: usize = 512 * 1024 * 1024;
 /// Value of `PullQuarantineList::have` of a VM that gets the crash history elsewhere.
@@ -73,6 +78,7 @@
         /// Number of the manifest; zero if the sender has none.
         number: u64,
         /// Document as published; empty if it is not newer than the receiver's.
+        #[serde(with = "crate::common::shared_bytes")]
         bytes: Arc<[u8]>,
         /// Whether the sender confirms that no newer manifest was accepted before.
         ///
@@ -167,6 +173,8 @@
     pub capacity: bool,
     /// Whether it understands `ManifestUpdate`.
     pub manifest_updates: bool,
+    /// Whether it understands frames from [`compress_frame`].
+    pub compressed_frames: bool,
 }
 
 impl WireFeatures {
@@ -182,6 +190,7 @@
         features.cold = take_appended(&mut rest)?;
         features.capacity = take_appended(&mut rest)?;
         features.manifest_updates = take_appended(&mut rest)?;
+        features.compressed_frames = take_appended(&mut rest)?;
         Ok(features)
     }
 }
@@ -260,6 +269,32 @@
     frame
 }
 
+/// Compresses a frame for VMs that understand it; `None` if that is not worth while.
+#[must_use]
+pub fn compress_frame(frame: &[u8]) -> Option<Vec<u8>> {
+    if !(MIN_COMPRESSED_BYTES..=MAX_DOCUMENT_BYTES).contains(&frame.len()) {
+        return None;
+    }
+    let length = u32::try_from(frame.len()).ok()?;
+    let mut compressed = vec![COMPRESSED_VERSION];
+    compressed.extend(length.to_le_bytes());
+    compressed.extend(compress(frame, &[]));
+    (compressed.len() < frame.len()).then_some(compressed)
+}
+
+/// Restores the frame that a compressed one holds.
+fn expand_frame(bytes: &[u8]) -> Result<Vec<u8>, DecodeError> {
+    let (length, compressed) = bytes
+        .split_first_chunk()
+        .ok_or_else(|| DecodeError::new("a compressed frame without a length"))?;
+    let length = u32::from_le_bytes(*length);
+    expand(
+        compressed,
+        &[],
+        usize::try_from(length).unwrap_or(usize::MAX),
+    )
+}
+
 /// Encodes the first frame of a link.
 #[must_use]
 pub fn encode_handshake(peer: &WirePeer, features: &WireFeatures) -> Vec<u8> {
@@ -280,11 +315,15 @@
     }
 }
 
-/// Decodes the message in a frame.
+/// Decodes the message in a frame, which may be compressed.
 ///
 /// # Errors
-/// Fails if the version is not `MESH_VERSION` or the bytes are not a message.
+/// Fails if the version is unknown or the bytes are not a message.
 pub fn decode_frame(frame: &[u8]) -> Result<MeshMessage, DecodeError> {
+    if let [COMPRESSED_VERSION, compressed @ ..] = frame {
+        let frame = expand_frame(compressed)?;
+        return Ok(postcard::from_bytes(message_bytes(&frame)?)?);
+    }
     Ok(postcard::from_bytes(message_bytes(frame)?)?)
 }
 
--- a/wire/tests/integration/manifest_updates.rs
+++ b/wire/tests/integration/manifest_updates.rs
@@ -7,7 +7,7 @@
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_wire::compression::{MAX_DOCUMENT_BYTES, compress, expand};
 use merlinrudder_wire::manifest_update::WireManifestUpdate;
-use merlinrudder_wire::mesh::{MeshMessage, decode_frame, encode_frame};
+use merlinrudder_wire::mesh::{MeshMessage, compress_frame, decode_frame, encode_frame};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -115,6 +115,48 @@
     assert_eq!(expand(&compressed, &[], bytes.len()).as_ref(), Ok(&bytes));
 }
 
+/// Guards against documents that fill the links between control VMs.
+#[test]
+fn a_large_frame_is_compressed_and_a_small_or_random_one_is_not() {
+    let message = |bytes: Vec<u8>| MeshMessage::Manifest {
+        number: 2,
+        bytes: Arc::from(bytes),
+        current: true,
+    };
+    let large = message(document(2, 10_000, 10_000));
+    let frame = encode_frame(&large);
+    let compressed = compress_frame(&frame).expect("a compressed frame");
+    assert!(compressed.len() * 5 < frame.len(), "{}", compressed.len());
+    assert_eq!(decode_frame(&compressed), Ok(large));
+    decode_frame(&compressed[..compressed.len() - 1]).unwrap_err();
+    decode_frame(&compressed[..4]).unwrap_err();
+    assert_eq!(
+        compress_frame(&encode_frame(&message(document(2, 10, 0)))),
+        None
+    );
+    let mut state = 0x9e37_79b9_7f4a_7c15_u64;
+    let random = (0..1_250).flat_map(|_| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        state.to_le_bytes()
+    });
+    assert_eq!(compress_frame(&random.collect::<Vec<_>>()), None);
+}
+
+/// Guards against a build that cannot read what the one before wrote to disk or sent.
+#[test]
+fn shared_bytes_are_encoded_as_in_earlier_versions() {
+    let message = MeshMessage::Manifest {
+        number: 2,
+        bytes: Arc::from(*b"ab"),
+        current: true,
+    };
+    let frame = encode_frame(&message);
+    // Length and bytes of the document stand between the number and the last field.
+    assert_eq!(frame[frame.len() - 5..], [2, 2, b'a', b'b', 1]);
+}
+
 proptest! {
     #[test]
     fn any_document_is_restored_from_any_base(
