--- a/core/src/deployment.rs
+++ b/core/src/deployment.rs
@@ -165,11 +165,11 @@
         paths.insert(Arc::clone(&route.prefix), route).is_none()
     }
 
-    /// Adds an API key; returns false if it belongs to another customer.
+    /// Adds an API key; returns false if it belongs to another customer, be it of the same name.
     #[must_use]
     pub fn add_key(&mut self, key: Arc<str>, customer: &Arc<CustomerRule>) -> bool {
         let earlier = self.keys.insert(key, Arc::clone(customer));
-        earlier.is_none_or(|earlier| earlier.name == customer.name)
+        earlier.is_none_or(|earlier| Arc::ptr_eq(&earlier, customer))
     }
 
     /// Collects the ranks of the requests to each service, once routes and customers are complete.
