bug: a VM denies no request by a manifest that it knows to be outdated, or that nobody has confirmed

What callers saw: 401, 403 or 404 for a route or key that a confirmed manifest has, from VMs that knew that a newer one exists, or that had started from the copy of a control VM that was behind.

Cause: requests were checked against the manifest in force alone; whether it is the newest decided only about readiness.

--- a/core/src/manifest_pull.rs
+++ b/core/src/manifest_pull.rs
@@ -212,7 +212,9 @@
         Some(self.behind_since.unwrap_or(now) + other_zone_delay(have))
     }
 
-    fn is_behind(&self, have: ManifestNumber) -> bool {
+    /// Whether a linked VM has advertised a manifest newer than `have`.
+    #[must_use]
+    pub fn is_behind(&self, have: ManifestNumber) -> bool {
         self.sources.values().any(|source| source.number > have)
     }
 
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -21,6 +21,7 @@
 mod hedge;
 mod ingress;
 mod link_events;
+mod lookup;
 mod manifest_decode;
 mod manifest_sync;
 mod manifest_watch;
--- a/node/src/gateway/admission.rs
+++ b/node/src/gateway/admission.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap};
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
 use merlinrudder_core::deployment::{CustomerRule, Deployment, RouteRule};
@@ -20,6 +20,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::header_fields::{parse_header, strip_hop_by_hop, text, text_header};
+use super::lookup::{self, Allowed};
 use super::open_requests::OpenRequestGuard;
 use super::refusal::{DEFAULT_RETRY_AFTER, no_manifest, retryable};
 use super::relay;
@@ -61,15 +62,15 @@
     let (head, body) = request.into_parts();
     let deployment = await_deployment(gateway).await;
     let deployment = deployment.ok_or_else(no_manifest)?;
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.map(|host| host.split(':').next().unwrap_or(host));
-    let route = host.and_then(|host| deployment.route(host, head.uri.path()));
-    let route = route.ok_or(Refusal::not_run(RefusalReason::UnknownPath, None))?;
-    let customer = find_customer(&deployment, route, &head.headers)?;
+    let Allowed {
+        deployment,
+        route,
+        customer,
+    } = lookup::find(gateway, deployment, &head).await?;
     let admission = Admission {
         received_at,
         deployment: &deployment,
-        route,
+        route: &route,
         customer,
         service: None,
         relayed: None,
@@ -164,23 +165,6 @@
     gateway.deployment()
 }
 
-/// Finds the customer by the API key in the `Authorization` header.
-///
-/// # Errors
-/// Refuses a missing or unknown key, unless the route is public or the deployment has no customers.
-fn find_customer(
-    deployment: &Deployment,
-    route: &RouteRule,
-    headers: &HeaderMap,
-) -> Result<Option<Arc<CustomerRule>>, Refusal> {
-    let key = text_header(headers, AUTHORIZATION.as_str()).and_then(headers::bearer_key);
-    let customer = key.and_then(|key| deployment.customer(key)).cloned();
-    if customer.is_none() && deployment.has_customers() && !route.public {
-        return Err(Refusal::not_run(RefusalReason::UnknownCustomer, None));
-    }
-    Ok(customer)
-}
-
 /// Reads the body of at most `max_bytes` within `time_limit`.
 async fn read_body(
     body: Incoming,
--- a/node/src/gateway/manifest_sync.rs
+++ b/node/src/gateway/manifest_sync.rs
@@ -64,6 +64,7 @@
         .is_some_and(|newest| newest <= number);
     if is_newest && !gateway.manifest_confirmed.replace(true) {
         info!(gateway.log, "Manifest confirmed as the newest"; "number" => number);
+        gateway.manifest_changed.notify_waiters();
         entry_links::release(gateway);
     }
 }
@@ -118,6 +119,7 @@
             put_in_force(&gateway, decoded, decode_time);
             gateway.manifest_pull.borrow_mut().decoded();
             confirm(&gateway);
+            gateway.manifest_changed.notify_waiters();
         }
         // Unexpected: every manifest was validated before it was accepted.
         Err(error) => {
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -71,6 +71,8 @@
     pub(super) manifest_pull: RefCell<ManifestPull>,
     /// Wakes the task that requests manifests, once what it knows has changed.
     pub(super) manifest_wake: Notify,
+    /// Wakes requests that wait for a newer manifest or its confirmation.
+    pub(super) manifest_changed: Notify,
     /// Times of what was heard and asked of newer manifests, for logs and metrics.
     pub(super) manifest_watch: RefCell<ManifestWatch>,
     /// Known backend servers with their load and health.
@@ -144,6 +146,7 @@
             config_reader: Arc::default(),
             manifest_pull: RefCell::new(ManifestPull::new(vm.clone())),
             manifest_wake: Notify::new(),
+            manifest_changed: Notify::new(),
             manifest_watch: RefCell::default(),
             vm,
             fleet: RefCell::new(fleet),
@@ -178,6 +181,14 @@
         self.deployment.borrow().clone()
     }
 
+    /// Whether the manifest in force was confirmed, and no newer one is known.
+    pub(super) fn has_newest_manifest(&self) -> bool {
+        let deployment = self.deployment.borrow();
+        let number = deployment.as_ref().map(|deployment| deployment.number);
+        self.manifest_confirmed.get()
+            && number.is_some_and(|number| !self.manifest_pull.borrow().is_behind(number))
+    }
+
     /// Whether the load balancer should send callers to this VM.
     ///
     /// Requires a confirmed manifest, a known server of at least one of its services, and that no
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -421,3 +421,54 @@
     control.read_for(SETTLE_TIME);
     assert_eq!(vm.lines.count("Manifest in force"), 2);
 }
+
+/// Starts an entry VM whose manifest 5 is in force, with a link from a control VM.
+fn start_with_manifest() -> (Vm, HandLink) {
+    let vm = Vm::start(false);
+    let mut control = HandLink::open_kept(vm.address, "control", true);
+    control.send(&update(0, 5, digest(5)));
+    control.read_for(SETTLE_TIME);
+    (vm, control)
+}
+
+/// Sends a request on a path without a route; returns the status of its answer.
+fn status_of_unknown_path(vm: &Vm) -> u16 {
+    send_customer_request(vm.callers, "POST /added/x", "attempt").status
+}
+
+/// Guards against callers that are denied by a manifest that no control VM has confirmed yet.
+#[test]
+fn a_vm_whose_manifest_is_not_confirmed_denies_no_request() {
+    let (vm, mut control) = start_with_manifest();
+    assert_eq!(status_of_unknown_path(&vm), 503);
+    control.send(&newest(5));
+    control.read_for(SETTLE_TIME);
+    assert_eq!(status_of_unknown_path(&vm), 404);
+}
+
+/// Guards against callers that are denied by a manifest that the VM knows to be outdated.
+#[test]
+fn a_vm_that_knows_of_a_newer_manifest_denies_no_request_by_its_own() {
+    let (vm, mut control) = start_with_manifest();
+    control.send(&newest(5));
+    control.send(&newest(6));
+    control.read_for(Duration::from_millis(100));
+    assert_eq!(status_of_unknown_path(&vm), 503);
+}
+
+/// Guards against a refusal of callers who come just before a newer manifest is in force.
+#[test]
+fn a_request_without_a_route_waits_for_the_newer_manifest() {
+    let (vm, mut control) = start_with_manifest();
+    control.send(&newest(5));
+    control.send(&newest(6));
+    control.read_for(Duration::from_millis(100));
+    let callers = vm.callers;
+    let request =
+        thread::spawn(move || send_customer_request(callers, "POST /added/x", "attempt").status);
+    control.read_for(Duration::from_millis(100));
+    control.send(&update(5, 6, digest(6)));
+    // Manifest 6 has no such route either, and says so at once.
+    assert_eq!(request.join().expect("no panic"), 404);
+    assert_eq!(vm.lines.count("Manifest in force"), 2);
+}
