bug: bytes of another response in a numbered stream reach no caller

Fix: between numbered events only comments may lack a number; a stream whose engine sends anything else is broken off there and resumed, if its route allows that. The next number no longer overflows.

--- a/core/tests/integration/events.rs
+++ b/core/tests/integration/events.rs
@@ -36,6 +36,18 @@
     assert!(!splitter.is_over_limit());
 }
 
+/// Guards against bytes of another response in the middle of a stream.
+#[test]
+fn only_comments_have_no_number_between_numbered_events() {
+    let mut splitter = EventSplitter::default();
+    let stream = b"id: 7\ndata: x\n\n: alive\n\nHTTP/1.1 503 Busy\r\nA: b\r\n\r\n";
+    let events = splitter.push(stream);
+    let follows: Vec<_> = events.iter().map(|event| event.follows(Some(6))).collect();
+    assert_eq!(follows, [true, true, false]);
+    assert!(events.iter().all(|event| event.follows(None)));
+    assert!(!events[0].follows(Some(5)) && !events[0].follows(Some(u64::MAX)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(43), ..ProptestConfig::default() })]
 
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -313,15 +313,9 @@
         }
     }
 
-    /// Forwards one event; fails if it is not numbered one after the previous event.
-    ///
-    /// Events without a number are forwarded unchecked.
+    /// Forwards one event; fails if it does not follow the previous one.
     async fn forward_event(&mut self, event: Event) -> Result<(), StreamEnd> {
-        let follows = match (self.last_event, event.id) {
-            (Some(last), Some(id)) => id == last + 1,
-            _ => true,
-        };
-        if !follows {
+        if !event.follows(self.last_event) {
             return Err(StreamEnd::Broken("an event does not follow the last"));
         }
         self.last_event = event.id.or(self.last_event);
--- a/node/tests/integration/stray_responses.rs
+++ b/node/tests/integration/stray_responses.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -159,3 +160,124 @@
     );
     assert!(wrong.is_empty(), "of {REQUESTS}: {wrong:?}");
 }
+
+/// Guards against a refusal that is written once more after the answer, or in the middle of it.
+#[test]
+fn a_refusal_behind_or_inside_an_answer_reaches_no_caller() {
+    for inside in [false, true] {
+        let server = RawServer::bind(move |connection, request| {
+            if !inside {
+                respond(connection, request, "200 OK", "whole")?;
+                return connection.write_all(STRAY_REFUSAL.as_bytes());
+            }
+            write!(
+                connection,
+                "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {}\r\n\
+                 X-Merlinrudder-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+                request.attempt
+            )?;
+            connection.write_all(STRAY_REFUSAL.as_bytes())
+        });
+        let server = server.expect("raw server listens");
+        let nodes = start_known(&[server.address]);
+        for (number, path) in (0..REQUESTS).zip(["POST /file/x", "GET /read/x"].iter().cycle()) {
+            let attempt = format!("f{number}");
+            let response = send_customer_request(nodes.callers_address(3), path, &attempt);
+            let ran = server
+                .attempts()
+                .iter()
+                .filter(|ran| **ran == attempt)
+                .count();
+            let is_answer = response.status == 200 && response.body == "whole";
+            assert!(
+                is_answer || (inside && response.status == 502),
+                "{response:?}"
+            );
+            assert!(
+                ran == 1 || path.starts_with("GET"),
+                "{path} ran {ran} times"
+            );
+        }
+    }
+}
+
+/// Guards against an error of the next server in the middle of a stream that another one began.
+#[test]
+fn an_error_of_the_next_server_is_not_joined_to_a_stream_that_broke_off() {
+    let failures = [
+        "HTTP/1.1 500 Internal Server Error\r\nX-Merlinrudder-Attempt-Id: ID\r\n\
+         X-Merlinrudder-Response-Seal: seal\r\nContent-Length: 6\r\n\r\nfailed",
+        "HTTP/1.1 500 Internal Server Error\r\nX-Merlinrudder-Attempt-Id: ID\r\n\
+         X-Merlinrudder-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nfailed\r\n0\r\n\r\n",
+        "HTTP/1.1 500 Internal Server Error\r\nX-Merlinrudder-Attempt-Id: ID\r\n\
+         X-Merlinrudder-Response-Seal: seal\r\nConnection: close\r\n\r\nfailed",
+        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: ID\r\nX-Merlinrudder-Response-Seal: seal\r\n\
+         Content-Type: application/json\r\nContent-Length: 6\r\n\r\nfailed",
+        "HTTP/1.1 206 Partial Content\r\nX-Merlinrudder-Attempt-Id: ID\r\n\
+         X-Merlinrudder-Response-Seal: seal\r\nContent-Length: 6\r\n\r\nfailed",
+        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: ID\r\nX-Merlinrudder-Response-Seal: seal\r\n\
+         Content-Length: 15\r\n\r\nfailed\n\nfailed\n",
+        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: ID\r\nX-Merlinrudder-Resp",
+        "failed",
+    ];
+    for failure in failures {
+        let began = AtomicBool::new(false);
+        // The first attempt begins a stream and breaks off; every other one fails.
+        let answer = Arc::new(move |connection: &mut TcpStream, request: &RawRequest| {
+            if began.swap(true, Ordering::Relaxed) {
+                let failure = failure.replace("ID", &request.attempt);
+                connection.write_all(failure.as_bytes())?;
+                // What was forwarded reaches the caller before the stream is cut.
+                thread::sleep(EVENT_INTERVAL * 5);
+            } else {
+                write!(
+                    connection,
+                    "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {}\r\n\
+                     X-Merlinrudder-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n\
+                     Content-Length: 1000\r\n\r\nid: 1\ndata: x\n\nid: 2\ndata: ",
+                    request.attempt
+                )?;
+            }
+            Err(std::io::Error::other("breaks off"))
+        });
+        let servers = [(); 2].map(|()| {
+            let answer = Arc::clone(&answer);
+            RawServer::bind(move |connection, request| answer(connection, request))
+                .expect("raw server listens")
+        });
+        let nodes = start_known(&servers.each_ref().map(|server| server.address));
+        let response = send_customer_request(nodes.callers_address(3), "POST /stream/x", "g1");
+        assert!(
+            !response.whole,
+            "ended as complete: {failure:?} {response:?}"
+        );
+        assert_eq!(response.body, "id: 1\ndata: x\n\n", "{failure:?}");
+        let runs = servers.iter().map(|server| server.attempts().len());
+        assert_eq!(runs.sum::<usize>(), 2, "{failure:?}");
+    }
+}
+
+/// Guards against the head of a refusal that a server writes into its own stream.
+#[test]
+fn a_refusal_written_into_a_stream_reaches_no_caller() {
+    for framing in ["Content-Length: 1000", "Connection: close"] {
+        let server = RawServer::bind(move |connection, request| {
+            write!(
+                connection,
+                "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {}\r\n\
+                 X-Merlinrudder-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n\
+                 {framing}\r\n\r\nid: 1\ndata: x\n\n",
+                request.attempt
+            )?;
+            thread::sleep(EVENT_INTERVAL * 5);
+            connection.write_all(STRAY_REFUSAL.as_bytes())?;
+            thread::sleep(EVENT_INTERVAL * 5);
+            Err(std::io::Error::other("breaks off"))
+        });
+        let server = server.expect("raw server listens");
+        let nodes = start_known(&[server.address]);
+        let response = send_customer_request(nodes.callers_address(3), "POST /stream/x", "h1");
+        assert_eq!(response.body, "id: 1\ndata: x\n\n", "{framing}");
+        assert!(!response.whole, "ended as complete: {framing}");
+    }
+}
