bug: a refusal without an attempt id on a kept connection is no word on the request

What callers saw: 'not run, try again' (503, 429, 421) for requests that a server had run: it wrote an earlier refusal once more, before its answer.

Cause: a refusal with the not-executed header, and any 421, was taken for this attempt's also where the id is missing. Servers echo the id; without one, nothing tells a late response on a connection that was used before.

Calls that may run only once get a new connection each, on which the first response belongs to nobody else.

Fix: such a response counts as a failed attempt that may have run.

--- a/node/src/gateway/answer_head.rs
+++ b/node/src/gateway/answer_head.rs
@@ -27,12 +27,18 @@
 
 /// Checks that a response comes from the selected server and answers this attempt.
 ///
-/// A response that repeats another attempt's id is a late one and says nothing of this request.
-/// Status 421 or the not-executed header means that the request did not run. Any other response
-/// must repeat the attempt id and have no content encoding, and a success must carry the seal.
-pub(super) fn check_response_head(call: &CallerRequest, head: &Parts) -> Result<(), Failure> {
+/// A response that repeats another attempt's id is a late one and says nothing of this request, and
+/// so is one without an id on a connection that was used before. Status 421 or the not-executed
+/// header means that the request did not run. Any other response must repeat the attempt id and
+/// have no content encoding, and a success must carry the seal.
+pub(super) fn check_response_head(
+    call: &CallerRequest,
+    connection: &Connection,
+    head: &Parts,
+) -> Result<(), Failure> {
     let attempt = head.headers.get(headers::ATTEMPT);
-    if attempt.is_some_and(|attempt| *attempt != call.attempt_id) {
+    let is_late = attempt.map_or(!connection.is_new, |attempt| *attempt != call.attempt_id);
+    if is_late {
         return Err(Failure::Broken);
     }
     if head.headers.contains_key(headers::NOT_RUN) {
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -269,7 +269,7 @@
     let AttemptContext { gateway, call, .. } = context;
     match &mut selected.target {
         Target::Server(incarnation) => {
-            let check = check_response_head(call, head);
+            let check = check_response_head(call, connection, head);
             record_head(
                 gateway,
                 call,
@@ -285,7 +285,7 @@
             let check = relay::check_answer(&head.headers);
             // The other VM has told of what the server says of itself.
             *server = relay::take_server(head);
-            check.and_then(|()| check_response_head(call, head))
+            check.and_then(|()| check_response_head(call, connection, head))
         }
     }
 }
--- a/node/tests/integration/stray_responses.rs
+++ b/node/tests/integration/stray_responses.rs
@@ -161,6 +161,37 @@
     assert!(wrong.is_empty(), "of {REQUESTS}: {wrong:?}");
 }
 
+/// Guards against callers that are told "not run" by an earlier refusal that is written once more.
+#[test]
+fn a_refusal_without_an_attempt_id_on_a_kept_connection_is_not_believed() {
+    let stray = [
+        STRAY_REFUSAL.replace("X-Merlinrudder-Attempt-Id: old\r\n", ""),
+        STRAY_MISDIRECTION.replace("X-Merlinrudder-Attempt-Id: old\r\n", ""),
+        STRAY_REFUSAL.replace("503 Service Unavailable", "429 Too Many Requests"),
+    ];
+    for stray in stray {
+        let server = RawServer::bind(move |connection, request| {
+            if request.earlier > 0 {
+                connection.write_all(stray.as_bytes())?;
+            }
+            respond(connection, request, "200 OK", "whole")
+        });
+        let server = server.expect("raw server listens");
+        let nodes = start_known(&[server.address]);
+        let mut wrong = Vec::new();
+        for number in 0..REQUESTS {
+            let attempt = format!("e{number}");
+            let callers = nodes.callers_address(3);
+            let response = send_customer_request(callers, "GET /read/x", &attempt);
+            let promises_not_run = [408, 421, 429, 503].contains(&response.status);
+            if promises_not_run && server.attempts().contains(&attempt) {
+                wrong.push((attempt, response.status));
+            }
+        }
+        assert!(wrong.is_empty(), "attempt, status of {REQUESTS}: {wrong:?}");
+    }
+}
+
 /// Guards against a refusal that is written once more after the answer, or in the middle of it.
 #[test]
 fn a_refusal_behind_or_inside_an_answer_reaches_no_caller() {
