--- a/node/src/controller/manifest_source.rs
+++ b/node/src/controller/manifest_source.rs
@@ -33,6 +33,12 @@
 }
 
 impl ManifestSource {
+    /// Returns the number of the newest recorded manifest; 0 if there is none.
+    pub(super) fn number(&self) -> ManifestNumber {
+        let newest = self.newest.as_ref();
+        newest.map_or(ManifestNumber(0), |newest| newest.manifest.number)
+    }
+
     /// Records that this VM has applied a manifest; returns the size of its step, if it has one.
     pub(super) fn record(&mut self, manifest: &PublishedManifest) -> Option<usize> {
         let earlier = self.newest.replace(Newest {
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -193,16 +193,17 @@
         }
         let now = self.clock.now();
         self.announce_evacuations();
+        self.record_manifest();
         if self.replica.state.manifest_number().0 > self.advertised {
-            self.record_manifest();
             self.advertise_manifest(now);
             self.complete_calls();
         }
     }
 
-    /// Prepares the newest manifest for the entry VMs.
+    /// Prepares the newest manifest for the entry VMs, unless that is done.
     fn record_manifest(&mut self) {
-        let Some(manifest) = &self.replica.state.manifest else {
+        let newest = self.replica.state.manifest.as_ref();
+        let Some(manifest) = newest.filter(|newest| newest.number > self.manifests.number()) else {
             return;
         };
         let step_bytes = self.manifests.record(manifest);
--- a/node/tests/integration/hand_link.rs
+++ b/node/tests/integration/hand_link.rs
@@ -34,6 +34,16 @@
 impl HandLink {
     /// Opens a link as the VM `name`, which accepts no links itself.
     pub fn open(address: SocketAddr, name: &str, control: bool) -> Self {
+        Self::open_with(address, name, control, &WireFeatures::default())
+    }
+
+    /// Opens a link as a VM with these features.
+    pub fn open_with(
+        address: SocketAddr,
+        name: &str,
+        control: bool,
+        features: &WireFeatures,
+    ) -> Self {
         let stream = TcpStream::connect(address).expect("the VM accepts links");
         let writer = stream.try_clone().expect("a second handle");
         let writer = Arc::new(Mutex::new(writer));
@@ -44,7 +54,7 @@
             address: addresses(1)[0],
             control,
         };
-        link.send_frame(&encode_handshake(&peer, &WireFeatures::default()));
+        link.send_frame(&encode_handshake(&peer, features));
         let handshake = link.read_frame().expect("a handshake");
         assert!(!handshake.is_empty());
         link
@@ -52,8 +62,12 @@
 
     /// Opens a link that sends heartbeats until it is dropped.
     pub fn open_kept(address: SocketAddr, name: &str, control: bool) -> Self {
-        let link = Self::open(address, name, control);
-        let writer = Arc::downgrade(&link.writer);
+        Self::open(address, name, control).keep()
+    }
+
+    /// Sends heartbeats until the link is dropped.
+    pub fn keep(self) -> Self {
+        let writer = Arc::downgrade(&self.writer);
         thread::spawn(move || {
             while let Some(writer) = writer.upgrade() {
                 if write_frame(&writer, &[]).is_err() {
@@ -63,7 +77,7 @@
                 thread::sleep(HEARTBEAT_INTERVAL);
             }
         });
-        link
+        self
     }
 
     /// Sends a frame; an empty one is a heartbeat.
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant};
 
 use merlinrudder_core::cold::plan::ColdBounds;
+use merlinrudder_core::consensus::message::{Index, Record as RaftRecord, Snapshot, Term};
+use merlinrudder_core::control::{ControlState, PublishedManifest};
 use merlinrudder_core::crash_history::{CrashReport, CrashedRun};
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::history_pull::CONTROL_WAIT;
@@ -23,10 +25,13 @@
 use merlinrudder_fakes::nodes::sample_configuration;
 use merlinrudder_node::controller::{ControllerConfig, RunningController};
 use merlinrudder_node::gateway::{GatewayConfig, RunningGateway};
+use merlinrudder_store::DataFolder;
 use merlinrudder_wire::compression::compress;
+use merlinrudder_wire::consensus::encode_record;
+use merlinrudder_wire::control::encode_state;
 use merlinrudder_wire::crashes::WireCrashReport;
 use merlinrudder_wire::manifest_update::WireManifestUpdate;
-use merlinrudder_wire::mesh::{HISTORY_NOT_WANTED, MeshMessage};
+use merlinrudder_wire::mesh::{HISTORY_NOT_WANTED, MeshMessage, WireFeatures};
 use merlinrudder_wire::peers::WirePeer;
 use slog::{Drain, Logger, OwnedKVList, Record, o};
 use tempfile::TempDir;
@@ -75,7 +80,11 @@
 
 impl Vm {
     fn start(control: bool) -> Self {
-        let folder = tempfile::tempdir().expect("a temporary folder");
+        Self::start_in(control, tempfile::tempdir().expect("a temporary folder"))
+    }
+
+    /// Starts a VM with this data folder.
+    fn start_in(control: bool, folder: TempDir) -> Self {
         let data_dir = folder.path().to_owned();
         let free = addresses(4);
         let local_peer = WirePeer {
@@ -472,3 +481,46 @@
     assert_eq!(request.join().expect("no panic"), 404);
     assert_eq!(vm.lines.count("Manifest in force"), 2);
 }
+
+/// Returns a data folder whose snapshot holds manifest 5.
+fn folder_with_manifest() -> TempDir {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let (mut opened, _) = DataFolder::open(folder.path()).expect("a new data folder");
+    let state = ControlState {
+        manifest: Some(PublishedManifest {
+            number: ManifestNumber(5),
+            bytes: Arc::from(sample_configuration(5).to_string().into_bytes()),
+        }),
+        ..ControlState::default()
+    };
+    let snapshot = Snapshot {
+        index: Index(9),
+        term: Term(1),
+        data: encode_state(&state),
+        ..Snapshot::default()
+    };
+    let record = encode_record(RaftRecord::Snapshot(snapshot));
+    opened.journal.append(&[record]).expect("a written journal");
+    folder
+}
+
+/// Guards against entry VMs that get no manifest from a control VM which has restored a snapshot.
+#[test]
+fn a_control_vm_that_has_restored_a_snapshot_answers_with_its_manifest() {
+    let vm = Vm::start_in(true, folder_with_manifest());
+    // It has advertised the manifest before the link opens.
+    thread::sleep(SETTLE_TIME);
+    let features = WireFeatures {
+        manifest_updates: true,
+        ..WireFeatures::default()
+    };
+    let mut entry = HandLink::open_with(vm.address, "entry", false, &features).keep();
+    entry.read_for(SETTLE_TIME);
+    entry.send(&MeshMessage::PullManifest { have: 0 });
+    let answers = entry.read_for(SETTLE_TIME);
+    let numbers = answers.iter().filter_map(|message| match message {
+        MeshMessage::ManifestUpdate(update) => Some(update.number),
+        _ => None,
+    });
+    assert_eq!(numbers.collect::<Vec<_>>(), [5]);
+}
