bug: odd numbers of servers, callers and operators cost no request its answer

What callers saw: a connection that closed without an answer (LOST). Other operators reported processes that ended at an odd entry.

Cause: Keep-Alive: timeout= overflowed when it was added to a time; a token count of a caller, and rates of an engine without bound, overflowed in sums and made predictions that are no time.

--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -435,6 +435,13 @@
     }
 }
 
+/// Longest time that is predicted, in milliseconds; what takes longer is never served.
+const MAX_PREDICTED_MS: f64 = 1e9;
+
 fn from_millis(millis: f64) -> Duration {
-    Duration::from_secs_f64(millis.max(0.0) / 1000.0)
+    // Infinite rates make a time that is no number.
+    if millis.is_nan() {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(millis.clamp(0.0, MAX_PREDICTED_MS) / 1000.0)
 }
--- a/node/src/gateway/answer_head.rs
+++ b/node/src/gateway/answer_head.rs
@@ -121,7 +121,8 @@
     let load = text_header(head, headers::LOAD).and_then(headers::parse_load);
     if let Some(load) = load {
         let mut fleet = gateway.fleet.borrow_mut();
-        fleet.record_load(gateway.now(), server, load.running + load.waiting);
+        let requests = load.running.saturating_add(load.waiting);
+        fleet.record_load(gateway.now(), server, requests);
     }
 }
 
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -30,6 +30,8 @@
 const MAX_INFORMATIONAL: u32 = 16;
 /// Time to keep an idle connection if the server sends no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Longest time to keep an idle connection, whatever the server allows.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Fraction of the server's keep-alive timeout for which an idle connection is reused.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
 /// Maximum idle connections to one server address.
@@ -101,7 +103,9 @@
     /// `server_timeout` is the keep-alive timeout that the server sent, if any.
     pub(super) fn put_back(&self, mut connection: Connection, server_timeout: Option<Duration>) {
         let idle_timeout = server_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |server_timeout| {
-            server_timeout.mul_f64(IDLE_TIMEOUT_FRACTION)
+            server_timeout
+                .min(MAX_IDLE_TIMEOUT)
+                .mul_f64(IDLE_TIMEOUT_FRACTION)
         });
         let expires_at = Instant::now() + idle_timeout;
         connection.is_new = false;
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod links;
 mod load;
 mod mesh;
+mod odd_numbers;
 mod planned_stop;
 mod platform;
 mod rate_limits;
