--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -23,6 +23,7 @@
 mod link_events;
 mod lookup;
 mod manifest_decode;
+mod manifest_state;
 mod manifest_sync;
 mod manifest_watch;
 mod open_requests;
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -108,7 +108,7 @@
         MeshMessage::ColdServers(servers) => cold::receive(gateway, servers),
         MeshMessage::Peers(peers) => entry_links::receive(gateway, &peers),
         MeshMessage::NewestManifest { number, current } => {
-            manifest_sync::receive_number(gateway, from, number, current);
+            manifest_sync::receive_number(gateway, from, ManifestNumber(number), current);
         }
         MeshMessage::Manifest { number, bytes, .. } => {
             let number = ManifestNumber(number);
--- a/node/src/gateway/lookup.rs
+++ b/node/src/gateway/lookup.rs
@@ -45,7 +45,7 @@
     while let Err(denial) = &found
         && !gateway.has_newest_manifest()
     {
-        let changed = gateway.manifest_changed.notified();
+        let changed = gateway.manifests.changed.notified();
         if timeout_at(give_up_at, changed).await.is_err() {
             info!(gateway.log, "Not denied by an outdated manifest"; "reason" => denial.reason.code());
             return Err(retryable(RefusalReason::NoManifest));
--- a/node/src/gateway/manifest_sync.rs
+++ b/node/src/gateway/manifest_sync.rs
@@ -21,50 +21,50 @@
 use super::state::Gateway;
 use crate::metrics;
 
-/// Returns the number of the manifest in force; 0 if there is none.
-fn manifest_number(gateway: &Gateway) -> u64 {
-    let deployment = gateway.deployment.borrow();
-    deployment.as_ref().map_or(0, |d| d.number.0)
-}
-
 /// Handles a manifest number that a control VM advertises; a newer manifest is pulled.
 ///
 /// `current` tells whether that VM is in contact with the leader. Only then does an equal or
 /// lower number confirm that the manifest in force is the newest.
-pub(super) fn receive_number(gateway: &Rc<Gateway>, from: &VmId, newest: u64, current: bool) {
+pub(super) fn receive_number(
+    gateway: &Rc<Gateway>,
+    from: &VmId,
+    newest: ManifestNumber,
+    current: bool,
+) {
     let peers = gateway.links.peers();
     let same_zone = peers
         .iter()
         .any(|peer| peer.vm_id() == *from && peer.zone == gateway.zone.as_str());
-    let mut pull = gateway.manifest_pull.borrow_mut();
-    pull.advertised(from, ManifestNumber(newest), same_zone);
+    let mut pull = gateway.manifests.pull.borrow_mut();
+    pull.advertised(from, newest, same_zone);
     drop(pull);
-    if current && newest > 0 {
-        gateway.manifest_current.set(Some(newest));
+    if current && newest > ManifestNumber(0) {
+        gateway.manifests.current.set(Some(newest));
     }
-    let local_number = manifest_number(gateway);
+    let local_number = gateway.manifest_number();
     if newest <= local_number {
         confirm(gateway);
         return;
     }
     let now = gateway.now();
-    gateway.manifest_watch.borrow_mut().heard(now, newest);
-    metrics::set_manifest_heard(newest);
-    debug!(gateway.log, "Manifest heard"; "number" => newest, "from" => %from,
-        "in_force" => local_number, "same_zone" => same_zone, "current" => current);
-    gateway.manifest_wake.notify_one();
+    gateway.manifests.watch.borrow_mut().heard(now, newest.0);
+    metrics::set_manifest_heard(newest.0);
+    debug!(gateway.log, "Manifest heard"; "number" => newest.0, "from" => %from,
+        "in_force" => local_number.0, "same_zone" => same_zone, "current" => current);
+    gateway.manifests.wake.notify_one();
 }
 
 /// Confirms the manifest in force if a VM in contact with the leader has told of no newer one.
 fn confirm(gateway: &Rc<Gateway>) {
-    let number = manifest_number(gateway);
+    let number = gateway.manifest_number();
     let is_newest = gateway
-        .manifest_current
+        .manifests
+        .current
         .get()
         .is_some_and(|newest| newest <= number);
-    if is_newest && !gateway.manifest_confirmed.replace(true) {
-        info!(gateway.log, "Manifest confirmed as the newest"; "number" => number);
-        gateway.manifest_changed.notify_waiters();
+    if is_newest && !gateway.manifests.confirmed.replace(true) {
+        info!(gateway.log, "Manifest confirmed as the newest"; "number" => number.0);
+        gateway.manifests.changed.notify_waiters();
         entry_links::release(gateway);
     }
 }
@@ -75,9 +75,9 @@
 /// decoded.
 pub(super) fn receive(gateway: &Rc<Gateway>, from: &VmId, received: ReceivedManifest) {
     let (number, base) = (received.number(), received.base());
-    let asked = gateway.manifest_watch.borrow().asked_at(from);
-    let in_force = ManifestNumber(manifest_number(gateway));
-    let mut pull = gateway.manifest_pull.borrow_mut();
+    let asked = gateway.manifests.watch.borrow().asked_at(from);
+    let in_force = gateway.manifest_number();
+    let mut pull = gateway.manifests.pull.borrow_mut();
     let builds_on = base_document(gateway, base);
     let skipped = number <= in_force || pull.is_decoding() || builds_on.is_none();
     info!(gateway.log, "Manifest received"; "number" => number.0, "base" => base.0,
@@ -97,7 +97,7 @@
     if base == ManifestNumber(0) {
         return Some(Arc::from([]));
     }
-    let document = gateway.document.borrow();
+    let document = gateway.manifests.document.borrow();
     let known = document.as_ref().filter(|known| known.number == base);
     known.map(|known| Arc::clone(&known.bytes))
 }
@@ -106,7 +106,7 @@
 async fn decode(gateway: Rc<Gateway>, from: VmId, received: ReceivedManifest, document: Arc<[u8]>) {
     let number = received.number();
     let started_at = gateway.now();
-    let reader = Arc::clone(&gateway.config_reader);
+    let reader = Arc::clone(&gateway.manifests.reader);
     let decoding = spawn_blocking(move || {
         // What a panic left in the reader is only text that it has decoded.
         let mut reader = reader.lock().unwrap_or_else(PoisonError::into_inner);
@@ -117,9 +117,9 @@
     match decoded {
         Ok(decoded) => {
             put_in_force(&gateway, decoded, decode_time);
-            gateway.manifest_pull.borrow_mut().decoded();
+            gateway.manifests.pull.borrow_mut().decoded();
             confirm(&gateway);
-            gateway.manifest_changed.notify_waiters();
+            gateway.manifests.changed.notify_waiters();
         }
         // Unexpected: every manifest was validated before it was accepted.
         Err(error) => {
@@ -127,18 +127,18 @@
                 "error" => format!("{error:#}"));
             metrics::count_manifest_rejected();
             // A whole document is requested next.
-            *gateway.document.borrow_mut() = None;
+            *gateway.manifests.document.borrow_mut() = None;
             let now = gateway.now();
-            gateway.manifest_pull.borrow_mut().rejected(now, &from);
+            gateway.manifests.pull.borrow_mut().rejected(now, &from);
         }
     }
-    gateway.manifest_wake.notify_one();
+    gateway.manifests.wake.notify_one();
 }
 
 /// Forgets what a VM advertised that is no longer linked.
 pub(super) fn link_down(gateway: &Gateway, vm: &VmId) {
-    gateway.manifest_pull.borrow_mut().disconnected(vm);
-    gateway.manifest_wake.notify_one();
+    gateway.manifests.pull.borrow_mut().disconnected(vm);
+    gateway.manifests.wake.notify_one();
 }
 
 /// Requests newer manifests until the process exits.
@@ -146,7 +146,7 @@
     loop {
         let wait = request_if_due(&gateway);
         tokio::select! {
-            () = gateway.manifest_wake.notified() => {}
+            () = gateway.manifests.wake.notified() => {}
             () = sleep(wait) => {}
         }
     }
@@ -154,9 +154,9 @@
 
 /// Requests a newer manifest if that is due; returns the time until it may be due next.
 fn request_if_due(gateway: &Gateway) -> Duration {
-    let have = ManifestNumber(manifest_number(gateway));
+    let have = gateway.manifest_number();
     let now = gateway.now();
-    let mut pull = gateway.manifest_pull.borrow_mut();
+    let mut pull = gateway.manifests.pull.borrow_mut();
     if let Some(request) = pull.next_request(now, have) {
         send_request(gateway, &request, have);
     }
@@ -166,11 +166,11 @@
 
 fn send_request(gateway: &Gateway, request: &PullRequest, have: ManifestNumber) {
     let now = gateway.now();
-    gateway.manifest_watch.borrow_mut().asked(now, &request.vm);
+    gateway.manifests.watch.borrow_mut().asked(now, &request.vm);
     info!(gateway.log, "Manifest requested"; "have" => have.0, "from" => %request.vm,
         "reason" => ?request.reason);
     metrics::count_manifest_pull(request.reason);
-    let document = gateway.document.borrow();
+    let document = gateway.manifests.document.borrow();
     let have = document.as_ref().map_or(0, |document| document.number.0);
     let message = MeshMessage::PullManifest { have };
     gateway.links.send(&request.vm, &message);
@@ -197,7 +197,8 @@
     } = decoded;
     let number = manifest.number.0;
     let waited = gateway
-        .manifest_watch
+        .manifests
+        .watch
         .borrow_mut()
         .in_force(gateway.now(), number);
     info!(gateway.log, "Manifest in force"; "number" => number, "bytes" => manifest.bytes.len(),
@@ -207,5 +208,5 @@
     metrics::observe_manifest_in_force(number, waited.time);
     cold::update_rules(gateway, &deployment);
     *gateway.deployment.borrow_mut() = Some(Arc::new(deployment));
-    *gateway.document.borrow_mut() = Some(manifest);
+    *gateway.manifests.document.borrow_mut() = Some(manifest);
 }
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -3,16 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use merlinrudder_core::capacity::CapacityTable;
 use merlinrudder_core::census::Census;
 use merlinrudder_core::cold::ColdTable;
-use merlinrudder_core::control::PublishedManifest;
 use merlinrudder_core::deployment::Deployment;
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::fleet::Fleet;
-use merlinrudder_core::manifest_pull::ManifestPull;
+use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::{ServiceName, VmId, ZoneName};
 use merlinrudder_core::pair_start::PairStart;
 use merlinrudder_core::rate_limit::RateLimits;
@@ -20,15 +19,14 @@
 use merlinrudder_core::relays::RelayTable;
 use merlinrudder_core::retry::{RetryLimits, RetryWindow};
 use merlinrudder_core::time::Moment;
-use merlinrudder_platform::config::ConfigReader;
 use slog::{Logger, debug, o};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use super::GatewayConfig;
 use super::buffer_budget::BufferBudget;
 use super::capacity::CapacityWatch;
 use super::crash_watch::CrashWatch;
-use super::manifest_watch::ManifestWatch;
+use super::manifest_state::ManifestState;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
 use super::upstream::ConnectionPool;
@@ -61,20 +59,8 @@
     ///
     /// Its number never decreases.
     pub(super) deployment: RefCell<Option<Arc<Deployment>>>,
-    /// Document of the manifest in force, on which differences build.
-    ///
-    /// `None` as well after one that could not be decoded, so that a whole one is requested.
-    pub(super) document: RefCell<Option<PublishedManifest>>,
-    /// Decodes documents; used on other threads, by one at a time.
-    pub(super) config_reader: Arc<Mutex<ConfigReader>>,
-    /// Chooses the VM to request a newer manifest from.
-    pub(super) manifest_pull: RefCell<ManifestPull>,
-    /// Wakes the task that requests manifests, once what it knows has changed.
-    pub(super) manifest_wake: Notify,
-    /// Wakes requests that wait for a newer manifest or its confirmation.
-    pub(super) manifest_changed: Notify,
-    /// Times of what was heard and asked of newer manifests, for logs and metrics.
-    pub(super) manifest_watch: RefCell<ManifestWatch>,
+    /// How newer manifests come into force.
+    pub(super) manifests: ManifestState,
     /// Known backend servers with their load and health.
     pub(super) fleet: RefCell<Fleet>,
     /// Admitted requests whose outcome is not known yet.
@@ -106,12 +92,6 @@
     /// Requests and retries of each service at this VM, for the retry budget.
     retry_windows: RefCell<BTreeMap<ServiceName, RetryWindow>>,
     retry_limits: RetryLimits,
-    /// Whether the manifest in force was confirmed as the newest.
-    ///
-    /// Set by a control VM in contact with the leader, and never reset.
-    pub(super) manifest_confirmed: Cell<bool>,
-    /// Number that a control VM in contact with the leader last told as the newest.
-    pub(super) manifest_current: Cell<Option<u64>>,
     /// Number of open caller connections.
     pub(super) connections: Cell<usize>,
     /// How far a planned stop has come; never goes back.
@@ -142,12 +122,7 @@
             clock,
             links,
             deployment: RefCell::new(None),
-            document: RefCell::new(None),
-            config_reader: Arc::default(),
-            manifest_pull: RefCell::new(ManifestPull::new(vm.clone())),
-            manifest_wake: Notify::new(),
-            manifest_changed: Notify::new(),
-            manifest_watch: RefCell::default(),
+            manifests: ManifestState::new(vm.clone()),
             vm,
             fleet: RefCell::new(fleet),
             open_requests: OpenRequests::default(),
@@ -164,8 +139,6 @@
             pair_start: RefCell::default(),
             retry_windows: RefCell::default(),
             retry_limits: config.retry_limits,
-            manifest_confirmed: Cell::new(false),
-            manifest_current: Cell::new(None),
             connections: Cell::new(0),
             stop_stage: watch::Sender::new(StopStage::Running),
             log: log.new(o!("part" => "gateway")),
@@ -181,12 +154,17 @@
         self.deployment.borrow().clone()
     }
 
+    /// Returns the number of the manifest in force; 0 if there is none.
+    pub(super) fn manifest_number(&self) -> ManifestNumber {
+        let deployment = self.deployment.borrow();
+        let deployment = deployment.as_ref();
+        deployment.map_or(ManifestNumber(0), |deployment| deployment.number)
+    }
+
     /// Whether the manifest in force was confirmed, and no newer one is known.
     pub(super) fn has_newest_manifest(&self) -> bool {
-        let deployment = self.deployment.borrow();
-        let number = deployment.as_ref().map(|deployment| deployment.number);
-        self.manifest_confirmed.get()
-            && number.is_some_and(|number| !self.manifest_pull.borrow().is_behind(number))
+        let pull = self.manifests.pull.borrow();
+        self.manifests.confirmed.get() && !pull.is_behind(self.manifest_number())
     }
 
     /// Whether the load balancer should send callers to this VM.
@@ -198,7 +176,7 @@
         let has_servers =
             |deployment: &Arc<Deployment>| self.fleet.borrow().has_ready_server(deployment);
         !self.has_reached(StopStage::Unready)
-            && self.manifest_confirmed.get()
+            && self.manifests.confirmed.get()
             && deployment.as_ref().is_some_and(has_servers)
     }
 
