--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -154,9 +154,21 @@
         index
     }
 
-    /// Steps down without a quorum; otherwise sends heartbeats and proposes membership changes.
+    /// Tells the followers at once what was committed since they were last told.
     ///
-    /// Followers are told of a commit at the next tick, and apply it then.
+    /// Called before those who wait for an entry are answered: the followers then apply it also if
+    /// this leader is lost right after the answer, instead of only after an election.
+    pub fn announce_commit(&mut self, now: Moment) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if self.commit_index > leader.announced_commit {
+            leader.announced_commit = self.commit_index;
+            self.replicate_all(now);
+        }
+    }
+
+    /// Steps down without a quorum; otherwise sends heartbeats and proposes membership changes.
     pub(super) fn tick_leader(&mut self, now: Moment) {
         if !self.has_quorum(now) {
             self.become_follower(now, None);
--- a/core/tests/integration/consensus.rs
+++ b/core/tests/integration/consensus.rs
@@ -75,6 +75,30 @@
     assert_eq!(consensus.commit_index(), index);
 }
 
+/// Guards against a confirmed manifest that no VM gets until another leader is elected.
+#[test]
+fn followers_are_told_of_a_commit_before_those_who_wait_are_answered() {
+    let mut consensus = open_replica(1, 3);
+    let now = elect(&mut consensus);
+    let command = Payload::Command(Arc::from([7]));
+    let (term, index) = consensus.propose(now, command).expect("the replica leads");
+    consensus.mark_synced(index, term);
+    let success = true;
+    let body = Body::AppendReply { success, index };
+    consensus.receive(now, &replica(2), Message { term, body });
+    consensus.announce_commit(now);
+    let outputs = consensus.take_outputs();
+    let told = |output: &&Output| match output {
+        Output::Send(_, message) => {
+            matches!(message.body, Body::Append { commit, .. } if commit == index)
+        }
+        _ => false,
+    };
+    assert_eq!(outputs.iter().filter(told).count(), 2, "{outputs:?}");
+    consensus.announce_commit(now);
+    assert_eq!(consensus.take_outputs(), []);
+}
+
 #[test]
 fn a_leader_without_a_quorum_steps_down_and_has_no_lease() {
     let mut consensus = open_replica(1, 3);
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -180,6 +180,7 @@
     pub(super) fn flush(&mut self) {
         loop {
             let now = self.clock.now();
+            self.replica.consensus.announce_commit(now);
             let outputs = self.replica.flush();
             if !outputs.progressed && outputs.outcomes.is_empty() {
                 break;
