feature: a refused prompt is logged with its length and what was weighed

A refusal said neither the length nor the costs, so the hypotheses on the longest prompts could not be told apart. One line a refusal: length, selections, time waited, external cost, gain, busy fraction, engines and predicted time. Decisions are as before.

--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -7,6 +7,8 @@
 //! by value alone, the longest prompts would wait for the end of each burst and then be refused.
 //! Their work therefore counts for them as well, and is a limited reason against them.
 
+use std::time::Duration;
+
 use super::{
     LATE_VALUE_FRACTION, Placement, PlacementRequest, millis, miss_probability, prompt_value,
 };
@@ -34,15 +36,30 @@
 /// is refused by then can still be served after its caller has come back.
 const MAX_WAIT_FRACTION: f64 = 0.2;
 
+/// What was compared when a prompt was refused; costs are in units of value.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weighed {
+    /// Value that other requests would lose.
+    pub external_cost: f64,
+    /// Value that the caller gains.
+    pub gain: f64,
+    /// Fraction of the engines that were prefilling.
+    pub busy_fraction: f64,
+    /// Engines of the placement, the lead included.
+    pub engines: usize,
+    /// Predicted time to first token.
+    pub predicted_ttft: Duration,
+}
+
 /// What happens to a prompt for which engines were chosen.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PlacementDecision {
     /// Send it to the chosen engines now.
     Place,
     /// Keep it waiting and choose engines again shortly.
     Wait,
     /// Refuse it, since other callers would lose more than its caller gains.
-    Refuse,
+    Refuse(Weighed),
 }
 
 /// Decides on a placement while `busy_fraction` of the engines are prefilling.
@@ -79,6 +96,12 @@
     if placement.external_cost < gain {
         PlacementDecision::Place
     } else {
-        PlacementDecision::Refuse
+        PlacementDecision::Refuse(Weighed {
+            external_cost: placement.external_cost,
+            gain,
+            busy_fraction,
+            engines: placement.helpers.len() + 1,
+            predicted_ttft: placement.predicted_ttft,
+        })
     }
 }
--- a/core/tests/integration/ranks.rs
+++ b/core/tests/integration/ranks.rs
@@ -158,7 +158,7 @@
         };
         decide_placement(&profile(), &request, &placement, 0.5)
     };
-    assert_eq!(decide(0.5), PlacementDecision::Refuse);
+    assert!(matches!(decide(0.5), PlacementDecision::Refuse(_)));
     assert_eq!(decide(2.0), PlacementDecision::Place);
 }
 
--- a/core/tests/integration/util/burst_sim/placing.rs
+++ b/core/tests/integration/util/burst_sim/placing.rs
@@ -60,7 +60,7 @@
                 let wait = POLL_MS * (0.5 + self.rng.f64());
                 self.jobs[number].state = State::Waiting(as_float(now) + wait);
             }
-            PlacementDecision::Refuse => self.refuse(now, number),
+            PlacementDecision::Refuse(_) => self.refuse(now, number),
         }
     }
 
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use merlinrudder_core::engine_placement::decision::Weighed;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
+use slog::info;
 use tokio::time::sleep;
 
 use super::crash_verdict::{self, Permission};
@@ -52,6 +54,8 @@
     pub(super) tally: Rc<Tally>,
     /// Failed attempts that did not run the request; limited by `MAX_NOT_RUN_FAILURES`.
     not_run: u32,
+    /// Times that servers were to be selected.
+    selections: u32,
     /// Set while the request waits for a permit, or for a turn at a cold server.
     waiter: Option<Waiter>,
 }
@@ -71,6 +75,7 @@
         Self {
             tally: Rc::new(tally),
             not_run: 0,
+            selections: 0,
             waiter: None,
         }
     }
@@ -101,6 +106,7 @@
                 return Err(self.refusal(RefusalReason::DeadlinePassed));
             }
             call.guard.enter(Phase::Selection);
+            self.selections += 1;
             match self.permission(gateway, call) {
                 Permission::Send => {}
                 Permission::SendOnTrial => self.tally.on_trial.set(true),
@@ -140,7 +146,10 @@
                     return Err(self.rate_refusal(gateway, call));
                 }
                 Selection::HeldBack(left) => return Err(self.held_back_refusal(left)),
-                Selection::Refuse => return Err(self.refusal(RefusalReason::QueueFull)),
+                Selection::Refuse(weighed) => {
+                    self.log_refused_prompt(gateway, call, &weighed);
+                    return Err(self.refusal(RefusalReason::QueueFull));
+                }
                 Selection::NoPath => return Err(self.path_refusal()),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
@@ -233,6 +242,16 @@
         Ok(())
     }
 
+    /// Logs what was weighed when a prompt was refused.
+    fn log_refused_prompt(&self, gateway: &Gateway, call: &CallerRequest, weighed: &Weighed) {
+        info!(gateway.log, "Prompt refused"; "request" => call.attempt_id_text(),
+            "prompt_tokens" => call.prompt_tokens(), "selections" => self.selections,
+            "waited_ms" => gateway.now().since(call.received_at).as_millis(),
+            "external_cost" => weighed.external_cost, "gain" => weighed.gain,
+            "busy_fraction" => weighed.busy_fraction, "engines" => weighed.engines,
+            "predicted_ms" => weighed.predicted_ttft.as_millis());
+    }
+
     /// Builds the refusal; it suggests coming back only if no attempt may have run.
     fn refusal(&self, reason: RefusalReason) -> Refusal {
         self.refusal_after(reason, || DEFAULT_RETRY_AFTER)
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -157,7 +157,7 @@
 ) -> Response<ResponseBody> {
     info!(gateway.log, "Request failed"; "request" => call.attempt_id_text(),
         "route" => &*call.route.name, "reason" => refusal.reason.code(),
-        "run" => refusal.run.as_str(),
+        "run" => refusal.run.as_str(), "prompt_tokens" => call.prompt_tokens(),
         "after_ms" => gateway.now().since(call.received_at).as_millis(),
         "manifest" => call.manifest_number);
     call.guard.end();
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -116,6 +116,11 @@
         text(&self.attempt_id)
     }
 
+    /// Returns the length of the prompt in tokens; 0 if the caller named none.
+    pub(super) fn prompt_tokens(&self) -> u64 {
+        self.token_counts.map_or(0, |tokens| tokens.prompt)
+    }
+
     /// Builds the request to forward, with the time left at `now`.
     pub(super) fn upstream_request(
         &self,
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -7,7 +7,7 @@
 use merlinrudder_core::deployment::CallKind;
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::engine_model::EngineProfile;
-use merlinrudder_core::engine_placement::decision::PlacementDecision;
+use merlinrudder_core::engine_placement::decision::{PlacementDecision, Weighed};
 use merlinrudder_core::engine_placement::loads::{EngineLoad, PlacedPrompt};
 use merlinrudder_core::engine_placement::{Placement, PlacementRequest};
 use merlinrudder_core::fleet::NoChoice;
@@ -106,7 +106,7 @@
     /// No engine should take the prompt now; select again after a short wait.
     Wait,
     /// Refuse the prompt: other requests would lose more than its caller gains.
-    Refuse,
+    Refuse(Weighed),
     /// All servers have limits on their request rates; a permit for one of them is expected.
     AwaitPermit,
     /// All servers have limits on their request rates; none of them takes the request soon.
@@ -281,7 +281,7 @@
     match decision {
         PlacementDecision::Place => {}
         PlacementDecision::Wait => return Ok(Selection::Wait),
-        PlacementDecision::Refuse => return Ok(Selection::Refuse),
+        PlacementDecision::Refuse(weighed) => return Ok(Selection::Refuse(weighed)),
     }
     let endpoint = |id: &ServerId| {
         let address = fleet.directory.get(id)?.address;
