other: heads that are cut after every third byte, with and without an informational head before them

Report of an operator: a head that its engine cuts became a 200 with an empty body. Streams, calls that run once and calls that may be repeated were sent to a server that closes within its head, by way of one VM. Not played: resets, hedges, attempts by way of another VM, and the own interface.

--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod crash_quarantine;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_heads;
 mod cut_off_vms;
 mod deployment;
 mod endless_answers;
