--- a/core/tests/integration/cold_servers.rs
+++ b/core/tests/integration/cold_servers.rs
@@ -319,7 +319,9 @@
             &fleets::long(),
             &[],
         );
-        chosen.expect("engines are eligible").0.helpers.len()
+        fleets::placed(chosen.expect("engines are eligible"))
+            .helpers
+            .len()
     };
     assert!(choose(0) > 0);
     assert_eq!(choose(3_000), 0);
--- a/core/tests/integration/fleets.rs
+++ b/core/tests/integration/fleets.rs
@@ -82,15 +82,18 @@
     placement_request(LONG, 3000, 1000)
 }
 
-/// Chooses engines and records the placement, as an entry VM does.
-pub fn place(
+/// Decides on a prompt and records its placement, as an entry VM does.
+pub fn decide(
     fleet: &mut Fleet,
     now: Moment,
     number: u64,
     request: &PlacementRequest,
-) -> (Placement, PlacementDecision) {
-    let chosen = fleet.choose_engines(now, &service(), &profile(), request, &[]);
-    let (placement, decision) = chosen.expect("an engine");
+) -> PlacementDecision {
+    let decision = fleet.choose_engines(now, &service(), &profile(), request, &[]);
+    let decision = decision.expect("an engine");
+    let PlacementDecision::Place(placement) = &decision else {
+        return decision;
+    };
     let key = PlacementKey {
         entry: VmId::from("entry"),
         number,
@@ -106,10 +109,21 @@
         pause_objective: request.pause_objective,
         weight: request.weight,
     };
-    if decision == PlacementDecision::Place {
-        fleet.add_placement(now, &key, &profile(), &placed);
+    fleet.add_placement(now, &key, &profile(), &placed);
+    decision
+}
+
+/// Places a prompt that needs no wait, and records it.
+pub fn place(fleet: &mut Fleet, now: Moment, number: u64, request: &PlacementRequest) -> Placement {
+    placed(decide(fleet, now, number, request))
+}
+
+/// Returns the engines of a prompt that is placed.
+pub fn placed(decision: PlacementDecision) -> Placement {
+    match decision {
+        PlacementDecision::Place(placement) => placement,
+        other => panic!("not placed: {other:?}"),
     }
-    (placement, decision)
 }
 
 pub fn mark_prefilled(fleet: &mut Fleet, number: u64) {
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -133,6 +133,7 @@
             capacity: config.learn_capacity,
             manifest_updates: true,
             compressed_frames: true,
+            prompt_queue: true,
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
