--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -1,19 +1,16 @@
 //! Places a prompt on the engines where it costs all callers least.
 //!
-//! Short prompts share few engines, and long ones get the others in the order of their queue: see
-//! [`packing`], [`long_prompts`] and [`queue`]. Prefill lengthens the pauses of the answers decoded
-//! beside it, and delays the prompts queued behind it. For a short prompt each candidate is therefore
-//! rated by the value that the prompt itself, the answers decoded there and the prompts waiting there
-//! are likely to lose. Its prefill may be split over several engines.
+//! Short and long prompts share engines. Prefill of a long prompt lengthens the pauses of the
+//! answers decoded beside it, and delays the short prompts queued behind it. Each candidate is
+//! therefore rated by the value that the prompt itself, the answers decoded there and the prompts
+//! waiting there are likely to lose. Prefill of a long prompt may be split over several engines.
 //!
 //! Costs are in units of value: a request with the shortest prompt is worth 1 to its caller, see
 //! [`prompt_value`]. Times in `f64` are in milliseconds.
 
 pub mod decision;
 pub mod loads;
-pub mod long_prompts;
 mod packing;
-pub mod queue;
 
 use std::time::Duration;
 
@@ -162,8 +159,6 @@
     pub zone: &'a ZoneName,
     /// Whether short prompts are packed onto few servers; only safe if their load is known.
     pub packs_shorts: bool,
-    /// Whether long prompts wait for engines or are prefilled, so that some engines are kept for them.
-    pub serves_long: bool,
     /// Current time.
     pub now: Moment,
 }
@@ -415,13 +410,6 @@
     value * (late + lost) + ttft * COST_PER_MS
 }
 
-/// Returns the time without an event after which a caller disconnects, according to the platform.
-fn caller_patience(ttft_objective: Duration, pause_objective: Duration) -> Duration {
-    (ttft_objective * 4)
-        .max(pause_objective * 8)
-        .max(MIN_CALLER_PATIENCE)
-}
-
 /// Returns the fraction of its value that an answer loses if its next pause grows.
 ///
 /// If the pause exceeds the caller's patience, the caller disconnects and the rest is lost too.
@@ -430,7 +418,9 @@
         let bound = millis(bound);
         miss_probability(after, bound) - miss_probability(before, bound)
     };
-    let patience = caller_patience(part.ttft_objective, part.pause_objective);
+    let patience = (part.ttft_objective * 4)
+        .max(part.pause_objective * 8)
+        .max(MIN_CALLER_PATIENCE);
     later(part.pause_objective) * (1.0 - LATE_VALUE_FRACTION)
         + later(patience) * LATE_VALUE_FRACTION
 }
--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -1,33 +1,107 @@
-//! What is decided on a prompt: whether it is placed now, waits, or is refused.
+//! Decides whether a prompt is placed now, waits, or is refused.
+//!
+//! In a burst of long prompts not all can meet their objective. Two that are prefilled in the same
+//! pass slow down every request in it, although one of them has time to wait for the other.
+//!
+//! The work of a prompt grows with the square of its length, and its value with the length: judged
+//! by value alone, the longest prompts would wait for the end of each burst and then be refused.
+//! Their work therefore counts for them as well, and is a limited reason against them.
 
 use std::time::Duration;
 
-use super::Placement;
+use super::{
+    LATE_VALUE_FRACTION, Placement, PlacementRequest, millis, miss_probability, prompt_value,
+};
+use crate::engine_model::EngineProfile;
 
-/// What was weighed when a prompt was not placed.
-#[derive(Clone, Debug, PartialEq)]
+/// External cost above which a long prompt waits for engines with less to prefill.
+const MAX_EXTERNAL_COST: f64 = 0.4;
+/// Fraction of the objective up to which a long prompt may wait.
+///
+/// The time waited and the predicted time to first token count together.
+const MAX_TTFT_FRACTION: f64 = 0.3;
+/// Shortest prefill time of a prompt for which waiting pays, in milliseconds.
+const MIN_PREFILL_MS: f64 = 120.0;
+/// Value of a second of engine time to other requests while all engines are prefilling.
+const BUSY_ENGINE_VALUE: f64 = 6.0;
+/// Largest cost of engine time, as a fraction of what a prompt gains.
+///
+/// More would make the length of a prompt alone a reason to refuse it.
+const MAX_ENGINE_COST_FRACTION: f64 = 0.5;
+/// Least value of a prompt for each second of its prefill.
+const MIN_PREFILL_VALUE: f64 = 5.0;
+/// Fraction of its total time that a prompt may wait for a burst to end.
+///
+/// A prompt that is placed later than that is seldom answered before its caller leaves, and one that
+/// is refused by then can still be served after its caller has come back.
+const MAX_WAIT_FRACTION: f64 = 0.2;
+
+/// What was compared when a prompt was refused; costs are in units of value.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weighed {
-    /// Prompts in the queue that get engines first.
-    pub ahead: usize,
-    /// Engines for long prompts.
+    /// Value that other requests would lose.
+    pub external_cost: f64,
+    /// Value that the caller gains.
+    pub gain: f64,
+    /// Fraction of the engines that were prefilling.
+    pub busy_fraction: f64,
+    /// Engines of the placement, the lead included.
     pub engines: usize,
-    /// Those of them that take a part now.
-    pub free_engines: usize,
-    /// Engines over which the prompt would be split.
-    pub parts: usize,
-    /// Predicted time until its engines are free.
-    pub predicted_start: Duration,
-    /// Predicted time to first token, the wait included.
+    /// Predicted time to first token.
     pub predicted_ttft: Duration,
 }
 
-/// What happens to a prompt.
-#[derive(Clone, Debug, PartialEq)]
+/// What happens to a prompt for which engines were chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PlacementDecision {
     /// Send it to the chosen engines now.
-    Place(Placement),
-    /// Keep it in the queue and choose engines again shortly.
-    Wait(Weighed),
-    /// Refuse it, since it can no longer be served in its time.
+    Place,
+    /// Keep it waiting and choose engines again shortly.
+    Wait,
+    /// Refuse it, since other callers would lose more than its caller gains.
     Refuse(Weighed),
 }
+
+/// Decides on a placement while `busy_fraction` of the engines are prefilling.
+///
+/// A prompt with a short prefill is always placed.
+#[must_use]
+pub fn decide_placement(
+    profile: &EngineProfile,
+    request: &PlacementRequest,
+    placement: &Placement,
+    busy_fraction: f64,
+) -> PlacementDecision {
+    let prefill = profile.prefill_time(request.prompt_tokens);
+    if prefill < MIN_PREFILL_MS {
+        return PlacementDecision::Place;
+    }
+    let (waited, objective) = (millis(request.waited), millis(request.ttft_objective));
+    let ttft = waited + millis(placement.predicted_ttft);
+    if placement.external_cost > MAX_EXTERNAL_COST && ttft < objective * MAX_TTFT_FRACTION {
+        return PlacementDecision::Wait;
+    }
+    let seconds = prefill / 1000.0;
+    let value = prompt_value(request.prompt_tokens).max(seconds * MIN_PREFILL_VALUE);
+    let value = value * request.weight;
+    let gain = value * (1.0 - miss_probability(ttft, objective) * (1.0 - LATE_VALUE_FRACTION));
+    let engine_cost = seconds * BUSY_ENGINE_VALUE * busy_fraction;
+    let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
+    if placement.external_cost + engine_cost <= gain {
+        return PlacementDecision::Place;
+    }
+    if waited < (waited + millis(request.time_left)) * MAX_WAIT_FRACTION {
+        return PlacementDecision::Wait;
+    }
+    if placement.external_cost < gain {
+        PlacementDecision::Place
+    } else {
+        PlacementDecision::Refuse(Weighed {
+            external_cost: placement.external_cost,
+            gain,
+            busy_fraction,
+            engines: placement.helpers.len() + 1,
+            predicted_ttft: placement.predicted_ttft,
+        })
+    }
+}
--- a/core/src/engine_placement/loads.rs
+++ b/core/src/engine_placement/loads.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::long_prompts::is_long;
 use crate::capacity::learned::LearnedTable;
 use crate::engine_model::{EngineProfile, as_float};
 use crate::names::{ServerId, VmId};
@@ -13,6 +12,8 @@
 ///
 /// It keeps the backlog from reaching zero when a prefill takes longer than predicted.
 const OVERRUN_FRACTION: f64 = 0.3;
+/// Prefill backlog up to which an engine does not count as prefilling, in milliseconds.
+const MIN_BACKLOG_MS: f64 = 60.0;
 
 /// Identifies a placement in the whole deployment.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -197,12 +198,11 @@
         self.engines.get(server)
     }
 
-    /// Whether an engine prefills a part of a long prompt.
+    /// Returns whether an engine has more to prefill than a short prompt.
     #[must_use]
-    pub fn prefills_long(&self, profile: &EngineProfile, server: &ServerId) -> bool {
-        let parts = self.engines.get(server).map(EngineLoad::parts);
-        let mut prefilling = parts.into_iter().flatten().filter(|part| part.prefilling);
-        prefilling.any(|part| is_long(profile, part.prompt_tokens))
+    pub fn has_prefill_backlog(&self, now: Moment, server: &ServerId) -> bool {
+        let load = self.engines.get(server);
+        load.is_some_and(|load| load.prefill_backlog(now) > MIN_BACKLOG_MS)
     }
 
     /// Adds a placement, or replaces the one with the same key.
--- a/core/src/engine_placement/packing.rs
+++ b/core/src/engine_placement/packing.rs
@@ -8,12 +8,12 @@
 use super::{Candidate, Placer};
 use crate::directory::ServerRecord;
 use crate::engine_model::as_float;
-use crate::names::{ServerId, ZoneName};
+use crate::names::ServerId;
 
+/// Longest prefill time of a prompt that counts as short, in milliseconds.
+const SHORT_PREFILL_MS: f64 = 60.0;
 /// Fraction of slots that short prompts fill before another server is opened to them.
 const OPEN_FILL_FRACTION: f64 = 0.75;
-/// Fraction of a zone's servers that may be open to short prompts; the others take long ones.
-const MAX_OPEN_FRACTION: f64 = 0.8;
 /// Cost of a short prompt on a server that is not open to short prompts.
 const CLOSED_SERVER_COST: f64 = 0.25;
 /// Cost of a short prompt on a server with all slots taken.
@@ -29,40 +29,17 @@
     /// prefill a long prompt without pausing any answer. All entry VMs of a zone open servers in
     /// the same order, so that a burst is spread over all open servers and not sent to just one.
     pub(super) fn open_servers<'c>(&self, candidates: &[Candidate<'c>]) -> BTreeSet<&'c ServerId> {
-        self.open_servers_of(self.zone, candidates)
-    }
-
-    /// Returns the servers that are currently open to short prompts in any zone.
-    pub(super) fn open_servers_of_all_zones<'c>(
-        &self,
-        candidates: &[Candidate<'c>],
-    ) -> BTreeSet<&'c ServerId> {
-        let zones = candidates.iter().map(|candidate| &candidate.server.zone);
-        let zones: BTreeSet<_> = zones.collect();
-        let open = zones
-            .into_iter()
-            .map(|zone| self.open_servers_of(zone, candidates));
-        open.flatten().collect()
-    }
-
-    fn open_servers_of<'c>(
-        &self,
-        zone: &ZoneName,
-        candidates: &[Candidate<'c>],
-    ) -> BTreeSet<&'c ServerId> {
-        let in_zone = candidates.iter().map(|candidate| candidate.server);
-        let mut own: Vec<_> = in_zone.filter(|server| server.zone == *zone).collect();
+        let mut own: Vec<_> = candidates
+            .iter()
+            .filter(|candidate| candidate.server.zone == *self.zone)
+            .map(|candidate| candidate.server)
+            .collect();
         own.sort_unstable_by_key(|server| &server.id);
         let shorts: usize = own.iter().map(|server| self.short_count(&server.id)).sum();
         let mut open_slots = 0.0;
         let is_open = |filled: f64, needed: f64| !self.packs_shorts || filled < needed;
         let needed = as_float(shorts as u64 + 1);
-        let most = if self.packs_shorts && self.serves_long {
-            max_open(own.len())
-        } else {
-            own.len()
-        };
-        let open = own.into_iter().take(most).take_while(|server| {
+        let open = own.into_iter().take_while(|server| {
             let needs_more = is_open(open_slots, needed);
             open_slots +=
                 f64::from(self.loads.usable_slots(self.profile, &server.id)) * OPEN_FILL_FRACTION;
@@ -102,15 +79,6 @@
     }
 
     pub(super) fn is_short(&self, prompt: u64) -> bool {
-        !self.is_long(prompt)
+        self.profile.prefill_time(prompt) <= SHORT_PREFILL_MS
     }
 }
-
-/// Returns how many of a zone's servers may be open to short prompts; at least one.
-fn max_open(servers: usize) -> usize {
-    let share = as_float(servers as u64) * MAX_OPEN_FRACTION;
-    (1..servers)
-        .rev()
-        .find(|open| as_float(*open as u64) <= share)
-        .unwrap_or(1)
-}
--- a/core/src/fleet/choice.rs
+++ b/core/src/fleet/choice.rs
@@ -8,10 +8,9 @@
 use super::Fleet;
 use crate::cold::Warmth;
 use crate::directory::ServerRecord;
-use crate::engine_model::EngineProfile;
-use crate::engine_placement::decision::PlacementDecision;
-use crate::engine_placement::queue::QueuedPrompt;
-use crate::engine_placement::{Candidate, PlacementRequest, Placer};
+use crate::engine_model::{EngineProfile, as_float};
+use crate::engine_placement::decision::{PlacementDecision, decide_placement};
+use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer};
 use crate::names::{ServerId, ServiceName, ZoneName};
 use crate::time::Moment;
 
@@ -47,10 +46,9 @@
 }
 
 impl Fleet {
-    /// Decides on a prompt, and on its engines if it is placed now.
+    /// Chooses engines for a prompt, and whether to place it now.
     ///
-    /// Engines in `tried` are excluded. A long prompt waits for those before it in the queue, whether
-    /// it is in the queue itself or not.
+    /// Engines in `tried` are excluded.
     ///
     /// # Errors
     /// Returns why no engine can take the prompt now.
@@ -61,7 +59,7 @@
         profile: &EngineProfile,
         request: &PlacementRequest,
         tried: &[ServerId],
-    ) -> Result<PlacementDecision, NoChoice> {
+    ) -> Result<(Placement, PlacementDecision), NoChoice> {
         let servers = self.eligible_servers(now, service, tried)?;
         let value = request.value();
         let mut rng = Rng::with_seed(request.random_seed);
@@ -86,26 +84,15 @@
             loads: &self.loads,
             zone: &self.zone,
             packs_shorts: self.sees_placements,
-            serves_long: self.serves_long(now, service, profile),
             now,
         };
-        if placer.is_long(request.prompt_tokens) {
-            let prompt = QueuedPrompt::of_request(now, request);
-            let ahead = self.queue.ahead_of(now, service, profile, &prompt);
-            if let Some(decision) = placer.place_long(request, &candidates, &ahead) {
-                return Ok(decision);
-            }
-        }
         let placement = placer.place(request, &candidates);
         let placement = placement.ok_or(NoChoice::NoServer)?;
-        Ok(PlacementDecision::Place(placement))
-    }
-
-    /// Whether long prompts of a service wait for engines or are prefilled.
-    fn serves_long(&self, now: Moment, service: &ServiceName, profile: &EngineProfile) -> bool {
-        let servers = || self.directory.ready(service);
-        self.queue.has_waiting(now, service)
-            || servers().any(|(server, _)| self.loads.prefills_long(profile, &server.id))
+        let prefilling = |c: &&Candidate<'_>| self.loads.has_prefill_backlog(now, &c.server.id);
+        let prefilling = candidates.iter().filter(prefilling).count();
+        let busy_fraction = as_float(prefilling as u64) / as_float(candidates.len() as u64);
+        let decision = decide_placement(profile, request, &placement, busy_fraction);
+        Ok((placement, decision))
     }
 
     /// Chooses the server with the lowest occupancy for a plain call.
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -33,9 +33,8 @@
         self.loads.add(now, key, profile, placed);
     }
 
-    /// Removes the placements and waiting prompts of an entry VM whose link was lost.
+    /// Removes the placements of an entry VM whose link was lost.
     pub fn entry_lost(&mut self, now: Moment, entry: &VmId) {
-        self.queue.remove_entry(entry);
         self.loads.remove_entry(now, entry);
     }
 
--- a/core/src/placement_batches.rs
+++ b/core/src/placement_batches.rs
@@ -104,11 +104,6 @@
         after.is_some_and(|after| before.is_none_or(|before| after < before))
     }
 
-    /// Returns the zones with linked entry VMs.
-    pub fn zones(&self) -> impl Iterator<Item = &ZoneName> {
-        self.zones.keys()
-    }
-
     /// Returns when the next batch is to be sent; `None` if there are no changes.
     #[must_use]
     pub fn next_due(&self) -> Option<Moment> {
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -133,7 +133,6 @@
             capacity: config.learn_capacity,
             manifest_updates: true,
             compressed_frames: true,
-            prompt_queue: true,
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use merlinrudder_core::engine_placement::PlacementRequest;
 use merlinrudder_core::engine_placement::decision::Weighed;
 use merlinrudder_core::outcome::{Refusal, RefusalReason, RetryReason, RunState};
 use slog::info;
@@ -14,7 +13,6 @@
 use super::failure::{Failure, record_failure};
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
-use super::placement_sync::QueueEntry;
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
 use super::selection::{Selection, select_servers};
@@ -28,7 +26,7 @@
 /// Wait before the next attempt after a server or a helper had no capacity.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(10);
 /// Mean wait before engines are selected again for a long prompt without capacity.
-const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Time in which a VM notices the end of a cut, after which its callers may come back.
 const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(600);
@@ -60,8 +58,6 @@
     selections: u32,
     /// Set while the request waits for a permit, or for a turn at a cold server.
     waiter: Option<Waiter>,
-    /// Set while the request waits in the queue of long prompts.
-    queue_entry: Option<QueueEntry>,
 }
 
 impl Attempts {
@@ -81,7 +77,6 @@
             not_run: 0,
             selections: 0,
             waiter: None,
-            queue_entry: None,
         }
     }
 
@@ -128,13 +123,12 @@
             let is_waiting = self.waiter.is_some();
             let selected = match select_servers(gateway, call, &self.tally, &excluded, is_waiting) {
                 Selection::Selected(selected) => *selected,
-                Selection::Wait(_) | Selection::AwaitPermit | Selection::AwaitTurn
+                Selection::Wait | Selection::AwaitPermit | Selection::AwaitTurn
                     if self.is_refused_by_stop(gateway) =>
                 {
                     return Err(self.refusal(RefusalReason::Stopping));
                 }
-                Selection::Wait(prompt) => {
-                    self.enter_queue(gateway, call, &prompt);
+                Selection::Wait => {
                     sleep(PLACEMENT_RETRY_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
                     continue;
                 }
@@ -160,7 +154,6 @@
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
             self.waiter = None;
-            self.queue_entry = None;
             let context = AttemptContext {
                 gateway,
                 call,
@@ -249,28 +242,13 @@
         Ok(())
     }
 
-    /// Adds a long prompt to the queue, or renews its entry.
-    fn enter_queue(
-        &mut self,
-        gateway: &Rc<Gateway>,
-        call: &CallerRequest,
-        prompt: &PlacementRequest,
-    ) {
-        match &mut self.queue_entry {
-            Some(entry) => entry.renew(&call.service, prompt),
-            None => self.queue_entry = Some(QueueEntry::new(gateway, &call.service, prompt)),
-        }
-    }
-
     /// Logs what was weighed when a prompt was refused.
     fn log_refused_prompt(&self, gateway: &Gateway, call: &CallerRequest, weighed: &Weighed) {
         info!(gateway.log, "Prompt refused"; "request" => call.attempt_id_text(),
             "prompt_tokens" => call.prompt_tokens(), "selections" => self.selections,
             "waited_ms" => gateway.now().since(call.received_at).as_millis(),
-            "time_left_ms" => call.time_left(gateway.now()).as_millis(),
-            "ahead" => weighed.ahead, "engines" => weighed.engines,
-            "free_engines" => weighed.free_engines, "parts" => weighed.parts,
-            "start_in_ms" => weighed.predicted_start.as_millis(),
+            "external_cost" => weighed.external_cost, "gain" => weighed.gain,
+            "busy_fraction" => weighed.busy_fraction, "engines" => weighed.engines,
             "predicted_ms" => weighed.predicted_ttft.as_millis());
     }
 
--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -4,18 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use merlinrudder_core::engine_placement::PlacementRequest;
 use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
-use merlinrudder_core::engine_placement::queue::{QueuedPrompt, RENEWAL_INTERVAL};
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::{ServerId, ServiceName, VmId, ZoneName};
 use merlinrudder_core::placement_batches::{ChangeKind, PlacementBatches};
 use merlinrudder_core::rank::ServiceRanks;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::MeshMessage;
-use merlinrudder_wire::peers::{
-    WirePeer, WirePlacement, WirePlacementChange, WirePlacements, WireQueuedPrompt,
-};
+use merlinrudder_wire::peers::{WirePeer, WirePlacement, WirePlacementChange, WirePlacements};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -30,8 +26,6 @@
     active: BTreeMap<u64, ActivePlacement>,
     /// Linked entry VMs, and the changes for their next messages.
     batches: PlacementBatches<WirePlacementChange>,
-    /// Long prompts that wait for engines at this VM, by number.
-    waiting: BTreeMap<u64, WaitingPrompt>,
     /// Wakes the task that sends the changes.
     wake: Rc<Notify>,
 }
@@ -47,79 +41,6 @@
     is_prefilled: bool,
 }
 
-/// A long prompt that waits for engines.
-#[derive(Debug)]
-struct WaitingPrompt {
-    service: ServiceName,
-    prompt: QueuedPrompt,
-}
-
-/// A long prompt in the queue of all entry VMs; dropping it takes the prompt out.
-#[derive(Debug)]
-pub(super) struct QueueEntry {
-    gateway: Rc<Gateway>,
-    number: u64,
-    announced_at: Moment,
-}
-
-impl QueueEntry {
-    /// Adds a prompt to the queue here and at the other entry VMs.
-    pub(super) fn new(
-        gateway: &Rc<Gateway>,
-        service: &ServiceName,
-        request: &PlacementRequest,
-    ) -> Self {
-        let now = gateway.now();
-        let prompt = QueuedPrompt::of_request(now, request);
-        let number = gateway.outbox.borrow_mut().next_number();
-        announce(gateway, number, service, prompt);
-        Self {
-            gateway: Rc::clone(gateway),
-            number,
-            announced_at: now,
-        }
-    }
-
-    /// Announces the prompt again from time to time, so that its entry goes on to count.
-    pub(super) fn renew(&mut self, service: &ServiceName, request: &PlacementRequest) {
-        let now = self.gateway.now();
-        if now.since(self.announced_at) < RENEWAL_INTERVAL {
-            return;
-        }
-        self.announced_at = now;
-        let prompt = QueuedPrompt::of_request(now, request);
-        announce(&self.gateway, self.number, service, prompt);
-    }
-}
-
-/// Adds a waiting prompt to the queue, or renews its entry, here and at the other entry VMs.
-fn announce(gateway: &Gateway, number: u64, service: &ServiceName, prompt: QueuedPrompt) {
-    let now = gateway.now();
-    let queued = WireQueuedPrompt::new(now, number, service, &prompt);
-    let mut outbox = gateway.outbox.borrow_mut();
-    outbox.push_to_all(now, &WirePlacementChange::Queued(queued));
-    let waiting = WaitingPrompt {
-        service: service.clone(),
-        prompt: prompt.clone(),
-    };
-    outbox.waiting.insert(number, waiting);
-    let key = placement_key(&gateway.vm, number);
-    let mut fleet = gateway.fleet.borrow_mut();
-    fleet.queue.add(now, key, service.clone(), prompt);
-}
-
-impl Drop for QueueEntry {
-    fn drop(&mut self) {
-        let gateway = &self.gateway;
-        let mut outbox = gateway.outbox.borrow_mut();
-        outbox.waiting.remove(&self.number);
-        let change = WirePlacementChange::LeftQueue(self.number);
-        outbox.push_to_all(gateway.now(), &change);
-        let key = placement_key(&gateway.vm, self.number);
-        gateway.fleet.borrow_mut().queue.remove(&key);
-    }
-}
-
 /// A placement made by this VM.
 ///
 /// Dropping it ends the placement here and at the other entry VMs.
@@ -136,7 +57,8 @@
     pub(super) fn new(gateway: &Rc<Gateway>, service: &ServiceName, placed: PlacedPrompt) -> Self {
         let now = gateway.now();
         let mut outbox = gateway.outbox.borrow_mut();
-        let number = outbox.next_number();
+        outbox.last_number += 1;
+        let number = outbox.last_number;
         add_to_load_table(gateway, now, &gateway.vm, number, service, &placed);
         let wire_placement = WirePlacement::new(now, number, service, &placed);
         let engines = std::iter::once(&placed.lead).chain(&placed.helpers);
@@ -194,7 +116,6 @@
             last_number: 0,
             active: BTreeMap::new(),
             batches: PlacementBatches::new(zone),
-            waiting: BTreeMap::new(),
             wake: Rc::default(),
         }
     }
@@ -210,18 +131,6 @@
         placed.count()
     }
 
-    /// Returns the number of the next placement or queue entry.
-    fn next_number(&mut self) -> u64 {
-        self.last_number += 1;
-        self.last_number
-    }
-
-    /// Queues a change that all zones need soon.
-    fn push_to_all(&mut self, now: Moment, change: &WirePlacementChange) {
-        let zones = self.batches.zones().cloned().collect();
-        self.push(now, change, &zones);
-    }
-
     /// Queues a change that names engines in `zones`, and wakes the sending task if need be.
     fn push(&mut self, now: Moment, change: &WirePlacementChange, zones: &BTreeSet<ZoneName>) {
         if self.batches.push(now, change, zones) {
@@ -243,11 +152,8 @@
 fn change_kind(change: &WirePlacementChange) -> ChangeKind {
     match change {
         WirePlacementChange::Made(placement) => ChangeKind::Made(placement.number),
-        WirePlacementChange::Queued(prompt) => ChangeKind::Made(prompt.number),
         WirePlacementChange::FirstEvent(number) => ChangeKind::Updated(*number),
-        WirePlacementChange::Ended(number) | WirePlacementChange::LeftQueue(number) => {
-            ChangeKind::Ended(*number)
-        }
+        WirePlacementChange::Ended(number) => ChangeKind::Ended(*number),
         WirePlacementChange::ServerFailed(_) => ChangeKind::Other,
     }
 }
@@ -292,39 +198,15 @@
             .batches
             .take_due(now, change_kind);
         for batch in due {
-            send_changes(&gateway, batch.vms, batch.changes, false);
+            let message = MeshMessage::Placements(WirePlacements {
+                is_snapshot: false,
+                changes: batch.changes,
+            });
+            gateway.links.send_all(&batch.vms, &message);
         }
     }
 }
 
-/// Sends changes; VMs of earlier versions get none of the queue.
-fn send_changes(
-    gateway: &Gateway,
-    vms: Vec<VmId>,
-    changes: Vec<WirePlacementChange>,
-    is_snapshot: bool,
-) {
-    let send = |vms: &[VmId], changes: Vec<WirePlacementChange>| {
-        if vms.is_empty() || (changes.is_empty() && !is_snapshot) {
-            return;
-        }
-        let placements = WirePlacements {
-            is_snapshot,
-            changes,
-        };
-        gateway
-            .links
-            .send_all(vms, &MeshMessage::Placements(placements));
-    };
-    let knows_queue = |vm: &VmId| gateway.links.supports(vm, |features| features.prompt_queue);
-    let (newer, older): (Vec<_>, Vec<_>) = vms.into_iter().partition(knows_queue);
-    if !older.is_empty() {
-        let of_placements = changes.iter().filter(|change| !change.is_of_queue());
-        send(&older, of_placements.cloned().collect());
-    }
-    send(&newer, changes);
-}
-
 /// Sends all active placements to an entry VM whose link has just opened, and changes from now on.
 pub(super) fn link_up(gateway: &Gateway, peer: &WirePeer) {
     let zone = ZoneName::from(peer.zone.as_str());
@@ -350,11 +232,12 @@
             changes.push(WirePlacementChange::FirstEvent(*number));
         }
     }
-    for (number, waiting) in &outbox.waiting {
-        let queued = WireQueuedPrompt::new(now, *number, &waiting.service, &waiting.prompt);
-        changes.push(WirePlacementChange::Queued(queued));
-    }
-    send_changes(gateway, vec![to.clone()], changes, true);
+    let is_snapshot = true;
+    let message = MeshMessage::Placements(WirePlacements {
+        is_snapshot,
+        changes,
+    });
+    gateway.links.send(to, &message);
 }
 
 /// Applies placement changes from another entry VM.
@@ -368,9 +251,11 @@
             _ => None,
         });
         let listed: BTreeSet<_> = listed.collect();
-        let mut fleet = gateway.fleet.borrow_mut();
-        fleet.loads.keep_only(now, from, &listed);
-        fleet.queue.remove_entry(from);
+        gateway
+            .fleet
+            .borrow_mut()
+            .loads
+            .keep_only(now, from, &listed);
     }
     for change in placements.changes {
         match change {
@@ -384,16 +269,6 @@
                 let mut fleet = gateway.fleet.borrow_mut();
                 fleet.loads.mark_prefilled(&placement_key(from, number));
             }
-            WirePlacementChange::Queued(queued) => {
-                let key = placement_key(from, queued.number);
-                let (service, prompt) = queued.into_core(now);
-                let mut fleet = gateway.fleet.borrow_mut();
-                fleet.queue.add(now, key, service, prompt);
-            }
-            WirePlacementChange::LeftQueue(number) => {
-                let key = placement_key(from, number);
-                gateway.fleet.borrow_mut().queue.remove(&key);
-            }
             WirePlacementChange::ServerFailed(server) => {
                 let server = ServerId::from(server);
                 let mut fleet = gateway.fleet.borrow_mut();
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -103,9 +103,9 @@
 pub(super) enum Selection {
     /// Send the request to these servers.
     Selected(Box<SelectedServers>),
-    /// The prompt waits in the queue of long prompts; select again after a short wait.
-    Wait(Box<PlacementRequest>),
-    /// Refuse the prompt: it can no longer be served in its time.
+    /// No engine should take the prompt now; select again after a short wait.
+    Wait,
+    /// Refuse the prompt: other requests would lose more than its caller gains.
     Refuse(Weighed),
     /// All servers have limits on their request rates; a permit for one of them is expected.
     AwaitPermit,
@@ -276,13 +276,13 @@
 ) -> Result<Selection, NoChoice> {
     let prompt = describe_prompt(gateway, call, profile, tokens);
     let fleet = gateway.fleet.borrow();
-    let decision =
+    let (placement, decision) =
         fleet.choose_engines(gateway.now(), &call.service, profile, &prompt, excluded)?;
-    let placement = match decision {
-        PlacementDecision::Place(placement) => placement,
-        PlacementDecision::Wait(_) => return Ok(Selection::Wait(Box::new(prompt))),
+    match decision {
+        PlacementDecision::Place => {}
+        PlacementDecision::Wait => return Ok(Selection::Wait),
         PlacementDecision::Refuse(weighed) => return Ok(Selection::Refuse(weighed)),
-    };
+    }
     let endpoint = |id: &ServerId| {
         let address = fleet.directory.get(id)?.address;
         let server = id.clone();
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -175,8 +175,6 @@
     pub manifest_updates: bool,
     /// Whether it understands frames from [`compress_frame`].
     pub compressed_frames: bool,
-    /// Whether it understands `Queued` and `LeftQueue` among the placement changes.
-    pub prompt_queue: bool,
 }
 
 impl WireFeatures {
@@ -193,7 +191,6 @@
         features.capacity = take_appended(&mut rest)?;
         features.manifest_updates = take_appended(&mut rest)?;
         features.compressed_frames = take_appended(&mut rest)?;
-        features.prompt_queue = take_appended(&mut rest)?;
         Ok(features)
     }
 }
