--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -13,6 +13,7 @@
 mod directory;
 mod dispatch;
 mod dispatch_fuzz;
+mod engine_memory;
 mod engine_placement;
 mod engine_placement_load;
 mod evacuation;
