bug: entry VMs that restart spend their part of the retry budget twice

What callers and servers saw: when all entry VMs end and start again within one window of the retry budget, servers get more retries than the deployment allows.

Evidence: the decision alone, in core: VMs that spend all they may, restart, and spend all they may again. 7 VMs with a slack of 102 exceed the limit with 2 to 30 requests in each lifetime (2 requests: 112 retries, 107.6 allowed; 30: 196 of 186); 69 VMs with 214 and 195 VMs with 605 with 1, 2, 6 and 7 requests (69 VMs, 1 request: 276 of 241.6).

Change: in the first window after its start a VM uses only the fraction of its part of the slack that an earlier process leaves unused, 0.3. The ratio of its own requests is not touched: those of both processes count.

Why it works: an earlier process spends at most 0.7 of the part, the new one 0.3 before the earlier one's retries have left the window. A VM that starts twice within one window is not covered. The cost: VMs that are new have 0.3 of their slack part for 10 s.

Measured: both new tests fail before and pass after. 67 of 68 tests of the node package that were selected (silent_servers, planned_stop, failing_helpers, http_server, crashing, cut_off, endless, load, cut_heads, stray) passed at a load of 35 to 46 on 8 cores; one, cut_off_vms::a_stream_that_began_before_its_vm_was_cut_off_..., failed once and passed in three runs alone: its first answer took over 0.9 s, so a hedge used up the second attempt (denial AttemptLimit, not the budget).

--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -99,12 +99,18 @@
 
 /// Fraction of its limit that a VM uses; VMs see unequal numbers of requests.
 const SAFETY_FACTOR: f64 = 0.7;
+/// Fraction of its part of the slack that a VM uses in the first window after its start.
+///
+/// An earlier process of the VM may have used the rest of it in the same window.
+const FIRST_WINDOW_FACTOR: f64 = 1.0 - SAFETY_FACTOR;
 
 /// Requests and retries of one service at one VM, counted in a sliding window.
 ///
 /// Entry VMs that serve a deployment use it instead of a [`RetryBudget`].
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryWindow {
+    /// When the process started that counts; what earlier ones counted is lost.
+    started: Moment,
     /// Times of requests in order; none is older than the window.
     requests: VecDeque<Moment>,
     /// Times of retries in order; none is older than the window.
@@ -112,6 +118,16 @@
 }
 
 impl RetryWindow {
+    /// Creates an empty window for a process that started at `started`.
+    #[must_use]
+    pub const fn new(started: Moment) -> Self {
+        Self {
+            started,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+        }
+    }
+
     /// Counts a request, which allows `RetryLimits::ratio` of a retry.
     pub fn record_request(&mut self, now: Moment, limits: &RetryLimits) {
         self.requests.push_back(now);
@@ -135,7 +151,12 @@
         self.expire(now, limits);
         let requests = as_float(self.requests.len() as u64);
         let slack_share = vms.map_or(0.0, |vms| limits.slack / as_float(vms.max(1) as u64));
-        let allowed = (requests * limits.ratio + slack_share) * SAFETY_FACTOR;
+        let slack_factor = if now.since(self.started) > limits.window {
+            SAFETY_FACTOR
+        } else {
+            FIRST_WINDOW_FACTOR
+        };
+        let allowed = requests * limits.ratio * SAFETY_FACTOR + slack_share * slack_factor;
         as_float(self.retries.len() as u64) + 1.0 <= allowed
     }
 
--- a/core/tests/integration/retry.rs
+++ b/core/tests/integration/retry.rs
@@ -68,7 +68,7 @@
         ratio: 0.2,
         slack: 100.0,
     };
-    let mut window = RetryWindow::default();
+    let mut window = RetryWindow::new(Moment::default());
     let now = Moment::from_millis(1000);
     for _ in 0..100 {
         window.record_request(now, &limits);
@@ -92,7 +92,7 @@
         ratio: 0.2,
         slack: 100.0,
     };
-    let mut window = RetryWindow::default();
+    let mut window = RetryWindow::new(Moment::default());
     assert!(!window.try_spend(NOW, &limits, None));
     assert!(window.try_spend(NOW, &limits, Some(1)));
 }
@@ -106,3 +106,54 @@
     assert_eq!(census.sharers(NOW + Duration::from_mins(5)), Some(2));
     assert_eq!(census.sharers(NOW + Duration::from_mins(15)), Some(1));
 }
+
+/// Window and ratio of the limits in the tests of restarts.
+const WINDOW: Duration = Duration::from_secs(10);
+const RATIO: f64 = 0.2;
+/// When the requests to the first process of each VM begin, which started long before.
+const FIRST_REQUESTS: Moment = Moment::from_millis(60_000);
+/// When the first process of each VM is replaced by the second one.
+const RESTART: Moment = Moment::from_millis(64_000);
+/// Attempts of one request beyond the first, if all are allowed.
+const MAX_RETRIES: u32 = 4;
+
+/// Returns the retries of VMs that each run two processes in one window, whose requests all fail.
+fn retries_with_restarts(vms: u32, limits: &RetryLimits, requests: u32) -> u32 {
+    let mut retries = 0;
+    let sharers = Some(vms as usize);
+    for _vm in 0..vms {
+        for (started, begin) in [(Moment::default(), FIRST_REQUESTS), (RESTART, RESTART)] {
+            let mut window = RetryWindow::new(started);
+            for number in 0..requests {
+                let now = begin + Duration::from_millis(100) * number;
+                window.record_request(now, limits);
+                for _retry in 0..MAX_RETRIES {
+                    retries += u32::from(window.try_spend(now, limits, sharers));
+                }
+            }
+        }
+    }
+    retries
+}
+
+/// Guards against VMs that spend their parts of the slack once more after a restart.
+#[test]
+fn vms_that_all_restart_keep_to_the_shared_limit() {
+    let mut exceeded = Vec::new();
+    for (vms, slack) in [(7_u32, 102.0), (69, 214.0), (195, 605.0)] {
+        let limits = RetryLimits {
+            window: WINDOW,
+            ratio: RATIO,
+            slack,
+        };
+        for requests in 1..=30 {
+            let retries = retries_with_restarts(vms, &limits, requests);
+            let all_requests = requests * vms * 2;
+            let allowed = f64::from(all_requests) * RATIO + slack;
+            if f64::from(retries) > allowed {
+                exceeded.push((vms, requests, retries, allowed));
+            }
+        }
+    }
+    assert!(exceeded.is_empty(), "{exceeded:?}");
+}
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -186,7 +186,7 @@
     /// Counts a request to a service, which adds to its retry budget.
     pub(super) fn count_request(&self, service: &ServiceName) {
         let mut windows = self.retry_windows.borrow_mut();
-        let window = windows.entry(service.clone()).or_default();
+        let window = self.retry_window(&mut windows, service);
         window.record_request(self.now(), &self.retry_limits);
     }
 
@@ -197,7 +197,7 @@
         let now = self.now();
         let entry_vms = self.entry_vms.borrow_mut().sharers(now);
         let mut windows = self.retry_windows.borrow_mut();
-        let window = windows.entry(service.clone()).or_default();
+        let window = self.retry_window(&mut windows, service);
         let granted = window.try_spend(now, &self.retry_limits, entry_vms);
         let (requests, retries) = window.counts(now, &self.retry_limits);
         metrics::set_retry_gauges(service.as_str(), requests, retries);
@@ -211,10 +211,20 @@
         let now = self.now();
         let entry_vms = self.entry_vms.borrow_mut().sharers(now);
         let mut windows = self.retry_windows.borrow_mut();
-        let window = windows.entry(service.clone()).or_default();
+        let window = self.retry_window(&mut windows, service);
         window.can_spend(now, &self.retry_limits, entry_vms)
     }
 
+    /// Returns the retry window of a service, which begins empty with this process.
+    fn retry_window<'a>(
+        &self,
+        windows: &'a mut BTreeMap<ServiceName, RetryWindow>,
+        service: &ServiceName,
+    ) -> &'a mut RetryWindow {
+        let window = windows.entry(service.clone());
+        window.or_insert_with(|| RetryWindow::new(self.clock.start_time()))
+    }
+
     /// Begins a stage of the planned stop.
     pub(super) fn enter_stage(&self, stage: StopStage) {
         self.stop_stage.send_replace(stage);
