bug: engines that help as many prompts as they have slots get no further part

The split looked at free memory only. The simulated engines refused nothing either, so that no test could show it.

The simulation's engines reject a part beyond their slots.

Why it works: the bound is known to the sender, so that no attempt is made that must fail. The test fails without the change.

--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -230,7 +230,7 @@
         }
         let parts = count as u64 + 1;
         let mut rated = self.evaluate_all(request, candidates, count + 1);
-        rated.retain(|e| candidates[e.candidate].may_help);
+        rated.retain(|e| candidates[e.candidate].may_help && self.can_help(e.server));
         let whole = request.prompt_tokens + request.answer_tokens;
         let max_free = rated.iter().map(|e| self.free_tokens(e.server)).max()?;
         let helper_tokens = if max_free >= whole {
@@ -382,6 +382,15 @@
         overflow + self.zone_crossing_cost(server)
     }
 
+    /// Returns whether an engine takes another part; it helps at most as many prompts as it has slots.
+    fn can_help(&self, server: &ServerRecord) -> bool {
+        let helped = self
+            .loads
+            .load(&server.id)
+            .map_or(0, EngineLoad::help_count);
+        helped + UNSEEN_SLOTS < self.profile.slots as usize
+    }
+
     /// Returns the KV cache of an engine that can still be reserved, in tokens.
     fn free_tokens(&self, server: &ServerRecord) -> u64 {
         let used = self
--- a/core/src/engine_placement/loads.rs
+++ b/core/src/engine_placement/loads.rs
@@ -98,6 +98,14 @@
         self.parts.values().filter(|part| part.leads).count()
     }
 
+    /// Returns the number of prompts of other engines that the engine helps.
+    ///
+    /// A helper that holds KV cache counts until the answer ends.
+    #[must_use]
+    pub fn help_count(&self) -> usize {
+        self.parts.values().filter(|part| !part.leads).count()
+    }
+
     /// Returns whether nothing is placed on the engine.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/core/tests/integration/engine_placement.rs
+++ b/core/tests/integration/engine_placement.rs
@@ -4,9 +4,10 @@
 
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
+use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
 use merlinrudder_core::fleet::{Fleet, NoChoice};
 use merlinrudder_core::health::ServerOutcome;
-use merlinrudder_core::names::{ServerId, ZoneName};
+use merlinrudder_core::names::{ServerId, VmId, ZoneName};
 use merlinrudder_core::rate_limit::limits::{Observation, Rate};
 use merlinrudder_core::time::Moment;
 
@@ -206,3 +207,40 @@
     };
     fleet.rates.observe(now, observation);
 }
+
+/// Guards against parts that are sent to engines which help as many prompts as they have slots.
+#[test]
+fn an_engine_that_helps_as_many_prompts_as_it_has_slots_gets_no_further_part() {
+    let mut fleet = fleet(12);
+    let now = Moment::from_millis(1000);
+    let full: Vec<_> = (0..6).map(|number| server("a", number).id).collect();
+    for number in 0..u64::from(profile().slots) {
+        let placed = PlacedPrompt {
+            lead: server("a", 11).id,
+            helpers: full.clone(),
+            helper_tokens: 100,
+            prompt_tokens: 2_000,
+            answer_tokens: 100,
+            received_at: now,
+            ttft_objective: Duration::from_secs(3),
+            pause_objective: Duration::from_secs(1),
+            weight: 1.0,
+        };
+        let key = PlacementKey {
+            entry: VmId::from("other"),
+            number,
+        };
+        fleet.add_placement(now, &key, &profile(), &placed);
+        fleet.loads.mark_prefilled(&key);
+    }
+    let later = Moment::from_millis(5000);
+    let (placement, _) = place(
+        &mut fleet,
+        later,
+        100,
+        &placement_request(190_000, 3000, 1000),
+    );
+    assert!(!placement.helpers.is_empty());
+    let rejected = placement.helpers.iter().filter(|id| full.contains(id));
+    assert_eq!(rejected.count(), 0, "{placement:?}");
+}
--- a/core/tests/integration/util/burst_sim/placing.rs
+++ b/core/tests/integration/util/burst_sim/placing.rs
@@ -109,6 +109,11 @@
             return;
         }
         let profile = self.load.profile;
+        let is_full = |engine: &usize| self.engines[*engine].helps() >= profile.slots as usize;
+        if let Some(full) = engines[1..].iter().copied().find(is_full) {
+            self.fail_attempt(now, number, full, ServerOutcome::Full);
+            return;
+        }
         let parts = engines.len() as u64;
         let prefill = profile.part_prefill_time(request.prompt_tokens, engines.len());
         let part_tokens = as_float(request.prompt_tokens) / as_float(parts);
--- a/core/tests/integration/util/engine_sim.rs
+++ b/core/tests/integration/util/engine_sim.rs
@@ -49,6 +49,8 @@
     /// Parts that are being prefilled, helpers first, then by priority and arrival.
     prefilling: Vec<Part>,
     writers: Vec<Writer>,
+    /// Jobs of other engines that have a part here, until they end.
+    helped: Vec<JobId>,
     /// KV cache in use, by job.
     held: Vec<(JobId, u64)>,
     /// Leads that are prefilled here and wait for their helpers.
@@ -73,6 +75,7 @@
             self.waiting.sort_by_key(|p| (p.priority, p.arrival));
         } else {
             self.held.push((part.job, part.kv_tokens));
+            self.helped.push(part.job);
             self.prefilling.push(part);
             self.sort_prefilling();
         }
@@ -90,11 +93,17 @@
         self.prefilling.retain(|part| part.job != job);
         self.writers.retain(|writer| writer.job != job);
         self.held.retain(|(held, _)| *held != job);
+        self.helped.retain(|helped| *helped != job);
         self.joining.retain(|joining| *joining != job);
         self.granted.retain(|(granted, _)| *granted != job);
         self.writing.retain(|writing| *writing != job);
     }
 
+    /// Returns how many jobs of other engines the engine helps, or holds KV cache for.
+    pub fn helps(&self) -> usize {
+        self.helped.len()
+    }
+
     /// Returns the jobs that the engine works on or keeps waiting.
     pub fn jobs(&self) -> Vec<JobId> {
         let waiting = self.waiting.iter().map(|part| part.job);
