bug: a prompt larger than any engine is no longer sent to one engine alone

What callers saw: the longest prompts were refused for good with server_refused, after one to five attempts within 0.2 s.

Cause: that a prompt does not fit an engine was a cost of its value and 1. Where no split had free memory, or one that cost others more, this was the cheapest choice, and the decision saw only what others lose. The engine must reject it; each attempt spent a retry.

Change: an engine is chosen alone only for a prompt that its KV cache can hold. If no engines have room together, the prompt waits for room up to half of its time, since the wait delays nobody, and is refused then; one that can never fit is refused at once.

--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -164,7 +164,7 @@
 }
 
 impl Placer<'_> {
-    /// Returns the placement with the lowest cost; `None` if there is no candidate.
+    /// Returns the placement with the lowest cost; `None` if no engines have room for the prompt.
     #[must_use]
     pub fn place(
         &self,
@@ -182,12 +182,25 @@
         best.map(|(_, placement)| placement)
     }
 
+    /// Returns whether `engines` idle engines together have KV cache for a prompt.
+    #[must_use]
+    pub fn could_hold(&self, request: &PlacementRequest, engines: usize) -> bool {
+        let most = HELPER_COUNTS.last().map_or(1, |helpers| helpers + 1);
+        let parts = engines.min(most) as u64;
+        request.prompt_tokens / parts.max(1) + request.answer_tokens <= self.usable_tokens()
+    }
+
     /// Returns the cheapest placement on a single engine, with its cost.
+    ///
+    /// An engine rejects a prompt that exceeds its KV cache even if it is idle.
     fn best_single(
         &self,
         request: &PlacementRequest,
         candidates: &[Candidate<'_>],
     ) -> Option<(f64, Placement)> {
+        if request.prompt_tokens + request.answer_tokens > self.profile.kv_capacity {
+            return None;
+        }
         let rated = self.evaluate_all(request, candidates, 1);
         let base_cost = |e: &Evaluation<'_>| {
             let ttft = e.ready + e.pass;
@@ -397,8 +410,12 @@
             .loads
             .load(&server.id)
             .map_or(0, EngineLoad::reserved_tokens);
-        let usable = self.profile.kv_capacity - self.profile.kv_capacity / KV_RESERVE_DIVISOR;
-        usable.saturating_sub(used)
+        self.usable_tokens().saturating_sub(used)
+    }
+
+    /// Returns the KV cache of an idle engine that may be reserved, in tokens.
+    const fn usable_tokens(&self) -> u64 {
+        self.profile.kv_capacity - self.profile.kv_capacity / KV_RESERVE_DIVISOR
     }
 
     fn zone_crossing_cost(&self, server: &ServerRecord) -> f64 {
--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -35,6 +35,10 @@
 /// A prompt that is placed later than that is seldom answered before its caller leaves, and one that
 /// is refused by then can still be served after its caller has come back.
 const MAX_WAIT_FRACTION: f64 = 0.2;
+/// Fraction of its total time that a prompt may wait for KV cache.
+///
+/// The wait delays no other request.
+const MAX_ROOM_WAIT_FRACTION: f64 = 0.5;
 
 /// What was compared when a prompt was refused; costs are in units of value.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -62,6 +66,18 @@
     Refuse(Weighed),
 }
 
+/// Returns whether a prompt that no engines have room for now may wait until they have.
+#[must_use]
+pub fn may_await_room(request: &PlacementRequest) -> bool {
+    has_waited_less(request, MAX_ROOM_WAIT_FRACTION)
+}
+
+/// Returns whether a prompt has waited for less than a fraction of its total time.
+fn has_waited_less(request: &PlacementRequest, fraction: f64) -> bool {
+    let waited = millis(request.waited);
+    waited < (waited + millis(request.time_left)) * fraction
+}
+
 /// Decides on a placement while `busy_fraction` of the engines are prefilling.
 ///
 /// A prompt with a short prefill is always placed.
@@ -90,7 +106,7 @@
     if placement.external_cost + engine_cost <= gain {
         return PlacementDecision::Place;
     }
-    if waited < (waited + millis(request.time_left)) * MAX_WAIT_FRACTION {
+    if has_waited_less(request, MAX_WAIT_FRACTION) {
         return PlacementDecision::Wait;
     }
     if placement.external_cost < gain {
--- a/core/src/fleet/choice.rs
+++ b/core/src/fleet/choice.rs
@@ -9,7 +9,7 @@
 use crate::cold::Warmth;
 use crate::directory::ServerRecord;
 use crate::engine_model::{EngineProfile, as_float};
-use crate::engine_placement::decision::{PlacementDecision, decide_placement};
+use crate::engine_placement::decision::{PlacementDecision, decide_placement, may_await_room};
 use crate::engine_placement::{Candidate, Placement, PlacementRequest, Placer};
 use crate::names::{ServerId, ServiceName, ZoneName};
 use crate::time::Moment;
@@ -41,6 +41,10 @@
     RateLimited,
     /// All that are left are cold, and this VM may not send to any of them now.
     Cold,
+    /// No engines have KV cache for the prompt now, and it may wait until some have.
+    AwaitRoom,
+    /// No engines have KV cache for the prompt soon enough, or none ever have.
+    NoRoom,
     /// All servers of the service want no requests; holds the shortest time left.
     HeldBack(Duration),
 }
@@ -87,7 +91,14 @@
             now,
         };
         let placement = placer.place(request, &candidates);
-        let placement = placement.ok_or(NoChoice::NoServer)?;
+        let placement = placement.ok_or_else(|| {
+            let may_wait = placer.could_hold(request, candidates.len()) && may_await_room(request);
+            if may_wait {
+                NoChoice::AwaitRoom
+            } else {
+                NoChoice::NoRoom
+            }
+        })?;
         let prefilling = |c: &&Candidate<'_>| self.loads.has_prefill_backlog(now, &c.server.id);
         let prefilling = candidates.iter().filter(prefilling).count();
         let busy_fraction = as_float(prefilling as u64) / as_float(candidates.len() as u64);
--- a/core/tests/integration/engine_memory.rs
+++ b/core/tests/integration/engine_memory.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use merlinrudder_core::engine_placement::decision::PlacementDecision;
-use merlinrudder_core::fleet::Fleet;
+use merlinrudder_core::fleet::{Fleet, NoChoice};
 use merlinrudder_core::time::Moment;
 
-use crate::fleets::{fleet, mark_prefilled, place, placement_request, profile, short};
+use crate::fleets::{fleet, mark_prefilled, place, placement_request, profile, service, short};
 
 const NOW: Moment = Moment::from_millis(10_000);
 const ENGINES: u16 = 16;
@@ -16,6 +16,10 @@
     let mut request = placement_request(tokens, 3000, 1000);
     request.waited = Duration::from_secs(3);
     request.time_left = Duration::from_secs(7);
+    let chosen = fleet.choose_engines(NOW, &service(), &profile(), &request, &[]);
+    if matches!(chosen, Err(NoChoice::AwaitRoom | NoChoice::NoRoom)) {
+        return false;
+    }
     let (placement, decision) = place(fleet, NOW, number, &request);
     decision == PlacementDecision::Place
         && placement.helper_tokens == 0
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -150,6 +150,10 @@
                     self.log_refused_prompt(gateway, call, &weighed);
                     return Err(self.refusal(RefusalReason::QueueFull));
                 }
+                Selection::NoRoom => {
+                    self.log_no_room(gateway, call);
+                    return Err(self.refusal(RefusalReason::QueueFull));
+                }
                 Selection::NoPath => return Err(self.path_refusal()),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
@@ -252,6 +256,13 @@
             "predicted_ms" => weighed.predicted_ttft.as_millis());
     }
 
+    /// Logs that a prompt was refused since no engines had room for it.
+    fn log_no_room(&self, gateway: &Gateway, call: &CallerRequest) {
+        info!(gateway.log, "No engines have room for the prompt"; "request" => call.attempt_id_text(),
+            "prompt_tokens" => call.prompt_tokens(), "selections" => self.selections,
+            "waited_ms" => gateway.now().since(call.received_at).as_millis());
+    }
+
     /// Builds the refusal; it suggests coming back only if no attempt may have run.
     fn refusal(&self, reason: RefusalReason) -> Refusal {
         self.refusal_after(reason, || DEFAULT_RETRY_AFTER)
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -107,6 +107,8 @@
     Wait,
     /// Refuse the prompt: other requests would lose more than its caller gains.
     Refuse(Weighed),
+    /// No engines have room for the prompt soon enough.
+    NoRoom,
     /// All servers have limits on their request rates; a permit for one of them is expected.
     AwaitPermit,
     /// All servers have limits on their request rates; none of them takes the request soon.
@@ -186,6 +188,8 @@
     };
     match selection {
         Err(NoChoice::NoServer) => Selection::NoServer,
+        Err(NoChoice::AwaitRoom) => Selection::Wait,
+        Err(NoChoice::NoRoom) => Selection::NoRoom,
         Err(NoChoice::HeldBack(left)) => Selection::HeldBack(left),
         Err(NoChoice::RateLimited) => rate_limits::outlook(gateway, call, excluded, is_waiting),
         Err(NoChoice::Cold) => cold::outlook(gateway, call, excluded, is_waiting),
