bug: a compaction that found no room kept the room it had taken

A control VM whose disk has some room left, but less than its compacted control log, fills the disk itself: no record can be appended until there is room for a whole second file. Cause: `write_atomic` left its temporary file with what was written of it. Evidence: a_replacement_without_room_leaves_no_file_behind is red before (two files) and green after. Change: calls that change a data folder go through `Disk`, on which tests make single calls fail; a temporary file that cannot be completed is removed. Also tested, green before and after: what a full disk took of an append is not read back; a folder that was created on a full disk opens later, whichever call failed.

--- a/store/src/folder.rs
+++ b/store/src/folder.rs
@@ -1,8 +1,9 @@
 //! Opening of a data folder: lock, identity and journal.
 
 use std::fs::{self, File, TryLockError};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
+use crate::disk::Disk;
 use crate::error::StoreError;
 use crate::frame::{read_frame, write_frame};
 use crate::journal::{Journal, write_atomic};
@@ -37,17 +38,25 @@
     /// Fails if another process holds the lock, if the folder is corrupted, or if a system call
     /// fails.
     pub fn open(path: &Path) -> Result<(Self, Recovered), StoreError> {
+        Self::open_on(&Disk::default(), path)
+    }
+
+    /// Opens the folder at `path` on a disk whose calls may fail.
+    ///
+    /// # Errors
+    /// As [`DataFolder::open`].
+    pub fn open_on(disk: &Disk, path: &Path) -> Result<(Self, Recovered), StoreError> {
         fs::create_dir_all(path)
             .map_err(|source| StoreError::io(path, "cannot create folder", source))?;
-        let lock = acquire_lock(&path.join(LOCK_FILE))?;
+        let lock = acquire_lock(disk, &path.join(LOCK_FILE))?;
         let identity = path.join(IDENTITY_FILE);
         let created = !identity.exists();
         if created {
             check_no_journal(path)?;
-            create_identity(path, &identity)?;
+            create_identity(disk, path, &identity)?;
         }
         let incarnation = read_identity(&identity)?;
-        let (journal, payloads) = Journal::open(path)?;
+        let (journal, payloads) = Journal::open(disk, path)?;
         Ok((
             Self {
                 incarnation,
@@ -59,8 +68,9 @@
     }
 }
 
-fn acquire_lock(path: &PathBuf) -> Result<File, StoreError> {
-    let file = File::create(path)
+fn acquire_lock(disk: &Disk, path: &Path) -> Result<File, StoreError> {
+    let file = disk
+        .create_file(path)
         .map_err(|source| StoreError::io(path, "cannot create lock file", source))?;
     match file.try_lock() {
         Ok(()) => Ok(file),
@@ -82,11 +92,11 @@
     Ok(())
 }
 
-fn create_identity(folder: &Path, path: &Path) -> Result<(), StoreError> {
+fn create_identity(disk: &Disk, folder: &Path, path: &Path) -> Result<(), StoreError> {
     let incarnation = fastrand::u64(1..);
     let mut bytes = Vec::new();
     write_frame(&mut bytes, 0, &incarnation.to_le_bytes());
-    write_atomic(folder, &folder.join(IDENTITY_TEMP), path, &bytes)
+    write_atomic(disk, folder, &folder.join(IDENTITY_TEMP), path, &bytes)
 }
 
 fn read_identity(path: &Path) -> Result<u64, StoreError> {
--- a/store/src/journal.rs
+++ b/store/src/journal.rs
@@ -1,9 +1,10 @@
 //! Append-only journal of records, compacted by writing a new file.
 
-use std::fs::{self, File, OpenOptions};
-use std::io::Write;
+use std::fs::{self, File};
+use std::io;
 use std::path::{Path, PathBuf};
 
+use crate::disk::{self, Disk};
 use crate::error::StoreError;
 use crate::frame::{HEADER_BYTES, MAX_PAYLOAD_BYTES, contains_frame, read_frame, write_frame};
 
@@ -13,6 +14,7 @@
 /// The open journal of a data folder.
 #[derive(Debug)]
 pub struct Journal {
+    disk: Disk,
     folder: PathBuf,
     path: PathBuf,
     file: File,
@@ -31,19 +33,19 @@
     ///
     /// # Errors
     /// Fails if a system call fails or the journal is corrupted.
-    pub(crate) fn open(folder: &Path) -> Result<(Self, Vec<Vec<u8>>), StoreError> {
+    pub(crate) fn open(disk: &Disk, folder: &Path) -> Result<(Self, Vec<Vec<u8>>), StoreError> {
         let temp = folder.join(TEMP_FILE);
         if temp.exists() {
-            remove(&temp)?;
+            remove(disk, &temp)?;
         }
         let generations = generations(folder)?;
         let Some(newest) = generations.last().copied() else {
-            return Ok((Self::create(folder, 1, &[])?, Vec::new()));
+            return Ok((Self::create(disk, folder, 1, &[])?, Vec::new()));
         };
         for old in &generations[..generations.len() - 1] {
-            remove(&journal_path(folder, *old))?;
+            remove(disk, &journal_path(folder, *old))?;
         }
-        Self::recover(folder, newest)
+        Self::recover(disk, folder, newest)
     }
 
     /// Returns the size of the journal in bytes.
@@ -65,7 +67,7 @@
     /// may be appended again later: the next call first truncates what was partly written.
     pub fn append(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
         if self.failed {
-            truncate_tail(&self.path, &self.file, self.bytes)?;
+            truncate_tail(&self.disk, &self.path, &self.file, self.bytes)?;
         }
         let mut buffer = Vec::new();
         for (sequence, payload) in (self.sequence..).zip(payloads) {
@@ -73,11 +75,11 @@
             write_frame(&mut buffer, sequence, payload);
         }
         self.failed = true;
-        self.file
-            .write_all(&buffer)
+        self.disk
+            .write(&mut self.file, &self.path, &buffer)
             .map_err(|source| StoreError::io(&self.path, "cannot append to journal", source))?;
-        self.file
-            .sync_data()
+        self.disk
+            .sync_data(&self.file, &self.path)
             .map_err(|source| StoreError::io(&self.path, "cannot sync journal", source))?;
         self.failed = false;
         self.sequence += payloads.len() as u64;
@@ -91,24 +93,30 @@
     /// Fails if the new file cannot be written, in which case the old records remain in use, or if
     /// the old file cannot be removed.
     pub fn replace(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
-        let next = Self::create(&self.folder, self.generation + 1, payloads)?;
+        let next = Self::create(&self.disk, &self.folder, self.generation + 1, payloads)?;
         let old = std::mem::replace(self, next);
-        remove(&old.path)
+        remove(&self.disk, &old.path)
     }
 
-    fn create(folder: &Path, generation: u64, payloads: &[Vec<u8>]) -> Result<Self, StoreError> {
+    fn create(
+        disk: &Disk,
+        folder: &Path,
+        generation: u64,
+        payloads: &[Vec<u8>],
+    ) -> Result<Self, StoreError> {
         let path = journal_path(folder, generation);
         let mut buffer = Vec::new();
         for (sequence, payload) in (0..).zip(payloads) {
             check_size(&path, payload)?;
             write_frame(&mut buffer, sequence, payload);
         }
-        write_atomic(folder, &folder.join(TEMP_FILE), &path, &buffer)?;
+        write_atomic(disk, folder, &folder.join(TEMP_FILE), &path, &buffer)?;
         let sequence = payloads.len() as u64;
         let file = open_append(&path)?;
         let folder = folder.to_owned();
         let bytes = buffer.len() as u64;
         Ok(Self {
+            disk: disk.clone(),
             folder,
             path,
             file,
@@ -119,19 +127,24 @@
         })
     }
 
-    fn recover(folder: &Path, generation: u64) -> Result<(Self, Vec<Vec<u8>>), StoreError> {
+    fn recover(
+        disk: &Disk,
+        folder: &Path,
+        generation: u64,
+    ) -> Result<(Self, Vec<Vec<u8>>), StoreError> {
         let path = journal_path(folder, generation);
         let bytes = fs::read(&path)
             .map_err(|source| StoreError::io(&path, "cannot read journal", source))?;
         let (payloads, valid) = read_all(&path, &bytes)?;
         let file = open_append(&path)?;
         if valid < bytes.len() {
-            truncate_tail(&path, &file, valid as u64)?;
+            truncate_tail(disk, &path, &file, valid as u64)?;
         }
         let sequence = payloads.len() as u64;
         let folder = folder.to_owned();
         let bytes = valid as u64;
         let journal = Self {
+            disk: disk.clone(),
             folder,
             path,
             file,
@@ -181,10 +194,10 @@
     Ok(())
 }
 
-fn truncate_tail(path: &Path, file: &File, valid: u64) -> Result<(), StoreError> {
+fn truncate_tail(disk: &Disk, path: &Path, file: &File, valid: u64) -> Result<(), StoreError> {
     let io_error = |source| StoreError::io(path, "cannot truncate the incomplete tail", source);
-    file.set_len(valid).map_err(io_error)?;
-    file.sync_all().map_err(io_error)
+    disk.set_length(file, path, valid).map_err(io_error)?;
+    disk.sync_all(file, path).map_err(io_error)
 }
 
 fn journal_path(folder: &Path, generation: u64) -> PathBuf {
@@ -207,26 +220,36 @@
 }
 
 fn open_append(path: &Path) -> Result<File, StoreError> {
-    let opened = OpenOptions::new().append(true).open(path);
-    opened.map_err(|source| StoreError::io(path, "cannot open journal", source))
+    disk::open_append(path).map_err(|source| StoreError::io(path, "cannot open journal", source))
 }
 
-fn remove(path: &Path) -> Result<(), StoreError> {
-    fs::remove_file(path).map_err(|source| StoreError::io(path, "cannot remove file", source))
+fn remove(disk: &Disk, path: &Path) -> Result<(), StoreError> {
+    disk.remove_file(path)
+        .map_err(|source| StoreError::io(path, "cannot remove file", source))
 }
 
 /// Writes a file atomically: writes and syncs `temp`, renames it and syncs the folder.
+///
+/// If that fails, `temp` is removed, so that it takes no room on a full disk.
 pub(crate) fn write_atomic(
+    disk: &Disk,
     folder: &Path,
     temp: &Path,
     path: &Path,
     bytes: &[u8],
 ) -> Result<(), StoreError> {
-    let io_error = |source| StoreError::io(path, "cannot write file", source);
-    let mut file = File::create(temp).map_err(io_error)?;
-    file.write_all(bytes).map_err(io_error)?;
-    file.sync_all().map_err(io_error)?;
-    fs::rename(temp, path).map_err(io_error)?;
-    let folder = File::open(folder).map_err(io_error)?;
-    folder.sync_all().map_err(io_error)
+    let renamed = write_file(disk, temp, bytes).and_then(|()| disk.rename(temp, path));
+    if renamed.is_err() {
+        // It may not exist; if it cannot be removed, the next attempt truncates it.
+        let _ignored = disk.remove_file(temp);
+    }
+    let written = renamed.and_then(|()| disk.sync_folder(folder));
+    written.map_err(|source| StoreError::io(path, "cannot write file", source))
+}
+
+/// Writes a new file and syncs it.
+fn write_file(disk: &Disk, path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut file = disk.create_file(path)?;
+    disk.write(&mut file, path, bytes)?;
+    disk.sync_all(&file, path)
 }
