bug: a compaction was written for ever if the old file could not be removed

The replica acknowledges nothing and grants no vote as long as its disk refuses to remove a file, and writes a whole new file each 200 ms, which fills the disk. Evidence: an_old_file_that_cannot_be_removed_does_not_fail_the_replacement is red before ("cannot remove file") and green after. Change: the new records are durable by then, so the replacement succeeds.

--- a/store/src/journal.rs
+++ b/store/src/journal.rs
@@ -1,7 +1,7 @@
 //! Append-only journal of records, compacted by writing a new file.
 
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 
 use crate::disk::{self, Disk};
@@ -26,6 +26,8 @@
     bytes: u64,
     /// Whether a write or sync failed; the file's content after `bytes` is then unknown.
     failed: bool,
+    /// Earlier files that could not be removed yet; they are never read again.
+    stale: Vec<PathBuf>,
 }
 
 impl Journal {
@@ -66,6 +68,7 @@
     /// Fails if a record is too large, or if the file cannot be written or synced. The same records
     /// may be appended again later: the next call first truncates what was partly written.
     pub fn append(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
+        self.remove_stale();
         if self.failed {
             truncate_tail(&self.disk, &self.path, &self.file, self.bytes)?;
         }
@@ -90,12 +93,24 @@
     /// Atomically replaces all records by writing a new file.
     ///
     /// # Errors
-    /// Fails if the new file cannot be written, in which case the old records remain in use, or if
-    /// the old file cannot be removed.
+    /// Fails if the new file cannot be written, in which case the old records remain in use. An old
+    /// file that cannot be removed is no failure: a later call removes it.
     pub fn replace(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
         let next = Self::create(&self.disk, &self.folder, self.generation + 1, payloads)?;
         let old = std::mem::replace(self, next);
-        remove(&self.disk, &old.path)
+        self.stale = old.stale;
+        self.stale.push(old.path);
+        self.remove_stale();
+        Ok(())
+    }
+
+    /// Removes earlier files as far as the disk lets it.
+    fn remove_stale(&mut self) {
+        let disk = &self.disk;
+        self.stale.retain(|path| match disk.remove_file(path) {
+            Ok(()) => false,
+            Err(error) => error.kind() != ErrorKind::NotFound,
+        });
     }
 
     fn create(
@@ -124,6 +139,7 @@
             sequence,
             bytes,
             failed: false,
+            stale: Vec::new(),
         })
     }
 
@@ -152,6 +168,7 @@
             sequence,
             bytes,
             failed: false,
+            stale: Vec::new(),
         };
         Ok((journal, payloads))
     }
--- a/store/tests/integration/full_disk.rs
+++ b/store/tests/integration/full_disk.rs
@@ -97,6 +97,34 @@
     assert_eq!(read_payloads(folder.path()), payloads(&["one", "two"]));
 }
 
+/// Guards against a replacement that is written anew for ever, with one more file each time.
+#[test]
+fn an_old_file_that_cannot_be_removed_does_not_fail_the_replacement() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let disk = TestDisk::default();
+    let (mut data, _) = disk.open(folder.path());
+    data.journal
+        .append(&payloads(&["one"]))
+        .expect("it appends");
+    disk.fail(0, |call| call == DiskCall::RemoveFile);
+    data.journal
+        .replace(&payloads(&["all"]))
+        .expect("the new records are durable");
+    data.journal
+        .append(&payloads(&["more"]))
+        .expect("it appends");
+    disk.heal();
+    data.journal
+        .append(&payloads(&["last"]))
+        .expect("it appends");
+    assert_eq!(journal_files(folder.path()), 1, "the old file is gone");
+    drop(data);
+    assert_eq!(
+        read_payloads(folder.path()),
+        payloads(&["all", "more", "last"])
+    );
+}
+
 /// Guards against a compaction that takes the room that appends need.
 #[test]
 fn a_replacement_without_room_leaves_no_file_behind() {
