bug: records appended after a failed replacement were lost at the next start

The disk thread repeats a replacement until it succeeds, so it appends nothing in between; a caller that relied on the contract ("the old records remain in use") would lose acknowledged records. Cause: a replacement that fails after its rename (the folder cannot be synced, the file cannot be opened) leaves a newer file, which the next start reads instead of the one that was appended to. Evidence: records_appended_after_a_failed_replacement_are_read_back is red before at its last step (the folder's sync fails: ["all"] is read in place of ["one", "two"]) and green after; a_journal_on_a_faulty_disk_reads_back_what_it_reported (150 cases, each call fails with a chance of up to 39 %) was red before these fixes and is green after.

--- a/store/src/journal.rs
+++ b/store/src/journal.rs
@@ -28,6 +28,10 @@
     failed: bool,
     /// Earlier files that could not be removed yet; they are never read again.
     stale: Vec<PathBuf>,
+    /// File of a failed replacement, which may exist: it would be read in place of this one.
+    ///
+    /// It must be gone before a record is appended.
+    successor: Option<PathBuf>,
 }
 
 impl Journal {
@@ -69,6 +73,7 @@
     /// may be appended again later: the next call first truncates what was partly written.
     pub fn append(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
         self.remove_stale();
+        self.remove_successor()?;
         if self.failed {
             truncate_tail(&self.disk, &self.path, &self.file, self.bytes)?;
         }
@@ -96,7 +101,12 @@
     /// Fails if the new file cannot be written, in which case the old records remain in use. An old
     /// file that cannot be removed is no failure: a later call removes it.
     pub fn replace(&mut self, payloads: &[Vec<u8>]) -> Result<(), StoreError> {
-        let next = Self::create(&self.disk, &self.folder, self.generation + 1, payloads)?;
+        let generation = self.generation + 1;
+        let created = Self::create(&self.disk, &self.folder, generation, payloads);
+        if created.is_err() {
+            self.successor = Some(journal_path(&self.folder, generation));
+        }
+        let next = created?;
         let old = std::mem::replace(self, next);
         self.stale = old.stale;
         self.stale.push(old.path);
@@ -104,6 +114,22 @@
         Ok(())
     }
 
+    /// Removes the file of a failed replacement, durably.
+    fn remove_successor(&mut self) -> Result<(), StoreError> {
+        let Some(path) = &self.successor else {
+            return Ok(());
+        };
+        let removed = match self.disk.remove_file(path) {
+            Err(error) if error.kind() == ErrorKind::NotFound => Ok(()),
+            removed => removed,
+        };
+        removed
+            .and_then(|()| self.disk.sync_folder(&self.folder))
+            .map_err(|source| StoreError::io(path, "cannot remove file", source))?;
+        self.successor = None;
+        Ok(())
+    }
+
     /// Removes earlier files as far as the disk lets it.
     fn remove_stale(&mut self) {
         let disk = &self.disk;
@@ -140,6 +166,7 @@
             bytes,
             failed: false,
             stale: Vec::new(),
+            successor: None,
         })
     }
 
@@ -169,6 +196,7 @@
             bytes,
             failed: false,
             stale: Vec::new(),
+            successor: None,
         };
         Ok((journal, payloads))
     }
--- a/store/tests/integration/full_disk.rs
+++ b/store/tests/integration/full_disk.rs
@@ -5,7 +5,12 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
-use merlinrudder_store::{DataFolder, Disk, DiskCall, DiskFault};
+use merlinrudder_store::{DataFolder, Disk, DiskCall, DiskFault, StoreErrorKind};
+use proptest::collection::vec;
+use proptest::prelude::{Strategy, any};
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+const CASES: u32 = 150;
 
 /// Disk whose calls fail on order.
 #[derive(Clone, Default)]
@@ -141,6 +146,37 @@
     assert_eq!(journal_files(folder.path()), 1);
 }
 
+/// Guards against the loss of what is appended after a replacement that failed late.
+#[test]
+fn records_appended_after_a_failed_replacement_are_read_back() {
+    let steps: [fn(DiskCall) -> bool; 5] = [
+        |call| call == DiskCall::CreateFile,
+        |call| matches!(call, DiskCall::Write(_)),
+        |call| call == DiskCall::SyncFile,
+        |call| call == DiskCall::Rename,
+        |call| call == DiskCall::SyncFolder,
+    ];
+    for (step, fails) in steps.into_iter().enumerate() {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let disk = TestDisk::default();
+        let (mut data, _) = disk.open(folder.path());
+        data.journal
+            .append(&payloads(&["one"]))
+            .expect("it appends");
+        disk.fail(10, fails);
+        data.journal
+            .replace(&payloads(&["all"]))
+            .expect_err("a step fails");
+        disk.heal();
+        data.journal
+            .append(&payloads(&["two"]))
+            .expect("it appends");
+        drop(data);
+        let read = read_payloads(folder.path());
+        assert_eq!(read, payloads(&["one", "two"]), "step {step}");
+    }
+}
+
 /// Guards against a data folder that a start on a full disk left unusable.
 #[test]
 fn a_folder_that_was_created_on_a_full_disk_opens_later() {
@@ -170,3 +206,101 @@
         assert_eq!(read_payloads(folder.path()), payloads(&["one"]));
     }
 }
+
+/// Operation of a journal on a disk of which single calls fail.
+#[derive(Clone, Debug)]
+enum Step {
+    Append(Vec<Vec<u8>>),
+    Replace(Vec<Vec<u8>>),
+    Reopen,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let records = || vec(vec(any::<u8>(), 0..20), 1..4);
+    proptest::prop_oneof![
+        4 => records().prop_map(Step::Append),
+        2 => records().prop_map(Step::Replace),
+        1 => any::<bool>().prop_map(|_| Step::Reopen),
+    ]
+}
+
+/// Opens the folder, which must hold the expected records; `None` if a call fails.
+fn open_and_check(
+    disk: &Disk,
+    folder: &Path,
+    expected: &[Vec<u8>],
+) -> Result<Option<DataFolder>, String> {
+    match DataFolder::open_on(disk, folder) {
+        Ok((data, recovered)) if recovered.payloads == expected => Ok(Some(data)),
+        Ok((_, recovered)) => Err(format!("read {:?}, not {expected:?}", recovered.payloads)),
+        Err(error) if error.kind() == StoreErrorKind::Io => Ok(None),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+/// Runs the steps on a disk on which each call fails with a chance of `percent`.
+///
+/// The records that were reported as durable must be read back, in order and without others.
+fn run_steps(seed: u64, percent: u64, steps: &[Step]) -> Result<(), String> {
+    let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+    let state = Mutex::new(seed | 1);
+    let disk = Disk::with_faults(move |_, _| {
+        let mut state = state.lock().expect("not poisoned");
+        // Xorshift.
+        *state ^= *state << 13;
+        *state ^= *state >> 7;
+        *state ^= *state << 17;
+        let fault = DiskFault {
+            error: ErrorKind::StorageFull,
+            written: usize::try_from(*state >> 8 & 63).expect("small"),
+        };
+        ((*state >> 20) % 100 < percent).then_some(fault)
+    });
+    let mut expected = Vec::new();
+    let mut opened = None;
+    for step in steps {
+        if opened.is_none() {
+            opened = open_and_check(&disk, folder.path(), &expected)?;
+        }
+        let Some(data) = &mut opened else {
+            continue;
+        };
+        match step {
+            Step::Append(records) => {
+                if data.journal.append(records).is_ok() {
+                    expected.extend(records.iter().cloned());
+                }
+            }
+            Step::Replace(records) => {
+                if data.journal.replace(records).is_ok() {
+                    expected.clone_from(records);
+                }
+            }
+            Step::Reopen => {
+                // An append that failed may be read back, unless a later one succeeded.
+                if data.journal.append(&[]).is_ok() {
+                    opened = None;
+                }
+            }
+        }
+    }
+    drop(opened);
+    Ok(())
+}
+
+#[test]
+fn a_journal_on_a_faulty_disk_reads_back_what_it_reported() {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let input = (any::<u64>(), 0..40_u64, vec(any_step(), 5..40));
+    let result = TestRunner::new_with_rng(config, rng).run(&input, |(seed, percent, steps)| {
+        run_steps(seed, percent, &steps).map_err(TestCaseError::fail)
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
