bug: a data folder was used before the name of its newest file was durable

A process killed between the rename of a compacted log and the sync of the folder leaves a name that a power loss may undo. The next process read the new file, removed the old one and appended acknowledged records: a power loss later could take both files, and with them the vote. Evidence: names_are_durable_before_an_older_file_is_removed is red before (calls: create, remove) and green after. Change: the folder is synced when it is opened, before older files are removed and records appended. Cost: one sync of the folder for each start of a process with a disk.

--- a/store/src/journal.rs
+++ b/store/src/journal.rs
@@ -45,6 +45,9 @@
             remove(disk, &temp)?;
         }
         let generations = generations(folder)?;
+        // The process that renamed the newest file may have ended before it synced the folder.
+        disk.sync_folder(folder)
+            .map_err(|source| StoreError::io(folder, "cannot sync folder", source))?;
         let Some(newest) = generations.last().copied() else {
             return Ok((Self::create(disk, folder, 1, &[])?, Vec::new()));
         };
--- a/store/tests/integration/full_disk.rs
+++ b/store/tests/integration/full_disk.rs
@@ -24,6 +24,8 @@
     failing: Option<fn(DiskCall) -> bool>,
     /// Bytes that a failing write takes.
     written: usize,
+    /// Calls since the last `take_calls`.
+    calls: Vec<DiskCall>,
 }
 
 impl TestDisk {
@@ -35,7 +37,8 @@
     fn disk(&self) -> Disk {
         let state = Arc::clone(&self.state);
         Disk::with_faults(move |call, _| {
-            let state = state.lock().expect("not poisoned");
+            let mut state = state.lock().expect("not poisoned");
+            state.calls.push(call);
             let fault = DiskFault {
                 error: ErrorKind::StorageFull,
                 written: state.written,
@@ -57,6 +60,10 @@
     fn heal(&self) {
         self.state.lock().expect("not poisoned").failing = None;
     }
+
+    fn take_calls(&self) -> Vec<DiskCall> {
+        std::mem::take(&mut self.state.lock().expect("not poisoned").calls)
+    }
 }
 
 /// Calls that a disk without room refuses.
@@ -177,6 +184,30 @@
     }
 }
 
+/// Guards against a rename that a power loss undoes after records were acknowledged.
+///
+/// The process that renamed the file was killed before it synced the folder.
+#[test]
+fn names_are_durable_before_an_older_file_is_removed() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let disk = TestDisk::default();
+    let (mut data, _) = disk.open(folder.path());
+    data.journal
+        .append(&payloads(&["one"]))
+        .expect("it appends");
+    drop(data);
+    let newest = folder.path().join("journal-0000000000000002");
+    fs::copy(folder.path().join("journal-0000000000000001"), newest).expect("a copy");
+    disk.take_calls();
+    let (data, read) = disk.open(folder.path());
+    let calls = disk.take_calls();
+    drop(data);
+    assert_eq!(read, payloads(&["one"]));
+    let synced = calls.iter().position(|call| *call == DiskCall::SyncFolder);
+    let removed = calls.iter().position(|call| *call == DiskCall::RemoveFile);
+    assert!(synced.is_some() && synced < removed, "{calls:?}");
+}
+
 /// Guards against a data folder that a start on a full disk left unusable.
 #[test]
 fn a_folder_that_was_created_on_a_full_disk_opens_later() {
