other: full disks in the fuzzing of the control log

changes_are_accepted_while_one_disk_after_the_other_is_full: 50 seeds, each of three disks full for 5 s in turn (so the leader's too), with compactions in between; each change is accepted within 4 s, and all replicas agree afterwards.

--- a/core/tests/integration/log_fuzz.rs
+++ b/core/tests/integration/log_fuzz.rs
@@ -46,6 +46,7 @@
         2 => (0..32_u8).prop_map(Event::Partition),
         2 => any::<bool>().prop_map(|_| Event::Heal),
         1 => (any::<u8>(), 1..30_u8).prop_map(|(host, steps)| Event::Pause(host, steps)),
+        2 => (any::<u8>(), 1..60_u8).prop_map(|(host, steps)| Event::FillDisk(host, steps)),
         5 => (0..12_u8, any::<bool>()).prop_map(|(n, alternative)| Event::Publish(n, alternative)),
         4 => (0..6_u8).prop_map(Event::Claim),
         1 => any::<bool>().prop_map(|_| Event::TransferLeadership),
@@ -195,6 +196,32 @@
     }
 }
 
+/// Guards against changes that are refused while or after disks are full one after the other.
+#[test]
+fn changes_are_accepted_while_one_disk_after_the_other_is_full() {
+    for seed in 0..50 {
+        let mut sim = Sim::new(3, seed, InjectedFault::Nothing);
+        publish_until_accepted(&mut sim, 1, seed);
+        for number in 2..9 {
+            let events = [
+                Event::FillDisk(number, 50),
+                Event::Run(20),
+                Event::Compact(number),
+                Event::Compact(number + 1),
+            ];
+            for event in events {
+                assert_eq!(sim.run_event(event), Ok(()), "seed {seed}");
+            }
+            let before = sim.seconds();
+            publish_until_accepted(&mut sim, number, seed);
+            let took = sim.seconds() - before;
+            assert!(took <= 4, "seed {seed}: {took} s with one full disk");
+            assert_eq!(sim.run_event(Event::Run(600)), Ok(()), "seed {seed}");
+        }
+        assert_eq!(sim.heal_and_check(), Ok(()), "seed {seed}");
+    }
+}
+
 /// Returns the time from the start of `voters` replicas, all but `missing`, until one leads.
 ///
 /// The time is in steps of 10 ms. All lost power before; packets take up to 40 ms.
--- a/core/tests/integration/util.rs
+++ b/core/tests/integration/util.rs
@@ -60,6 +60,8 @@
     Heal,
     /// Pauses a replica's process for ten times this number of steps.
     Pause(u8, u8),
+    /// Lets a disk sync nothing for ten times this number of steps, as one without room.
+    FillDisk(u8, u8),
     /// Publishes a manifest with this number and one of two contents.
     Publish(u8, bool),
     /// Claims a key for a new request.
@@ -89,6 +91,7 @@
     clock_percent: u64,
     clock: u64,
     paused_until: u64,
+    disk_full_until: u64,
     introduction_due: u64,
 }
 
@@ -129,6 +132,7 @@
             clock_percent: 95 + rng.u64(..=10),
             clock: 1_000_000,
             paused_until: 0,
+            disk_full_until: 0,
             introduction_due: 0,
         });
         let mut sim = Self {
@@ -170,6 +174,11 @@
         running.any(Consensus::has_committed_in_term)
     }
 
+    /// Returns the simulated time in whole seconds.
+    pub fn seconds(&self) -> u64 {
+        self.now / 1_000
+    }
+
     /// Carries out an event; fails if a replica violates an invariant.
     pub fn run_event(&mut self, event: Event) -> Result<(), String> {
         let count = u8::try_from(self.hosts.len()).expect("few replicas");
@@ -189,6 +198,10 @@
                 let until = self.now + u64::from(steps) * STEP_MS * 10;
                 self.hosts[usize::from(host % count)].paused_until = until;
             }
+            Event::FillDisk(host, steps) => {
+                let until = self.now + u64::from(steps) * STEP_MS * 10;
+                self.hosts[usize::from(host % count)].disk_full_until = until;
+            }
             Event::Publish(number, alternative) => self.publish(number, alternative),
             Event::Claim(key) => self.claim(key),
             Event::TransferLeadership => {
@@ -214,6 +227,7 @@
         self.lossy = false;
         for number in 0..self.hosts.len() {
             self.hosts[number].paused_until = 0;
+            self.hosts[number].disk_full_until = 0;
             self.restart(number);
         }
         for _ in 0..1500 {
@@ -277,7 +291,8 @@
         host.clock += STEP_MS * host.clock_percent / 100;
         let moment = host.moment();
         let mut ready = Vec::new();
-        while host.pending_syncs.front().is_some_and(|job| job.due <= now) {
+        let has_room = host.disk_full_until <= now;
+        while has_room && host.pending_syncs.front().is_some_and(|job| job.due <= now) {
             if let Some(job) = host.pending_syncs.pop_front() {
                 host.sync(&job);
                 ready.extend(job.messages);
