bug: a compaction without room silenced the replica, and jobs piled up behind a full disk

Two faults of the disk thread's batch, in one commit as they share its code.

(1) A control VM whose disk has room for appends, but not for a second file, acknowledges no entry and grants no vote from its next compaction on, for as long as that lasts. Two such disks of three stop the changes, though none of them is full. Cause: the batch was closed before its first attempt, and could be written in one way only. Evidence, each red with the batch's old behaviour on the new job type and green after: entries_are_acknowledged_while_a_compaction_finds_no_room ("entry 2 is not reported as synced" in 10 s), jobs_do_not_pile_up_behind_a_full_disk (1,087 of 1,100 jobs queued; after: none queued, one reply to the leader, at most 110 KB of 10 MB of commands in one write). Green in both: what waits for a full disk is durable once there is room, partial writes included; a compaction is written once there is room. A compaction that cannot be written is left out and its records are appended; the next one is due after as many entries again. Observability: a failing write is logged each 5 s with its cause, attempts, records and messages; merlinrudder_disk_failures_total, merlinrudder_disk_failing_seconds, merlinrudder_compactions_skipped_total. Not bounded: what queues while a single call of the disk hangs.

--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the server, rendered as Prometheus text.
 
+mod disk;
 mod manifests;
 mod servers;
 mod vms;
@@ -11,6 +12,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
+pub use self::disk::{count_compaction_skipped, count_disk_failure, set_disk_failing};
 pub use self::manifests::{
     count_manifest_pull, count_manifest_received, count_manifest_rejected, count_manifest_sent,
     observe_manifest_in_force, set_manifest_heard,
--- a/node/src/replica.rs
+++ b/node/src/replica.rs
@@ -21,7 +21,7 @@
 use merlinrudder_wire::control::{decode_command, decode_state, encode_command, encode_state};
 use slog::{Logger, debug, info, o};
 
-use self::disk::{DiskJob, DiskWriter, OpenedDisk, SyncReport};
+use self::disk::{DiskJob, DiskWriter, JournalRewrite, OpenedDisk, SyncReport};
 use crate::constants::{COMPACT_BYTES, COMPACT_ENTRIES};
 use crate::logging;
 
@@ -74,6 +74,8 @@
     answered: Vec<ProposalOutcome>,
     applied_index: Index,
     compacted_index: Index,
+    /// Position of a compaction that is not passed to the disk yet.
+    compacting: Option<Index>,
     /// Size of the commands applied since the last compaction.
     uncompacted_bytes: usize,
     /// Time set in the last command that carries one; never decreases.
@@ -126,6 +128,7 @@
             answered: Vec::new(),
             applied_index: snapshot.index,
             compacted_index: snapshot.index,
+            compacting: None,
             uncompacted_bytes: 0,
             last_timestamp: now,
             logged_leader: (Term(0), None),
@@ -261,11 +264,7 @@
             outcomes: std::mem::take(&mut self.answered),
             ..ReplicaOutputs::default()
         };
-        let mut job = DiskJob {
-            records: Vec::new(),
-            replace: false,
-            messages: Vec::new(),
-        };
+        let mut job = DiskJob::default();
         for output in self.consensus.take_outputs() {
             outputs.progressed = true;
             match output {
@@ -300,21 +299,19 @@
         self.logged_leader = current;
     }
 
-    /// Adds a record to a job; a snapshot instead queues a rewrite of the journal.
-    fn persist(&self, job: &mut DiskJob, record: Record) {
-        if !matches!(record, Record::Snapshot(_)) {
+    /// Adds a record to a job; a snapshot instead queues the job with a rewrite of the journal.
+    fn persist(&mut self, job: &mut DiskJob, record: Record) {
+        let Record::Snapshot(snapshot) = record else {
             job.records.push(record);
             return;
-        }
+        };
+        let mut rewriting = std::mem::take(job);
         // The rewritten journal contains the records already collected in this job.
-        let messages = std::mem::take(&mut job.messages);
-        job.records.clear();
-        let records = self.consensus.journal();
-        self.disk.enqueue(DiskJob {
-            records,
-            replace: true,
-            messages,
+        rewriting.rewrite = Some(JournalRewrite {
+            records: self.consensus.journal(),
+            optional: self.compacting.take() == Some(snapshot.index),
         });
+        self.disk.enqueue(rewriting);
     }
 
     /// Applies a committed entry; returns its outcomes if this replica proposed it.
@@ -393,6 +390,7 @@
             return;
         }
         self.compacted_index = self.applied_index;
+        self.compacting = Some(self.applied_index);
         self.uncompacted_bytes = 0;
         self.consensus
             .compact(self.applied_index, encode_state(&self.state));
--- a/node/src/replica/disk.rs
+++ b/node/src/replica/disk.rs
@@ -2,6 +2,9 @@
 //!
 //! Jobs that are queued at the same time share one sync.
 
+mod batch;
+
+use std::error::Error;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,14 +13,18 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use merlinrudder_core::consensus::log::{Log, recover};
 use merlinrudder_core::consensus::message::{HardState, Index, Message, Record, ReplicaId, Term};
-use merlinrudder_store::{DataFolder, StoreError};
-use merlinrudder_wire::consensus::{decode_record, encode_record};
+use merlinrudder_store::{DataFolder, Disk, StoreError};
+use merlinrudder_wire::consensus::decode_record;
 use slog::{Logger, error, info, warn};
 
+use self::batch::{Batch, Written};
 use crate::constants::DISK_RETRY_DELAY;
+use crate::metrics;
 
 /// Time of a sync from which it is logged as slow: half of the shortest election timeout.
 const SLOW_SYNC: Duration = Duration::from_millis(300);
+/// Interval at which failed writes are logged while they go on.
+const FAILURE_LOG_PERIOD: Duration = Duration::from_secs(5);
 
 /// Report of the disk thread after a sync.
 #[derive(Debug, Default)]
@@ -44,7 +51,15 @@
     /// # Errors
     /// Fails if the folder is locked or damaged, or has another format version.
     pub fn open(path: &Path) -> Result<Self> {
-        let (folder, recovered) = DataFolder::open(path)?;
+        Self::open_on(&Disk::default(), path)
+    }
+
+    /// Opens the data folder on a disk whose calls may fail.
+    ///
+    /// # Errors
+    /// As [`OpenedDisk::open`].
+    pub fn open_on(disk: &Disk, path: &Path) -> Result<Self> {
+        let (folder, recovered) = DataFolder::open_on(disk, path)?;
         let records: Vec<_> = recovered
             .payloads
             .iter()
@@ -72,16 +87,27 @@
 }
 
 /// Records to write in one step, and the messages that depend on them.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct DiskJob {
-    /// Records to append, or the whole journal if `replace` is set.
+    /// Records to append.
     pub records: Vec<Record>,
-    /// Whether the records replace the journal instead of extending it.
-    pub replace: bool,
+    /// Journal to write instead; it contains the records of this job and of all before.
+    pub rewrite: Option<JournalRewrite>,
     /// Messages to send only once the job is synced.
     pub messages: Vec<(ReplicaId, Message)>,
 }
 
+/// Content of a rewritten journal.
+#[derive(Debug)]
+pub struct JournalRewrite {
+    /// All records of the new journal.
+    pub records: Vec<Record>,
+    /// Whether appending the records of the jobs leads to the same log, as with a compaction.
+    ///
+    /// A snapshot of the leader is in the rewritten journal only.
+    pub optional: bool,
+}
+
 /// Handle of the disk thread.
 #[derive(Clone, Debug)]
 pub struct DiskWriter {
@@ -111,6 +137,12 @@
         // The thread runs as long as any handle exists, so the job is always received.
         drop(self.jobs.send(job));
     }
+
+    /// Returns the number of jobs that the thread has not taken yet.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.jobs.len()
+    }
 }
 
 fn run_writer(
@@ -120,82 +152,88 @@
     log: &Logger,
 ) {
     while let Ok(first) = jobs.recv() {
-        let batch = Batch::new(std::iter::once(first).chain(jobs.try_iter()));
-        report(batch.write_with_retry(&mut folder, log));
+        let mut batch = Batch::default();
+        batch.add(first);
+        write_with_retry(&mut batch, &mut folder, jobs, log);
+        report(batch.into_report());
     }
 }
 
-/// Jobs that are written and synced together.
-struct Batch {
-    /// Encoded records that replace the journal.
-    replacement: Option<Vec<Vec<u8>>>,
-    /// Encoded records to append to the journal or to its replacement.
-    appended: Vec<Vec<u8>>,
-    report: SyncReport,
-}
-
-impl Batch {
-    fn new(jobs: impl Iterator<Item = DiskJob>) -> Self {
-        let mut batch = Self {
-            replacement: None,
-            appended: Vec::new(),
-            report: SyncReport::default(),
-        };
-        for job in jobs {
-            batch.report.last_synced = last_entry(&job.records).or(batch.report.last_synced);
-            batch.report.messages.extend(job.messages);
-            let encoded = job.records.into_iter().map(encode_record);
-            if job.replace {
-                // The replacement already contains the records of earlier jobs.
-                batch.appended.clear();
-                batch.replacement = Some(encoded.collect());
-            } else {
-                batch.appended.extend(encoded);
+/// Writes a batch and the jobs that are queued by then, retrying until it succeeds.
+///
+/// A full disk may get free space again. The jobs that are queued meanwhile join the batch, in which
+/// a rewritten journal replaces earlier records, so that they do not pile up.
+fn write_with_retry(
+    batch: &mut Batch,
+    folder: &mut DataFolder,
+    jobs: &Receiver<DiskJob>,
+    log: &Logger,
+) {
+    let mut retries = Retries::new();
+    loop {
+        for job in jobs.try_iter() {
+            batch.add(job);
+        }
+        match batch.try_write(folder) {
+            Ok(Written::Whole) => break,
+            Ok(Written::WithoutRewrite) => {
+                metrics::count_compaction_skipped();
+                warn!(log, "No room to rewrite the journal; appended to it";
+                    "bytes" => folder.journal.len());
+                break;
             }
+            Err(error) => retries.record(&error, batch, log),
         }
-        batch
+        thread::sleep(DISK_RETRY_DELAY);
     }
+    retries.finish(batch, log);
+}
 
-    /// Writes the batch, retrying until it succeeds.
-    ///
-    /// A full disk may get free space again.
-    fn write_with_retry(mut self, folder: &mut DataFolder, log: &Logger) -> SyncReport {
-        let mut failed = false;
-        let start = Instant::now();
-        while let Err(error) = self.try_write(folder) {
-            if !failed {
-                error!(log, "Writing to the data folder failed; retrying"; "error" => %error);
-            }
-            failed = true;
-            thread::sleep(DISK_RETRY_DELAY);
-        }
-        if failed {
-            info!(log, "Writing to the data folder succeeded again");
+/// Failed attempts at writing a batch.
+#[derive(Debug)]
+struct Retries {
+    attempts: usize,
+    start: Instant,
+    /// When a failure was last logged.
+    logged: Option<Instant>,
+}
+
+impl Retries {
+    fn new() -> Self {
+        Self {
+            attempts: 0,
+            start: Instant::now(),
+            logged: None,
         }
-        let elapsed = start.elapsed();
-        if elapsed >= SLOW_SYNC {
-            warn!(log, "Slow sync of the data folder"; "elapsed_ms" => elapsed.as_millis(),
-                "messages" => self.report.messages.len());
+    }
+
+    /// Counts a failed attempt, and logs the first one and then one in each period.
+    fn record(&mut self, error: &StoreError, batch: &Batch, log: &Logger) {
+        self.attempts += 1;
+        metrics::count_disk_failure();
+        metrics::set_disk_failing(self.start.elapsed());
+        let is_recent = |logged: Instant| logged.elapsed() < FAILURE_LOG_PERIOD;
+        if self.logged.is_some_and(is_recent) {
+            return;
         }
-        self.report
+        self.logged = Some(Instant::now());
+        let cause = error.source().map(ToString::to_string);
+        error!(log, "Writing to the data folder failed; retrying"; "error" => %error,
+            "cause" => cause, "attempts" => self.attempts, "records" => batch.records(),
+            "messages" => batch.messages(), "elapsed_ms" => self.start.elapsed().as_millis());
     }
 
-    fn try_write(&mut self, folder: &mut DataFolder) -> Result<(), StoreError> {
-        if let Some(records) = &self.replacement {
-            folder.journal.replace(records)?;
-            self.replacement = None;
+    /// Logs that the batch was written after failures, or slowly.
+    fn finish(&self, batch: &Batch, log: &Logger) {
+        let elapsed = self.start.elapsed();
+        if self.attempts > 0 {
+            metrics::set_disk_failing(Duration::ZERO);
+            info!(log, "Writing to the data folder succeeded again"; "attempts" => self.attempts,
+                "messages" => batch.messages(), "elapsed_ms" => elapsed.as_millis());
         }
-        if !self.appended.is_empty() {
-            folder.journal.append(&self.appended)?;
+        if elapsed >= SLOW_SYNC {
+            warn!(log, "Slow sync of the data folder"; "elapsed_ms" => elapsed.as_millis(),
+                "messages" => batch.messages());
         }
-        Ok(())
     }
 }
-
-fn last_entry(records: &[Record]) -> Option<(Term, Index)> {
-    records.iter().rev().find_map(|record| match record {
-        Record::Entry(entry) => Some((entry.term, entry.index)),
-        Record::Snapshot(snapshot) => Some((snapshot.term, snapshot.index)),
-        Record::HardState(_) => None,
-    })
-}
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod endless_answers;
 mod evacuation;
 mod failing_helpers;
+mod full_disk;
 mod hand_link;
 mod http_server;
 mod learned_capacity;
