bug: a control VM that opened its folder late carried out calls that were given up

While its data folder cannot be opened (a full disk at the start), a control VM's calls wait; operators go on to another VM after a second. Once there is room, the old calls were carried out: an order to evacuate a zone also after the order that ended it elsewhere. Cause: only later ticks dropped orders whose operator has gone; the first send did not. Evidence: a_control_vm_that_opens_its_folder_late_ignores_calls_that_were_given_up is red before (one "Evacuation ordered") and green after. The folder is held by a lock there, which is retried like a full disk. Change: a publish, a read or an order whose operator has closed the connection is ignored when it is taken.

--- a/node/src/controller/input.rs
+++ b/node/src/controller/input.rs
@@ -51,6 +51,20 @@
     Stop,
 }
 
+impl Input {
+    /// Whether an operator has given up this call, which has waited here.
+    ///
+    /// Inputs wait while the data folder cannot be opened. The operator may have given the opposite
+    /// order to another VM by then.
+    pub(super) fn is_abandoned(&self) -> bool {
+        match self {
+            Self::Publish(_, reply) | Self::SetEvacuation { reply, .. } => reply.is_closed(),
+            Self::Read(reply) => reply.is_closed(),
+            _ => false,
+        }
+    }
+}
+
 /// Channel for the answer to one call.
 ///
 /// It is dropped without an answer if the call fails or times out.
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -106,6 +106,10 @@
     }
 
     pub(super) fn handle_input(&mut self, input: Input) {
+        if input.is_abandoned() {
+            info!(self.log, "Ignored a call that was given up");
+            return;
+        }
         let now = self.clock.now();
         match input {
             Input::Link(event) => self.handle_link_event(now, event),
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -1,7 +1,8 @@
 //! What entry and control VMs send over a link that opens, and over idle ones.
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, mpsc};
@@ -524,3 +525,36 @@
     });
     assert_eq!(numbers.collect::<Vec<_>>(), [5]);
 }
+
+/// Guards against orders that are carried out long after the operator has given them up.
+///
+/// A control VM opens its data folder late if the disk is full; here another process holds the lock.
+#[test]
+fn a_control_vm_that_opens_its_folder_late_ignores_calls_that_were_given_up() {
+    let folder = folder_with_manifest();
+    let (locked, _) = DataFolder::open(folder.path()).expect("it opens");
+    let vm = Vm::start_in(true, folder);
+    let document = sample_configuration(6).to_string();
+    for (path, body) in [
+        ("/-/Evacuations.Start/z", ""),
+        ("/-/Config.Put", document.as_str()),
+    ] {
+        let mut operator = TcpStream::connect(vm.callers).expect("a connection");
+        let length = body.len();
+        let request =
+            format!("POST {path} HTTP/1.1\r\nhost: vm\r\ncontent-length: {length}\r\n\r\n{body}");
+        operator
+            .write_all(request.as_bytes())
+            .expect("the request is written");
+        thread::sleep(SETTLE_TIME);
+    }
+    drop(locked);
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while vm.lines.count("Opened the data folder") == 0 && Instant::now() < end {
+        thread::sleep(SETTLE_TIME);
+    }
+    thread::sleep(SETTLE_TIME);
+    assert_eq!(vm.lines.count("Opened the data folder"), 1);
+    assert_eq!(vm.lines.count("Evacuation ordered"), 0);
+    assert_eq!(vm.lines.count("Manifest submitted"), 0);
+}
