bug: a test opened a data folder before the disk thread had released it

The first run beside other tests failed once: what_waits_for_a_full_disk_is_durable_once_there_is_room found the folder locked, as the thread drops its report before its folder.

--- a/node/tests/integration/full_disk.rs
+++ b/node/tests/integration/full_disk.rs
@@ -93,9 +93,16 @@
             ..
         } = self;
         drop(writer);
-        // The thread ends and drops its sender once it has written everything.
+        // The thread ends once it has written everything, and releases the folder last.
         while reports.recv_timeout(PATIENCE).is_ok() {}
-        let opened = OpenedDisk::open(folder.path()).expect("it opens");
+        let end = Instant::now() + PATIENCE;
+        let opened = loop {
+            match OpenedDisk::open(folder.path()) {
+                Ok(opened) => break opened,
+                Err(error) => assert!(Instant::now() < end, "{error:#}"),
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        };
         (opened.log.snapshot().index.0, opened.log.last_index().0)
     }
 }
