bug: with a grace of 3 s or less a planned stop cut all open requests without an answer

Callers whose VM was stopped with a short grace saw their connection close: the VM reported unready for 2.7 s whatever the grace was, began its last stage when the time for last answers (0.6 to 0.4 s before the end of the grace) was over, and ended at once.

The time that a VM reports unready is at most two thirds of its time to the exit; with a grace of 8 s nothing changes. A call at a silent server, with a grace of 3 s: no answer at all before, 502 before the grace ends now. Stand-in VMs can be started with another grace.

--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
 const LOG_TAIL_LINES: usize = 25;
 /// Longest wait for an expected state.
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time from SIGTERM to SIGKILL that nodes are told at first, in seconds.
+const GRACE_SECONDS: u64 = 8;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Last byte of the first node's address.
@@ -52,6 +54,8 @@
     processes: Vec<NodeProcess>,
     /// Arguments of the entry role.
     entry_args: Vec<String>,
+    /// Time from SIGTERM to SIGKILL that a starting node is told, in seconds.
+    grace_seconds: AtomicU64,
 }
 
 /// What a backend server says of itself in a heartbeat.
@@ -112,6 +116,7 @@
             ports: [base, base + 1, base + 2, base + 3],
             processes: nodes.collect(),
             entry_args: entry_args.iter().map(ToString::to_string).collect(),
+            grace_seconds: AtomicU64::new(GRACE_SECONDS),
         };
         for index in 0..nodes.processes.len() {
             nodes.start(index, true)?;
@@ -119,6 +124,11 @@
         Ok(nodes)
     }
 
+    /// Sets the time from SIGTERM to SIGKILL that nodes are told that start later.
+    pub fn set_grace(&self, grace: Duration) {
+        self.grace_seconds.store(grace.as_secs(), Ordering::Relaxed);
+    }
+
     /// Starts the process of a node that is not running.
     ///
     /// `bootstrap` is the setting of this name: true on the first start of a deployment.
@@ -153,6 +163,7 @@
     /// Returns the text of a node's settings file.
     fn settings(&self, index: usize, bootstrap: bool) -> Result<String> {
         let subnet = self.subnet;
+        let grace = self.grace_seconds.load(Ordering::Relaxed);
         let [control, callers, ready, internal] = self.ports;
         let seeds: Vec<_> = (FIRST_HOST..FIRST_HOST + 3)
             .map(|host| format!("127.77.{subnet}.{host}:{control}"))
@@ -160,7 +171,7 @@
         let NodeProcess { name, ip, .. } = &self.processes[index];
         let mut text = format!(
             "node={name}\nzone=z{}\nip={ip}\nseeds={}\nbootstrap={bootstrap}\n\
-             internal-port-range={internal},{}\nbounds.grace-s=8\n\
+             internal-port-range={internal},{}\nbounds.grace-s={grace}\n\
              zones.z0=r0\nzones.z1=r0\nzones.z2=r0\n",
             index % CONTROL_VMS,
             seeds.join(","),
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -72,6 +72,10 @@
 /// traffic after two failed probes, so after two seconds at the latest. The time stays below three
 /// seconds: a request accepted later than that would have to finish before the stop timeout.
 const UNREADY_PERIOD: Duration = Duration::from_millis(2700);
+/// Largest part of the time to the exit that a stopping VM reports unready and takes requests.
+///
+/// It applies to a short stop timeout, and leaves time for the requests in progress.
+const MAX_UNREADY_PART: f64 = 2.0 / 3.0;
 /// Time before the stop timeout at which requests without an answer are refused or cut.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 /// Longest time for these last answers to reach their callers.
@@ -178,7 +182,7 @@
         gateway.exit_at.set(Some(gateway.now() + time_to_exit));
         gateway.enter_stage(StopStage::Unready);
         let started = Instant::now();
-        sleep(UNREADY_PERIOD).await;
+        sleep(UNREADY_PERIOD.min(time_to_exit.mul_f64(MAX_UNREADY_PART))).await;
         gateway.enter_stage(StopStage::Draining);
         let exit_at = started + time_to_exit;
         self.drain_until(exit_at).await;
--- a/node/tests/integration/planned_stop.rs
+++ b/node/tests/integration/planned_stop.rs
@@ -19,6 +19,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time within which a published configuration is in force at all VMs.
 const APPLY_TIME: Duration = Duration::from_secs(2);
+/// Time from SIGTERM to SIGKILL that is barely longer than the time a VM usually reports unready.
+const SHORT_GRACE: Duration = Duration::from_secs(3);
 /// Time from the stop signal within which a waiting request must have its answer.
 const STOP_LIMIT: Duration = Duration::from_secs(4);
 /// Time from the stop signal to the last answers of a VM that has open requests.
@@ -242,3 +244,30 @@
     assert!(response.head.contains("retry-after"), "{response:?}");
     assert!(server.executions().is_empty(), "the call ran");
 }
+
+/// Guards against a VM that is killed before it has told its callers anything, as its grace is short.
+#[test]
+fn a_call_at_a_silent_server_is_told_before_a_short_grace_ends() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake server listens");
+    let nodes = start_deployment(1, &[&server]);
+    let mut configuration = sample_configuration(6);
+    configuration["routes"][1]["timeout-ms"] = json!(20_000);
+    publish(&nodes, &configuration);
+    nodes.kill(3).expect("entry VM is killed");
+    nodes.set_grace(SHORT_GRACE);
+    nodes.start(3, false).expect("entry VM starts");
+    wait_for("ready entry VM", || nodes.is_ready(3));
+    thread::sleep(APPLY_TIME);
+    server.set_faults(&[BackendFault::StallAfter(0, Duration::from_secs(9))]);
+    let callers = nodes.callers_address(3);
+    let call = thread::spawn(move || (send_once(callers, "s1"), Instant::now()));
+    wait_for("running call", || server.executions().len() == 1);
+    let signaled_at = Instant::now();
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    let (response, answered_at) = call.join().expect("caller thread finishes");
+    assert_eq!(response.status, 502, "{response:?}");
+    let taken = answered_at - signaled_at;
+    assert!(taken < SHORT_GRACE, "answered after {taken:?}");
+}
