bug: callers that a stopping VM refused were told to wait 0.4 s or more before they come back

A request that a planned stop refuses has not run, and any other VM serves it at once, but its caller was told `Retry-After` 0.4 to 0.6 s, the time for a server to have capacity again.

--- a/node/src/gateway/refusal.rs
+++ b/node/src/gateway/refusal.rs
@@ -58,6 +58,8 @@
         let seconds = match refusal.reason {
             // Rounded up, as a server is held back until then.
             RefusalReason::HeldBack => (wait.as_secs_f64() * 1000.0).ceil() / 1000.0,
+            // Another VM serves the request at once.
+            RefusalReason::Stopping => 0.0,
             _ => wait.as_secs_f64() * (1.0 + fastrand::f64() * RETRY_AFTER_JITTER),
         };
         let seconds = format!("{seconds:.3}");
--- a/node/tests/integration/planned_stop.rs
+++ b/node/tests/integration/planned_stop.rs
@@ -271,3 +271,21 @@
     let taken = answered_at - signaled_at;
     assert!(taken < SHORT_GRACE, "answered after {taken:?}");
 }
+
+/// Guards against callers that wait before they go to another VM, which would serve them at once.
+#[test]
+fn a_request_that_a_stopping_vm_refuses_may_come_back_at_once() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake server listens");
+    let nodes = start_deployment(1, &[&server]);
+    let mut configuration = sample_configuration(6);
+    configuration["routes"][1]["timeout-ms"] = json!(20_000);
+    publish(&nodes, &configuration);
+    thread::sleep(APPLY_TIME);
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    thread::sleep(Duration::from_secs(1));
+    let response = send_once(nodes.callers_address(3), "r1");
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.head.contains("retry-after: 0.000"), "{response:?}");
+}
