bug: what ends before the exit of a planned stop was asked once, on arrival, at the pace of an idle engine

It asks before each first sending, also for requests that were admitted before the signal and wait, with the wait that the selection predicts. What does not fit is refused as not run. One whose time ends before the exit is taken.

Both tests with processes were red: a stream at a slow engine, 2 s after the signal, got 200 and was cut; prompts that waited when the signal came were sent and cut.

--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core state machines, without a real clock, network or disk.
 
+mod answer_pace;
 mod capacity_rules;
 mod claims;
 mod cold_bound;
--- a/node/tests/integration/planned_stop.rs
+++ b/node/tests/integration/planned_stop.rs
@@ -15,6 +15,8 @@
 
 use crate::deployment::{publish, register, start_deployment};
 
+/// Time between two events of a stream that a busy engine writes; all its events take 6 s.
+const SLOW_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two events of a fake backend server's stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time within which a published configuration is in force at all VMs.
@@ -39,6 +41,24 @@
     send_request(callers, "POST /stream/x", &headers, "body")
 }
 
+/// Sends a stream whose answer takes an idle engine of `publish_engine` half a second.
+fn send_short_prompt(callers: SocketAddr, attempt: &str) -> HttpResponse {
+    let headers = format!(
+        "X-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Deadline-Ms: 20000\r\n\
+         X-Merlinrudder-Token-Count: 1000,516\r\nAuthorization: Bearer k1\r\n"
+    );
+    send_request(callers, "POST /stream/x", &headers, "body")
+}
+
+/// Sends a long prompt whose answer takes an idle engine of `publish_engine` over 8 seconds.
+fn send_long_answer(callers: SocketAddr, attempt: &str) -> HttpResponse {
+    let headers = format!(
+        "X-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Deadline-Ms: 20000\r\n\
+         X-Merlinrudder-Token-Count: 100000,6000\r\nAuthorization: Bearer k1\r\n"
+    );
+    send_request(callers, "POST /stream/x", &headers, "body")
+}
+
 /// Sends a call that may run only once.
 fn send_once(callers: SocketAddr, attempt: &str) -> HttpResponse {
     let headers = format!(
@@ -245,6 +265,63 @@
     assert!(server.executions().is_empty(), "the call ran");
 }
 
+/// Guards against a stream that is taken by the time of an idle engine, and is cut as all are slower.
+#[test]
+fn a_stream_that_would_outlast_the_exit_at_the_usual_pace_is_refused() {
+    let server = FakeBackend::bind("i-1", SLOW_INTERVAL).expect("fake server listens");
+    let nodes = start_deployment(1, &[&server]);
+    publish_engine(&nodes);
+    thread::sleep(APPLY_TIME);
+    let callers = nodes.callers_address(3);
+    let earlier = send_short_prompt(callers, "p0");
+    assert!(earlier.is_whole_stream(), "{earlier:?}");
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    thread::sleep(Duration::from_secs(2));
+    let response = send_short_prompt(callers, "p1");
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.head.contains("retry-after"), "{response:?}");
+    assert_eq!(server.executions().len(), 1, "the stream ran");
+}
+
+/// Guards against a prompt that waits when the signal comes, gets its engine late, and is cut by the exit.
+#[test]
+fn a_prompt_that_waits_for_an_engine_is_not_sent_when_it_cannot_end_before_the_exit() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake server listens");
+    let nodes = start_deployment(1, &[&server]);
+    publish_engine(&nodes);
+    thread::sleep(APPLY_TIME);
+    let callers = nodes.callers_address(3);
+    server.set_faults(&[BackendFault::StallAfter(0, Duration::from_millis(1500)); 8]);
+    let prompts: Vec<_> = (0..6)
+        .map(|n| thread::spawn(move || send_long_answer(callers, &format!("q{n}"))))
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let reached = server.executions().len();
+    assert!(reached < 6, "no request waits");
+    server.set_faults(&[BackendFault::StallAfter(0, Duration::from_secs(9)); 8]);
+    nodes
+        .signal(3, Signal::SIGTERM)
+        .expect("entry VM is running");
+    let mut refused = 0;
+    for prompt in prompts {
+        let response = prompt.join().expect("caller thread finishes");
+        if response.status == 503 {
+            assert!(response.head.contains("retry-after"), "{response:?}");
+            refused += 1;
+        } else {
+            assert!(response.is_whole_stream(), "{response:?}");
+        }
+    }
+    assert_eq!(refused, 6 - reached, "a request was sent late");
+    assert_eq!(
+        server.executions().len(),
+        reached,
+        "a request was sent late"
+    );
+}
+
 /// Guards against a VM that is killed before it has told its callers anything, as its grace is short.
 #[test]
 fn a_call_at_a_silent_server_is_told_before_a_short_grace_ends() {
