bug: a prompt waits for engines that are left out for a moment, and not for splits that are never tried

Cause: whether engines could hold a prompt was asked of those eligible at the moment, and of any number of parts; only some numbers are tried.

Change: all open engines of the service count, with the numbers of parts that are tried. At least one part is possible at an engine of one slot.

Tests: a_prompt_waits_for_engines_that_are_left_out_for_a_moment and a_prompt_that_fits_no_number_of_parts_is_refused_at_once; green now, red before by reckoning (not run on the commit before).

--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -164,7 +164,9 @@
 }
 
 impl Placer<'_> {
-    /// Returns the placement with the lowest cost; `None` if no engines have room for the prompt.
+    /// Returns the placement with the lowest cost.
+    ///
+    /// Returns `None` if the prompt exceeds the KV cache of each engine, and no split has room now.
     #[must_use]
     pub fn place(
         &self,
@@ -185,9 +187,10 @@
     /// Returns whether `engines` idle engines together have KV cache for a prompt.
     #[must_use]
     pub fn could_hold(&self, request: &PlacementRequest, engines: usize) -> bool {
-        let most = HELPER_COUNTS.last().map_or(1, |helpers| helpers + 1);
-        let parts = engines.min(most) as u64;
-        request.prompt_tokens / parts.max(1) + request.answer_tokens <= self.usable_tokens()
+        let splits = HELPER_COUNTS.iter().map(|helpers| helpers + 1);
+        let parts = splits.filter(|parts| *parts <= engines).max();
+        let part = request.prompt_tokens.div_ceil(parts.unwrap_or(1) as u64);
+        part + BLOCK_SLACK_TOKENS + request.answer_tokens <= self.usable_tokens()
     }
 
     /// Returns the cheapest placement on a single engine, with its cost.
@@ -401,7 +404,8 @@
             .loads
             .load(&server.id)
             .map_or(0, EngineLoad::help_count);
-        helped + UNSEEN_SLOTS < self.profile.slots as usize
+        let most = (self.profile.slots as usize).saturating_sub(UNSEEN_SLOTS);
+        helped < most.max(1)
     }
 
     /// Returns the KV cache of an engine that can still be reserved, in tokens.
--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -37,7 +37,7 @@
 const MAX_WAIT_FRACTION: f64 = 0.2;
 /// Fraction of its total time that a prompt may wait for KV cache.
 ///
-/// The wait delays no other request.
+/// No engine works on it or keeps room for it meanwhile.
 const MAX_ROOM_WAIT_FRACTION: f64 = 0.5;
 
 /// What was compared when a prompt was refused; costs are in units of value.
--- a/core/src/fleet/choice.rs
+++ b/core/src/fleet/choice.rs
@@ -92,7 +92,9 @@
         };
         let placement = placer.place(request, &candidates);
         let placement = placement.ok_or_else(|| {
-            let may_wait = placer.could_hold(request, candidates.len()) && may_await_room(request);
+            // Engines that are suspended or without a permit now may have room soon.
+            let engines = self.open_servers(service).count();
+            let may_wait = placer.could_hold(request, engines) && may_await_room(request);
             if may_wait {
                 NoChoice::AwaitRoom
             } else {
--- a/core/tests/integration/engine_placement.rs
+++ b/core/tests/integration/engine_placement.rs
@@ -289,3 +289,27 @@
     let rejected = placement.helpers.iter().filter(|id| full.contains(id));
     assert_eq!(rejected.count(), 0, "{placement:?}");
 }
+
+/// Guards against prompts that are refused for good while engines are left out for a moment only.
+#[test]
+fn a_prompt_waits_for_engines_that_are_left_out_for_a_moment() {
+    let mut fleet = fleet(3);
+    let now = Moment::from_millis(1000);
+    for number in 0..2 {
+        let engine = server("a", number).id;
+        fleet.record_outcome(now, &engine, ServerOutcome::Full);
+    }
+    let larger = placement_request(300_000, 3000, 1000);
+    let chosen = fleet.choose_engines(now, &service(), &profile(), &larger, &[]);
+    assert_eq!(chosen.err(), Some(NoChoice::AwaitRoom));
+}
+
+/// Guards against a prompt that waits for a split that is never tried.
+#[test]
+fn a_prompt_that_fits_no_number_of_parts_is_refused_at_once() {
+    let fleet = fleet(7);
+    let now = Moment::from_millis(1000);
+    let larger = placement_request(1_400_000, 3000, 1000);
+    let chosen = fleet.choose_engines(now, &service(), &profile(), &larger, &[]);
+    assert_eq!(chosen.err(), Some(NoChoice::NoRoom));
+}
