--- a/core/tests/integration/engine_placement.rs
+++ b/core/tests/integration/engine_placement.rs
@@ -213,35 +213,38 @@
     fleet.rates.observe(now, observation);
 }
 
+/// Adds a prompt that another entry VM placed on a lead and helpers.
+fn add_of_other_vm(fleet: &mut Fleet, number: u64, lead: u16, helpers: &[ServerId], tokens: u64) {
+    let placed = PlacedPrompt {
+        lead: server("a", lead).id,
+        helpers: helpers.to_vec(),
+        helper_tokens: if helpers.is_empty() { 0 } else { 100 },
+        prompt_tokens: tokens,
+        answer_tokens: 1000,
+        received_at: Moment::from_millis(1000),
+        ttft_objective: Duration::from_secs(3),
+        pause_objective: Duration::from_secs(1),
+        weight: 1.0,
+    };
+    let entry = VmId::from("other");
+    let key = PlacementKey { entry, number };
+    fleet.add_placement(Moment::from_millis(1000), &key, &profile(), &placed);
+    fleet.loads.mark_prefilled(&key);
+}
+
 /// Guards against prompts that are sent to an engine which must reject them, until they are refused.
 #[test]
 fn a_prompt_larger_than_an_engine_waits_while_no_engines_have_room_together() {
     let mut fleet = fleet(4);
-    let now = Moment::from_millis(1000);
-    let large = placement_request(150_000, 3000, 1000);
     for number in 0..8 {
-        let placed = PlacedPrompt {
-            lead: server("a", number % 4).id,
-            helpers: Vec::new(),
-            helper_tokens: 0,
-            prompt_tokens: 100_000,
-            answer_tokens: 1000,
-            received_at: now,
-            ttft_objective: large.ttft_objective,
-            pause_objective: large.pause_objective,
-            weight: 1.0,
-        };
-        let key = PlacementKey {
-            entry: VmId::from("other"),
-            number: number.into(),
-        };
-        fleet.add_placement(now, &key, &profile(), &placed);
+        add_of_other_vm(&mut fleet, number.into(), number % 4, &[], 100_000);
     }
-    let larger = placement_request(300_000, 3000, 1000);
+    let now = Moment::from_millis(1000);
     let choose = |request: &PlacementRequest| {
         let chosen = fleet.choose_engines(now, &service(), &profile(), request, &[]);
         chosen.map(|(placement, _)| placement.helpers.len())
     };
+    let larger = placement_request(300_000, 3000, 1000);
     assert_eq!(choose(&larger), Err(NoChoice::AwaitRoom));
     let late = PlacementRequest {
         waited: Duration::from_secs(8),
@@ -257,34 +260,13 @@
 #[test]
 fn an_engine_that_helps_as_many_prompts_as_it_has_slots_gets_no_further_part() {
     let mut fleet = fleet(12);
-    let now = Moment::from_millis(1000);
     let full: Vec<_> = (0..6).map(|number| server("a", number).id).collect();
     for number in 0..u64::from(profile().slots) {
-        let placed = PlacedPrompt {
-            lead: server("a", 11).id,
-            helpers: full.clone(),
-            helper_tokens: 100,
-            prompt_tokens: 2_000,
-            answer_tokens: 100,
-            received_at: now,
-            ttft_objective: Duration::from_secs(3),
-            pause_objective: Duration::from_secs(1),
-            weight: 1.0,
-        };
-        let key = PlacementKey {
-            entry: VmId::from("other"),
-            number,
-        };
-        fleet.add_placement(now, &key, &profile(), &placed);
-        fleet.loads.mark_prefilled(&key);
+        add_of_other_vm(&mut fleet, number, 11, &full, 2_000);
     }
     let later = Moment::from_millis(5000);
-    let (placement, _) = place(
-        &mut fleet,
-        later,
-        100,
-        &placement_request(190_000, 3000, 1000),
-    );
+    let request = placement_request(190_000, 3000, 1000);
+    let (placement, _) = place(&mut fleet, later, 100, &request);
     assert!(!placement.helpers.is_empty());
     let rejected = placement.helpers.iter().filter(|id| full.contains(id));
     assert_eq!(rejected.count(), 0, "{placement:?}");
