Revert "bug: what ends before the exit of a planned stop was asked once, on arrival, at the pace of an idle engine"

Cause: callers name the largest possible answer, so that most streams that would end in time are refused as well, and come to another VM that stops. A cut stream is resumed by its caller; one that was refused twice is lost.

Change: taken back.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,7 +15,6 @@
 //!   requests that crash them away ([`crash_detector`], [`crash_history`], [`completions`]), and
 //!   sends nothing to zones that an operator evacuates ([`evacuation`]).
 
-pub mod answer_pace;
 pub mod capacity;
 pub mod census;
 pub mod claims;
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -1,6 +1,5 @@
 //! Tests of the core state machines, without a real clock, network or disk.
 
-mod answer_pace;
 mod capacity_rules;
 mod claims;
 mod cold_bound;
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -28,7 +28,6 @@
 mod manifest_watch;
 mod open_requests;
 mod placement_sync;
-mod planned_stop;
 mod rate_limits;
 mod reach;
 mod refusal;
--- a/node/src/gateway/admission.rs
+++ b/node/src/gateway/admission.rs
@@ -14,15 +14,16 @@
 use merlinrudder_core::deployment::{CustomerRule, Deployment, RouteRule};
 use merlinrudder_core::names::ServiceName;
 use merlinrudder_core::outcome::{Refusal, RefusalReason};
+use merlinrudder_core::planned_stop::LateRequest;
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_platform::headers;
+use slog::info;
 use tokio::time::{sleep, timeout};
 
 use super::header_fields::{parse_header, strip_hop_by_hop, text, text_header};
 use super::lookup::{self, Allowed};
 use super::open_requests::OpenRequestGuard;
-use super::planned_stop;
 use super::refusal::{DEFAULT_RETRY_AFTER, no_manifest, retryable};
 use super::relay;
 use super::relay_ingress::Relayed;
@@ -137,13 +138,36 @@
         relayed: admission.relayed,
         guard,
     };
-    if let Err(reason) = planned_stop::check_fits(gateway, &call, None) {
-        call.guard.end();
-        return Err(retryable(reason));
-    }
+    check_fits_stop(gateway, &call)?;
     Ok(call)
 }
 
+/// Checks that a request can end before a planned stop cuts it.
+///
+/// # Errors
+/// Returns the refusal of one that cannot; another VM can serve it at once.
+fn check_fits_stop(gateway: &Gateway, call: &CallerRequest) -> Result<(), Refusal> {
+    let now = gateway.now();
+    let Some(exit_at) = gateway.exit_at.get() else {
+        return Ok(());
+    };
+    let tokens = call.token_counts;
+    let prompt = call.engine_profile.as_ref().zip(tokens);
+    let late = LateRequest {
+        is_idempotent: call.route.kind.is_idempotent(),
+        time_left: call.time_left(now),
+        prompt: prompt.map(|(profile, tokens)| (profile, tokens.prompt, tokens.answer)),
+    };
+    if late.fits(exit_at.since(now)) {
+        return Ok(());
+    }
+    info!(gateway.log, "Request refused by a planned stop"; "request" => call.attempt_id_text(),
+        "time_left_ms" => late.time_left.as_millis(), "prompt_tokens" => call.prompt_tokens(),
+        "time_to_exit_ms" => exit_at.since(now).as_millis());
+    call.guard.end();
+    Err(retryable(RefusalReason::Stopping))
+}
+
 /// Returns the digests of the prompt's parts but the last one, at most `MAX_PROMPT_PARTS`.
 fn prompt_parts(headers: &HeaderMap, service: &str) -> Vec<ContentDigest> {
     let lines = headers.get_all(headers::PROMPT_PARTS).iter();
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -13,7 +13,6 @@
 use super::failure::{Failure, record_failure};
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
-use super::planned_stop;
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
 use super::selection::{Selection, select_servers};
@@ -120,7 +119,6 @@
                 }
                 Permission::Refuse(left) => return Err(self.quarantine_refusal(left)),
             }
-            self.check_fits_stop(gateway, call, None)?;
             let excluded = self.tally.excluded.borrow().clone();
             let is_waiting = self.waiter.is_some();
             let selected = match select_servers(gateway, call, &self.tally, &excluded, is_waiting) {
@@ -159,7 +157,6 @@
                 Selection::NoPath => return Err(self.path_refusal()),
                 Selection::NoServer => return Err(self.refusal(RefusalReason::NoServer)),
             };
-            self.check_fits_stop(gateway, call, selected.predicted_wait)?;
             self.waiter = None;
             let context = AttemptContext {
                 gateway,
@@ -326,25 +323,6 @@
         gateway.has_reached(StopStage::Draining) && self.run_state() == RunState::NotRun
     }
 
-    /// Checks that a planned stop would not cut the request at the servers selected after `wait`.
-    ///
-    /// One that may have run goes on: its caller cannot simply send it again elsewhere.
-    ///
-    /// # Errors
-    /// Returns the refusal of a request that cannot end before the exit.
-    fn check_fits_stop(
-        &self,
-        gateway: &Gateway,
-        call: &CallerRequest,
-        wait: Option<Duration>,
-    ) -> Result<(), Refusal> {
-        if self.run_state() != RunState::NotRun {
-            return Ok(());
-        }
-        let fits = planned_stop::check_fits(gateway, call, wait);
-        fits.map_err(|reason| self.refusal(reason))
-    }
-
     /// Checks whether the request may be sent; the trial of a content is sent only once.
     fn permission(&self, gateway: &Gateway, call: &CallerRequest) -> Permission {
         match (self.tally.on_trial.get(), self.run_state()) {
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use merlinrudder_core::answer_pace::AnswerPace;
 use merlinrudder_core::capacity::CapacityTable;
 use merlinrudder_core::census::Census;
 use merlinrudder_core::cold::ColdTable;
@@ -80,8 +79,6 @@
     pub(super) outbox: RefCell<Outbox>,
     /// Requests whose answers show the capacity of their servers.
     pub(super) capacity: CapacityWatch,
-    /// Pace of the latest answers of each service.
-    pub(super) answer_paces: RefCell<BTreeMap<ServiceName, AnswerPace>>,
     /// Lifetimes of servers that said in answers to this VM that they leave.
     pub(super) leaving: RefCell<BTreeSet<Incarnation>>,
     /// Requests that wait for permits or turns, and callers that were refused for lack of them.
@@ -138,7 +135,6 @@
             buffer_budget: Rc::default(),
             leaving: RefCell::default(),
             capacity: CapacityWatch::default(),
-            answer_paces: RefCell::default(),
             wait_queues: RefCell::default(),
             crashes: RefCell::default(),
             entry_vms: RefCell::default(),
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -26,7 +26,6 @@
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::placement_sync;
-use super::planned_stop;
 use super::request::CallerRequest;
 use super::state::{Gateway, StopStage};
 use super::stream_source::{CUT, SourceEnd, StreamEnd, StreamSource};
@@ -142,7 +141,6 @@
             end = self.forward_all(source) => {
                 self.log_end(end);
                 if end == StreamEnd::Complete {
-                    self.record_pace();
                     // Fails only if the caller has left.
                     drop(self.sender.send(Chunk::End).await);
                 }
@@ -150,16 +148,6 @@
         }
     }
 
-    /// Records the pace of an answer that one engine wrote.
-    fn record_pace(&self) {
-        if self.resumptions == 0
-            && let Some((first, last)) = self.ttft.zip(self.last_received)
-        {
-            let taken = last.since(self.call.received_at).saturating_sub(first);
-            planned_stop::record_answer(&self.gateway, &self.call, self.event_count, taken);
-        }
-    }
-
     /// Forwards events, and resumes on another engine when one breaks off or is overtaken.
     async fn forward_all(&mut self, mut source: StreamSource) -> StreamEnd {
         loop {
@@ -436,7 +424,6 @@
         info!(self.gateway.log, "Stream ended"; "request" => self.call.attempt_id_text(),
             "route" => &*self.call.route.name, "outcome" => outcome, "events" => self.event_count,
             "prompt" => self.call.token_counts.map(|tokens| tokens.prompt),
-            "answer" => self.call.token_counts.map(|tokens| tokens.answer),
             "server" => %self.last_placement.target, "helpers" => self.last_placement.helper_count,
             "placed_ms" => self.last_placement.placement_delay.as_millis(),
             "predicted_ms" => self.last_placement.predicted_wait.map(|wait| wait.as_millis()),
