--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -12,6 +12,7 @@
 pub mod loads;
 mod packing;
 
+use std::iter::Sum;
 use std::time::Duration;
 
 use fastrand::Rng;
@@ -106,7 +107,33 @@
     /// The same time if all engines had their nominal pace, against which their pace is learned.
     pub nominal_ttft: Duration,
     /// Value that other requests are likely to lose by this placement.
-    pub external_cost: f64,
+    pub external_cost: ExternalCost,
+}
+
+/// Value that other requests are likely to lose, in units of value.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ExternalCost {
+    /// Lost by answers whose pauses grow.
+    pub pauses: f64,
+    /// Lost by prompts that are prefilled later.
+    pub delays: f64,
+}
+
+impl ExternalCost {
+    /// Returns what all other requests lose together.
+    #[must_use]
+    pub fn total(self) -> f64 {
+        self.pauses + self.delays
+    }
+}
+
+impl Sum for ExternalCost {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        iter.fold(Self::default(), |sum, cost| Self {
+            pauses: sum.pauses + cost.pauses,
+            delays: sum.delays + cost.delays,
+        })
+    }
 }
 
 /// Returns the value of a request to its caller, by prompt length; at least 1.
@@ -137,7 +164,7 @@
     candidate: usize,
     server: &'a ServerRecord,
     /// Value that other requests on the engine are likely to lose.
-    external_cost: f64,
+    external_cost: ExternalCost,
     /// Predicted time until the part is prefilled, in milliseconds.
     ready: f64,
     /// Predicted time of a decode pass afterwards, in milliseconds.
@@ -208,7 +235,7 @@
         let base_cost = |e: &Evaluation<'_>| {
             let ttft = e.ready + e.pass;
             let own = own_cost(request, ttft) + candidates[e.candidate].penalty;
-            e.external_cost + own + self.lead_cost(request, e.server)
+            e.external_cost.total() + own + self.lead_cost(request, e.server)
         };
         let open = self
             .is_short(request.prompt_tokens)
@@ -262,7 +289,7 @@
         }
         let part_cost = |e: &Evaluation<'_>| {
             let late = own_cost(request, e.ready + e.pass);
-            e.external_cost
+            e.external_cost.total()
                 + late
                 + candidates[e.candidate].penalty
                 + self.zone_crossing_cost(e.server)
@@ -284,8 +311,8 @@
         let ttft = slowest + lead.pass;
         let nominal = helpers.iter().fold(lead.nominal, |n, e| n.max(e.nominal));
         let nominal = nominal + lead.nominal_pass;
-        let external_cost: f64 =
-            helpers.iter().map(|e| e.external_cost).sum::<f64>() + lead.external_cost;
+        let engines = helpers.iter().chain([&lead]);
+        let external_cost: ExternalCost = engines.map(|e| e.external_cost).sum();
         let penalty: f64 = helpers
             .iter()
             .chain([&lead])
@@ -301,7 +328,8 @@
             nominal_ttft: from_millis(nominal),
             external_cost,
         };
-        Some((external_cost + penalty + helper_cost + own, placement))
+        let cost = external_cost.total() + penalty + helper_cost + own;
+        Some((cost, placement))
     }
 
     fn evaluate_all<'c>(
@@ -360,18 +388,30 @@
     /// Returns the value other requests lose if a prefill of `in_pass` joins their passes.
     ///
     /// Waiting prompts are delayed by `ahead`: helpers prefill before the engine's own prompts.
-    fn external_cost(&self, load: &EngineLoad, in_pass: f64, ahead: f64, pass: f64) -> f64 {
+    fn external_cost(
+        &self,
+        load: &EngineLoad,
+        in_pass: f64,
+        ahead: f64,
+        pass: f64,
+    ) -> ExternalCost {
         let backlog = load.prefill_backlog(self.now);
         let before = pass + load.prefill_in_pass(self.now);
         let after = before + in_pass;
         load.parts()
             .map(|part| {
-                let lost = if part.prefilling {
-                    self.ttft_loss(part, backlog + pass, ahead)
+                let value = prompt_value(part.prompt_tokens) * part.weight;
+                if part.prefilling {
+                    ExternalCost {
+                        delays: self.ttft_loss(part, backlog + pass, ahead) * value,
+                        pauses: 0.0,
+                    }
                 } else {
-                    pause_loss(part, before, after)
-                };
-                lost * prompt_value(part.prompt_tokens) * part.weight
+                    ExternalCost {
+                        delays: 0.0,
+                        pauses: pause_loss(part, before, after) * value,
+                    }
+                }
             })
             .sum()
     }
--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use super::{
-    LATE_VALUE_FRACTION, Placement, PlacementRequest, millis, miss_probability, prompt_value,
+    ExternalCost, LATE_VALUE_FRACTION, Placement, PlacementRequest, millis, miss_probability,
+    prompt_value,
 };
 use crate::engine_model::EngineProfile;
 
@@ -40,11 +41,11 @@
 /// No engine works on it or keeps room for it meanwhile.
 const MAX_ROOM_WAIT_FRACTION: f64 = 0.5;
 
-/// What was compared when a prompt was refused; costs are in units of value.
+/// What was compared for a prompt that was not placed; costs are in units of value.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weighed {
     /// Value that other requests would lose.
-    pub external_cost: f64,
+    pub external_cost: ExternalCost,
     /// Value that the caller gains.
     pub gain: f64,
     /// Fraction of the engines that were prefilling.
@@ -61,7 +62,7 @@
     /// Send it to the chosen engines now.
     Place,
     /// Keep it waiting and choose engines again shortly.
-    Wait,
+    Wait(Weighed),
     /// Refuse it, since other callers would lose more than its caller gains.
     Refuse(Weighed),
 }
@@ -92,32 +93,34 @@
     if prefill < MIN_PREFILL_MS {
         return PlacementDecision::Place;
     }
+    let external_cost = placement.external_cost.total();
     let (waited, objective) = (millis(request.waited), millis(request.ttft_objective));
     let ttft = waited + millis(placement.predicted_ttft);
-    if placement.external_cost > MAX_EXTERNAL_COST && ttft < objective * MAX_TTFT_FRACTION {
-        return PlacementDecision::Wait;
-    }
     let seconds = prefill / 1000.0;
     let value = prompt_value(request.prompt_tokens).max(seconds * MIN_PREFILL_VALUE);
     let value = value * request.weight;
     let gain = value * (1.0 - miss_probability(ttft, objective) * (1.0 - LATE_VALUE_FRACTION));
     let engine_cost = seconds * BUSY_ENGINE_VALUE * busy_fraction;
     let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
-    if placement.external_cost + engine_cost <= gain {
+    let weighed = Weighed {
+        external_cost: placement.external_cost,
+        gain,
+        busy_fraction,
+        engines: placement.helpers.len() + 1,
+        predicted_ttft: placement.predicted_ttft,
+    };
+    if external_cost > MAX_EXTERNAL_COST && ttft < objective * MAX_TTFT_FRACTION {
+        return PlacementDecision::Wait(weighed);
+    }
+    if external_cost + engine_cost <= gain {
         return PlacementDecision::Place;
     }
     if has_waited_less(request, MAX_WAIT_FRACTION) {
-        return PlacementDecision::Wait;
+        return PlacementDecision::Wait(weighed);
     }
-    if placement.external_cost < gain {
+    if external_cost < gain {
         PlacementDecision::Place
     } else {
-        PlacementDecision::Refuse(Weighed {
-            external_cost: placement.external_cost,
-            gain,
-            busy_fraction,
-            engines: placement.helpers.len() + 1,
-            predicted_ttft: placement.predicted_ttft,
-        })
+        PlacementDecision::Refuse(weighed)
     }
 }
--- a/core/tests/integration/engine_placement.rs
+++ b/core/tests/integration/engine_placement.rs
@@ -34,8 +34,8 @@
         assert!(!busy.contains(engine), "{engine} decodes short answers");
     }
     assert!(
-        placement.external_cost < 0.1,
-        "external cost {}",
+        placement.external_cost.total() < 0.1,
+        "external cost {:?}",
         placement.external_cost
     );
 }
@@ -110,7 +110,7 @@
     let waits = |request: &PlacementRequest| {
         let chosen = fleet.choose_engines(now, &service(), &profile(), request, &[]);
         match chosen {
-            Ok((_, decision)) => decision == PlacementDecision::Wait,
+            Ok((_, decision)) => matches!(decision, PlacementDecision::Wait(_)),
             Err(reason) => reason == NoChoice::AwaitRoom,
         }
     };
--- a/core/tests/integration/ranks.rs
+++ b/core/tests/integration/ranks.rs
@@ -7,7 +7,9 @@
 use merlinrudder_core::engine_model::EngineProfile;
 use merlinrudder_core::engine_placement::decision::{PlacementDecision, decide_placement};
 use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
-use merlinrudder_core::engine_placement::{Placement, PlacementRequest, prompt_value};
+use merlinrudder_core::engine_placement::{
+    ExternalCost, Placement, PlacementRequest, prompt_value,
+};
 use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId};
 use merlinrudder_core::rank::{ServiceRanks, Standing};
 use merlinrudder_core::time::Moment;
@@ -146,7 +148,10 @@
         helper_tokens: 0,
         predicted_ttft: Duration::from_millis(100),
         nominal_ttft: Duration::from_millis(100),
-        external_cost: prompt_value(LONG_TOKENS),
+        external_cost: ExternalCost {
+            delays: prompt_value(LONG_TOKENS),
+            pauses: 0.0,
+        },
     };
     let decide = |weight: f64| {
         let waited = Duration::from_secs(3);
--- a/core/tests/integration/util/burst_sim/placing.rs
+++ b/core/tests/integration/util/burst_sim/placing.rs
@@ -62,7 +62,7 @@
         }
         match decision {
             PlacementDecision::Place => self.place(now, number, &request, &placement),
-            PlacementDecision::Wait => self.wait(now, number),
+            PlacementDecision::Wait(_) => self.wait(now, number),
             PlacementDecision::Refuse(_) => self.refuse(now, number),
         }
     }
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -58,6 +58,22 @@
     selections: u32,
     /// Set while the request waits for a permit, or for a turn at a cold server.
     waiter: Option<Waiter>,
+    /// Lowest external cost at which a prompt might have been placed while it waited.
+    cheapest: Option<WeighedAt>,
+}
+
+/// What was weighed for a prompt that waits.
+#[derive(Clone, Copy, Debug)]
+struct WeighedAt {
+    /// Time since the request was received.
+    waited: Duration,
+    weighed: Weighed,
+}
+
+impl WeighedAt {
+    fn external_cost(&self) -> f64 {
+        self.weighed.external_cost.total()
+    }
 }
 
 impl Attempts {
@@ -77,6 +93,7 @@
             not_run: 0,
             selections: 0,
             waiter: None,
+            cheapest: None,
         }
     }
 
@@ -123,12 +140,20 @@
             let is_waiting = self.waiter.is_some();
             let selected = match select_servers(gateway, call, &self.tally, &excluded, is_waiting) {
                 Selection::Selected(selected) => *selected,
-                Selection::Wait | Selection::AwaitPermit | Selection::AwaitTurn
+                Selection::Wait(_)
+                | Selection::AwaitRoom
+                | Selection::AwaitPermit
+                | Selection::AwaitTurn
                     if self.is_refused_by_stop(gateway) =>
                 {
                     return Err(self.refusal(RefusalReason::Stopping));
                 }
-                Selection::Wait => {
+                Selection::Wait(weighed) => {
+                    self.record_weighed(gateway.now().since(call.received_at), weighed);
+                    sleep(PLACEMENT_RETRY_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
+                    continue;
+                }
+                Selection::AwaitRoom => {
                     sleep(PLACEMENT_RETRY_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
                     continue;
                 }
@@ -246,12 +271,27 @@
         Ok(())
     }
 
+    /// Remembers what was weighed for a prompt that waits, if it was the cheapest so far.
+    fn record_weighed(&mut self, waited: Duration, weighed: Weighed) {
+        let weighed = WeighedAt { waited, weighed };
+        let is_cheaper = |least: &WeighedAt| weighed.external_cost() < least.external_cost();
+        if self.cheapest.as_ref().is_none_or(is_cheaper) {
+            self.cheapest = Some(weighed);
+        }
+    }
+
     /// Logs what was weighed when a prompt was refused.
     fn log_refused_prompt(&self, gateway: &Gateway, call: &CallerRequest, weighed: &Weighed) {
+        let cheapest = self.cheapest.as_ref();
         info!(gateway.log, "Prompt refused"; "request" => call.attempt_id_text(),
             "prompt_tokens" => call.prompt_tokens(), "selections" => self.selections,
             "waited_ms" => gateway.now().since(call.received_at).as_millis(),
-            "external_cost" => weighed.external_cost, "gain" => weighed.gain,
+            "external_cost" => weighed.external_cost.total(), "gain" => weighed.gain,
+            "delay_cost" => weighed.external_cost.delays,
+            "least_cost" => cheapest.map(WeighedAt::external_cost),
+            "least_cost_gain" => cheapest.map(|least| least.weighed.gain),
+            "least_cost_ms" => cheapest.map(|least| least.waited.as_millis()),
+            "spent_ms" => call.spent_before().as_millis(),
             "busy_fraction" => weighed.busy_fraction, "engines" => weighed.engines,
             "predicted_ms" => weighed.predicted_ttft.as_millis());
     }
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -111,6 +111,14 @@
         self.deadline.since(now)
     }
 
+    /// Returns the part of the route's timeout that the caller had used up before this attempt.
+    ///
+    /// It is more where the caller chose a shorter deadline for its first attempt.
+    pub(super) fn spent_before(&self) -> Duration {
+        let time_limit = self.time_left(self.received_at);
+        self.route.timeout.saturating_sub(time_limit)
+    }
+
     /// Returns the attempt id for logs; `unreadable` if it is not visible ASCII.
     pub(super) fn attempt_id_text(&self) -> &str {
         text(&self.attempt_id)
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -104,7 +104,9 @@
     /// Send the request to these servers.
     Selected(Box<SelectedServers>),
     /// No engine should take the prompt now; select again after a short wait.
-    Wait,
+    Wait(Weighed),
+    /// No engines have room for the prompt now; select again after a short wait.
+    AwaitRoom,
     /// Refuse the prompt: other requests would lose more than its caller gains.
     Refuse(Weighed),
     /// No engines have room for the prompt soon enough.
@@ -188,7 +190,7 @@
     };
     match selection {
         Err(NoChoice::NoServer) => Selection::NoServer,
-        Err(NoChoice::AwaitRoom) => Selection::Wait,
+        Err(NoChoice::AwaitRoom) => Selection::AwaitRoom,
         Err(NoChoice::NoRoom) => Selection::NoRoom,
         Err(NoChoice::HeldBack(left)) => Selection::HeldBack(left),
         Err(NoChoice::RateLimited) => rate_limits::outlook(gateway, call, excluded, is_waiting),
@@ -284,7 +286,7 @@
         fleet.choose_engines(gateway.now(), &call.service, profile, &prompt, excluded)?;
     match decision {
         PlacementDecision::Place => {}
-        PlacementDecision::Wait => return Ok(Selection::Wait),
+        PlacementDecision::Wait(weighed) => return Ok(Selection::Wait(weighed)),
         PlacementDecision::Refuse(weighed) => return Ok(Selection::Refuse(weighed)),
     }
     let endpoint = |id: &ServerId| {
