bug: a whole VM reads failures, lists and events of an engine without a bound

Cause: failures, answers to orders and lists of held requests were read whole, events for a slow caller piled up in a channel without a bound, and lines that are no event were read until the deadline. Why it works: each read has a limit by its purpose (16 KiB for an order, 4 MiB for a list, 16 KiB for a line, 64 KiB without an event), and a channel of four events hands the caller's pace on to the engine's connection.

--- a/ctl/tests/integration/main.rs
+++ b/ctl/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod completions;
 mod control_log;
+mod endless_bytes;
 mod faults;
 mod graceful_shutdown;
 mod network_partitions;
--- a/ctl/tests/integration/util.rs
+++ b/ctl/tests/integration/util.rs
@@ -251,6 +251,16 @@
         });
     }
 
+    /// Returns the resident memory of a VM in KiB; `None` if it is not running.
+    pub fn resident_kib(&self, index: usize) -> Option<u64> {
+        let id = self.vm_processes[index].as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().split(' ').next()?.parse().ok()
+    }
+
     /// Asks a VM for its status; `None` if it does not answer.
     pub fn status(&self, index: usize) -> Option<VmStatus> {
         client::status(&self.admin_address(index), ADMIN_TOKEN).ok()
--- a/fakes/src/raw_server.rs
+++ b/fakes/src/raw_server.rs
@@ -8,12 +8,16 @@
 /// A request as far as an answer depends on it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RawRequest {
+    /// Path and query of the request line.
+    pub path: String,
     /// Attempt id that the caller chose.
     pub attempt: String,
     /// Requests on the same connection before this one.
     pub earlier: usize,
     /// Addresses of the engines that the sender names as helpers, with reservation ids.
     pub helpers: String,
+    /// Whole body.
+    pub body: Vec<u8>,
 }
 
 /// Handle of a running raw server.
@@ -81,6 +85,12 @@
 /// Reads a request; returns `None` if the connection has closed.
 fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<RawRequest>> {
     let (mut request, mut length) = (RawRequest::default(), 0);
+    let mut start = String::new();
+    if reader.read_line(&mut start)? == 0 {
+        return Ok(None);
+    }
+    let path = start.split(' ').nth(1).unwrap_or_default();
+    path.clone_into(&mut request.path);
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -102,6 +112,6 @@
             _ => {}
         }
     }
-    std::io::copy(&mut reader.take(length), &mut std::io::sink())?;
+    reader.take(length).read_to_end(&mut request.body)?;
     Ok(Some(request))
 }
--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -4,11 +4,11 @@
 pub mod plain;
 pub mod reconcile;
 
-use std::io;
+use std::io::{self, Read};
 use std::time::Duration;
 
 use attohttpc::header::CONTENT_TYPE;
-use attohttpc::{Method, ProxySettings, RequestBuilder, body};
+use attohttpc::{Method, ProxySettings, RequestBuilder, Response, body};
 use merlinrudder_core::dispatch::message::GrantedServer;
 use merlinrudder_core::units::{AttemptId, RequestId};
 use merlinrudder_wire::engine::EngineCancel;
@@ -16,6 +16,9 @@
 
 use crate::constants::{CONNECT_TIMEOUT, PROBE_TIMEOUT};
 
+/// Largest answer to an order, such as a reservation or a cancellation, in bytes.
+pub(crate) const MAX_REPLY_BYTES: usize = 16 * 1024;
+
 /// Error detail of an attempt that was not sent because its deadline had passed.
 pub(crate) const DEADLINE_PASSED: &str = "deadline passed before the request was sent";
 
@@ -42,7 +45,22 @@
         .timeout(timeout)
         .send()?;
     let status = response.status().as_u16();
-    Ok((status, response.bytes()?))
+    Ok((status, read_limited(response, MAX_REPLY_BYTES)?))
+}
+
+/// Reads a whole body of at most `max_bytes`.
+///
+/// # Errors
+/// Fails if the body is larger, or does not arrive whole.
+pub(crate) fn read_limited(response: Response, max_bytes: usize) -> io::Result<Vec<u8>> {
+    let (_, _, reader) = response.split();
+    let mut body = Vec::new();
+    reader.take(max_bytes as u64 + 1).read_to_end(&mut body)?;
+    if body.len() > max_bytes {
+        let message = format!("the answer is larger than {max_bytes} bytes");
+        return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+    }
+    Ok(body)
 }
 
 /// Adds a body of serialized JSON and its content type.
--- a/node/src/backend/engine.rs
+++ b/node/src/backend/engine.rs
@@ -5,18 +5,25 @@
 use std::time::Duration;
 
 use attohttpc::{Method, ResponseReader};
-use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 use merlinrudder_core::dispatch::message::GrantedServer;
 use merlinrudder_core::time::duration_millis;
 use merlinrudder_core::units::{AttemptId, RequestId};
 use merlinrudder_wire::engine::{EngineEvent, EngineKvRequest, EngineRefusal, EngineRequest};
 
-use super::{DEADLINE_PASSED, is_connect_error, post_json, request_builder, with_json_body};
+use super::{
+    DEADLINE_PASSED, MAX_REPLY_BYTES, is_connect_error, post_json, read_limited, request_builder,
+    with_json_body,
+};
 use crate::constants::{CONNECT_TIMEOUT, RESERVATION_LEASE};
 use crate::metrics;
 
 /// Maximum length of a line in an engine's event stream, in bytes.
-const MAX_LINE_BYTES: u64 = 1024 * 1024;
+const MAX_LINE_BYTES: u64 = 16 * 1024;
+/// Bytes without an event after which an engine's stream is given up.
+const MAX_BYTES_BETWEEN_EVENTS: u64 = 64 * 1024;
+/// Events that wait for a slow caller before the engine's stream is read on.
+const MAX_WAITING_EVENTS: usize = 4;
 /// Start of a line that carries the data of a server-sent event.
 const DATA_PREFIX: &str = "data: ";
 
@@ -55,7 +62,7 @@
     body: EngineRequest,
     time_left: Duration,
 ) -> Receiver<AttemptEvent> {
-    let (events, receiver) = unbounded();
+    let (events, receiver) = bounded(MAX_WAITING_EVENTS);
     let address = address.to_owned();
     let failure_events = events.clone();
     let spawned = thread::Builder::new()
@@ -117,8 +124,7 @@
 /// It counts as `Refused` only if it says that nothing ran, and as `Broken` otherwise.
 fn parse_refusal(response: attohttpc::Response) -> AttemptEvent {
     let status = response.status();
-    let parsed = response
-        .bytes()
+    let parsed = read_limited(response, MAX_REPLY_BYTES)
         .ok()
         .and_then(|bytes| serde_json::from_slice::<EngineRefusal>(&bytes).ok());
     match parsed {
@@ -135,6 +141,7 @@
 ) -> AttemptEvent {
     let mut reader = BufReader::new(reader);
     let mut line = String::new();
+    let mut since_event = 0;
     loop {
         line.clear();
         let mut limited = std::io::Read::take(&mut reader, MAX_LINE_BYTES);
@@ -144,9 +151,14 @@
                     "the stream ended before the answer was complete".to_owned(),
                 );
             }
-            Ok(_) => {}
+            Ok(length) => since_event += length as u64,
             Err(error) => return AttemptEvent::Broken(error.to_string()),
         }
+        if since_event > MAX_BYTES_BETWEEN_EVENTS {
+            return AttemptEvent::Broken(format!(
+                "the engine sent {since_event} bytes without an event"
+            ));
+        }
         let Some(data) = line.trim_end().strip_prefix(DATA_PREFIX) else {
             continue;
         };
@@ -159,6 +171,7 @@
             metrics::count_dropped_event();
             continue;
         }
+        since_event = 0;
         if event.done {
             return AttemptEvent::Done {
                 total: event.index,
--- a/node/src/backend/reconcile.rs
+++ b/node/src/backend/reconcile.rs
@@ -15,12 +15,15 @@
 use serde::de::DeserializeOwned;
 use slog::{Logger, o, warn};
 
-use super::{post_json, request_builder};
+use super::{post_json, read_limited, request_builder};
 use crate::constants::{MIN_ORPHAN_AGE, PROBE_TIMEOUT, RECONCILE_PERIOD};
 use crate::control::ControlHandle;
 use crate::control::input::{ControlInput, ServerPlacements};
 use crate::timer::Timer;
 
+/// Largest list of held requests or cached blocks that an engine sends, in bytes.
+const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
+
 /// Starts the reconcile loop on a new thread; it ends with the timer service.
 ///
 /// # Errors
@@ -105,7 +108,7 @@
         .read_timeout(PROBE_TIMEOUT)
         .timeout(PROBE_TIMEOUT)
         .send();
-    serde_json::from_slice(&sent.and_then(attohttpc::Response::bytes).ok()?).ok()
+    serde_json::from_slice(&read_limited(sent.ok()?, MAX_LIST_BYTES).ok()?).ok()
 }
 
 /// Cancels a request at an engine and releases memory reserved for it.
