bug: bodies and answers of a whole VM are bounded one by one only

Callers saw refusals of nothing, and then the end of the VM: 1024 requests of 16 MiB each, or as many answers, are allowed at once. Cause: each body, plain answer and buffered completion has a limit, their sum has none; a completion that is not streamed collects as many tokens as its engine sends, also beyond the number asked for. Why it works: bodies, plain answers and buffered text take their bytes, with copies, from one budget ([limits] memory_bytes, 64 MiB); without room a body is refused at once (vm_limit), an answer counts as failed. An engine that sends more tokens than asked for counts as broken.

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -20,6 +20,7 @@
     refuse, refuse_with_message, send_json, send_ready, send_response,
 };
 use crate::http_api::{has_token, read_body};
+use crate::memory_budget::MemoryBudget;
 use crate::metrics;
 use crate::published::RoutingSnapshotCell;
 
@@ -39,6 +40,8 @@
     pub clock: Clock,
     /// Bearer token that operators must send.
     pub token: Arc<str>,
+    /// Memory for the bodies and answers of all requests.
+    pub memory: Arc<MemoryBudget>,
     /// Logger of the operators' API.
     pub log: Logger,
 }
@@ -105,14 +108,20 @@
     }
 
     fn publish(&self, mut request: Request) {
-        let bytes = match read_body(&mut request, MAX_ADMIN_BODY_BYTES, BODY_TIMEOUT) {
-            Ok(bytes) => bytes,
+        let body = read_body(
+            &mut request,
+            MAX_ADMIN_BODY_BYTES,
+            BODY_TIMEOUT,
+            &self.memory,
+        );
+        let body = match body {
+            Ok(body) => body,
             Err(refusal) => {
                 refuse(request, None, &refusal);
                 return;
             }
         };
-        let manifest = match parse_manifest(&bytes) {
+        let manifest = match parse_manifest(&body.bytes) {
             Ok(manifest) => manifest,
             Err(error) => {
                 send_json(request, 400, &faults_body(&error));
@@ -121,7 +130,7 @@
         };
         let published = PublishedManifest {
             number: manifest.number,
-            bytes: Arc::from(bytes),
+            bytes: Arc::from(body.bytes.as_slice()),
         };
         match self.propose(Command::Publish(published)) {
             Some(Answer::Accepted(number)) => {
--- a/node/src/backend/plain.rs
+++ b/node/src/backend/plain.rs
@@ -1,6 +1,6 @@
 //! Client for plain HTTP applications: sends one call and reads its whole answer.
 
-use std::io::Read;
+use std::io::{self, Read};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 
 use super::{DEADLINE_PASSED, is_connect_error, request_builder};
 use crate::constants::MAX_BUFFERED_RESPONSE_BYTES;
+use crate::memory_budget::MemoryShare;
 
 /// Header of a 503 response that proves that the call was not run.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
@@ -46,9 +47,19 @@
     Broken(String),
 }
 
-/// Sends a call and waits up to `time_left` for its whole answer.
+/// Copies of an answer that are held at once: as read, as recorded and as sent.
+const ANSWER_COPIES: usize = 3;
+/// Size of the parts in which an answer is read, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Sends a call and waits up to `time_left` for its whole answer, whose memory `share` takes.
 #[must_use]
-pub fn call(address: &str, call: &PlainCall, time_left: Duration) -> PlainResult {
+pub fn call(
+    address: &str,
+    call: &PlainCall,
+    time_left: Duration,
+    share: &mut MemoryShare,
+) -> PlainResult {
     if time_left.is_zero() {
         return PlainResult::NotConnected(DEADLINE_PASSED.to_owned());
     }
@@ -61,7 +72,7 @@
         .timeout(time_left)
         .send();
     match sent {
-        Ok(response) => read_answer(response),
+        Ok(response) => read_answer(response, share),
         Err(error) if is_connect_error(&error) => PlainResult::NotConnected(error.to_string()),
         Err(error) => PlainResult::Broken(error.to_string()),
     }
@@ -91,7 +102,7 @@
 }
 
 /// Reads an answer of at most `MAX_BUFFERED_RESPONSE_BYTES`; a larger one counts as broken.
-fn read_answer(response: Response) -> PlainResult {
+fn read_answer(response: Response, share: &mut MemoryShare) -> PlainResult {
     let (status, headers, reader) = response.split();
     if status.as_u16() == 503 && headers.contains_key(NOT_RUN_HEADER) {
         return PlainResult::Refused;
@@ -99,15 +110,8 @@
     let content_type = headers
         .get(CONTENT_TYPE)
         .and_then(|value| value.to_str().ok());
-    let mut body = Vec::new();
-    match reader
-        .take(MAX_BUFFERED_RESPONSE_BYTES as u64 + 1)
-        .read_to_end(&mut body)
-    {
-        Ok(length) if length > MAX_BUFFERED_RESPONSE_BYTES => PlainResult::Broken(format!(
-            "the answer is larger than {MAX_BUFFERED_RESPONSE_BYTES} bytes"
-        )),
-        Ok(_) => PlainResult::Answered(RecordedAnswer {
+    match read_body(reader, share) {
+        Ok(body) => PlainResult::Answered(RecordedAnswer {
             status: status.as_u16(),
             content_type: Arc::from(content_type.unwrap_or(DEFAULT_CONTENT_TYPE)),
             body: Some(Arc::from(body)),
@@ -115,3 +119,24 @@
         Err(error) => PlainResult::Broken(error.to_string()),
     }
 }
+
+/// Reads a body to its end while `share` grows with it.
+fn read_body(mut reader: impl Read, share: &mut MemoryShare) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    let mut part = vec![0; READ_BUFFER_BYTES];
+    loop {
+        let length = reader.read(&mut part)?;
+        if length == 0 {
+            return Ok(body);
+        }
+        if body.len() + length > MAX_BUFFERED_RESPONSE_BYTES {
+            return Err(io::Error::other(format!(
+                "the answer is larger than {MAX_BUFFERED_RESPONSE_BYTES} bytes"
+            )));
+        }
+        share
+            .grow(length * ANSWER_COPIES)
+            .map_err(io::Error::other)?;
+        body.extend_from_slice(&part[..length]);
+    }
+}
--- a/node/src/http_api.rs
+++ b/node/src/http_api.rs
@@ -13,4 +13,4 @@
 mod stream;
 
 pub use auth::has_token;
-pub use listener::{HttpServer, read_body};
+pub use listener::{HttpServer, ReceivedBody, read_body};
--- a/node/src/http_api/backend_api.rs
+++ b/node/src/http_api/backend_api.rs
@@ -15,6 +15,7 @@
 use crate::constants::MAX_ADMIN_BODY_BYTES;
 use crate::control::ControlHandle;
 use crate::control::input::ControlInput;
+use crate::memory_budget::MemoryBudget;
 
 /// Timeout for receiving the whole body of an announcement.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -26,6 +27,8 @@
     pub control: ControlHandle,
     /// Bearer token that all backend servers use.
     pub token: Arc<str>,
+    /// Memory for the bodies and answers of all requests.
+    pub memory: Arc<MemoryBudget>,
 }
 
 impl BackendApi {
@@ -47,7 +50,7 @@
             );
             return;
         }
-        match read_announcement(&mut request) {
+        match read_announcement(&mut request, &self.memory) {
             Ok(announcement) => {
                 self.control.send(ControlInput::Announce(announcement));
                 send_json(request, 200, &json!({ "taken": true }));
@@ -58,12 +61,15 @@
 }
 
 /// Reads and parses the body; an error carries the message for the response.
-fn read_announcement(request: &mut Request) -> Result<Announcement, (Refusal, String)> {
-    let bytes = read_body(request, MAX_ADMIN_BODY_BYTES, BODY_TIMEOUT)
+fn read_announcement(
+    request: &mut Request,
+    memory: &Arc<MemoryBudget>,
+) -> Result<Announcement, (Refusal, String)> {
+    let body = read_body(request, MAX_ADMIN_BODY_BYTES, BODY_TIMEOUT, memory)
         .map_err(|refusal| (refusal, "The body cannot be read.".to_owned()))?;
     let bad_request =
         |message: String| (Refusal::not_run(RefusalReason::BadRequest, None), message);
     let wire: WireAnnouncement =
-        serde_json::from_slice(&bytes).map_err(|error| bad_request(error.to_string()))?;
+        serde_json::from_slice(&body.bytes).map_err(|error| bad_request(error.to_string()))?;
     Announcement::try_from(wire).map_err(|error| bad_request(error.to_string()))
 }
--- a/node/src/http_api/caller_api.rs
+++ b/node/src/http_api/caller_api.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::control::ControlHandle;
 use crate::control::input::{ControlInput, DispatchDecision, Submission};
+use crate::memory_budget::MemoryBudget;
 use crate::options::settings::LimitSettings;
 use crate::published::RoutingSnapshotCell;
 
@@ -45,6 +46,8 @@
     pub clock: Clock,
     /// Limits on the size and the receive time of bodies.
     pub limits: LimitSettings,
+    /// Memory for the bodies and answers of all requests.
+    pub memory: Arc<MemoryBudget>,
     /// Prompt and output lengths learned from completed requests, to predict work.
     pub estimator: Mutex<Estimator>,
     /// Retry budget of each service; an entry is created with its first request.
--- a/node/src/http_api/completions.rs
+++ b/node/src/http_api/completions.rs
@@ -25,6 +25,7 @@
 use crate::constants::STREAM_KEEPALIVE_INTERVAL;
 use crate::control::input::{ControlInput, DispatchDecision};
 use crate::http_api::listener::read_body;
+use crate::memory_budget::MemoryShare;
 use crate::metrics;
 
 /// An admitted completion request and its progress over all attempts.
@@ -32,6 +33,8 @@
     api: &'a CallerApi,
     admitted: AdmittedRequest,
     body: CompletionBody,
+    /// Memory of the body, and of an answer that is buffered.
+    share: MemoryShare,
     /// Length of the prompt in bytes.
     prompt_bytes: usize,
     /// Predicted prompt and output tokens.
@@ -72,7 +75,7 @@
     let started_at = Instant::now();
     let id = new_request_id();
     let admitted = admit(api, &mut request, id);
-    let (admitted, body) = match admitted {
+    let (admitted, body, share) = match admitted {
         Ok(admitted) => admitted,
         Err((refusal, message)) => {
             let message =
@@ -88,7 +91,7 @@
         return;
     }
     api.credit_retry_budget(&admitted.service);
-    let mut completion = Completion::new(api, admitted, body, digest, request, started_at);
+    let mut completion = Completion::new(api, admitted, (body, share), digest, request, started_at);
     let end = completion.run();
     completion.conclude(&end);
 }
@@ -101,13 +104,13 @@
     api: &CallerApi,
     request: &mut Request,
     id: merlinrudder_core::units::RequestId,
-) -> Result<(AdmittedRequest, CompletionBody), AdmissionError> {
+) -> Result<(AdmittedRequest, CompletionBody, MemoryShare), AdmissionError> {
     let manifest = api.current_manifest().map_err(without_message)?;
     let customer = auth::authenticate(request, &manifest).map_err(without_message)?;
     let limits = &api.limits;
-    let bytes =
-        read_body(request, limits.body_bytes, limits.body_timeout).map_err(without_message)?;
-    let body = parse_body(&bytes).map_err(|message| {
+    let received = read_body(request, limits.body_bytes, limits.body_timeout, &api.memory);
+    let received = received.map_err(without_message)?;
+    let body = parse_body(&received.bytes).map_err(|message| {
         (
             Refusal::not_run(RefusalReason::BadRequest, None),
             Some(message),
@@ -140,6 +143,7 @@
             deadline,
         },
         body,
+        received.share,
     ))
 }
 
@@ -151,7 +155,7 @@
     fn new(
         api: &'a CallerApi,
         admitted: AdmittedRequest,
-        body: CompletionBody,
+        (body, share): (CompletionBody, MemoryShare),
         digest: ContentDigest,
         request: Request,
         started_at: Instant,
@@ -167,6 +171,7 @@
             api,
             admitted,
             body,
+            share,
             prompt_bytes,
             work,
             prefix,
--- a/node/src/http_api/completions/attempt.rs
+++ b/node/src/http_api/completions/attempt.rs
@@ -17,6 +17,9 @@
 use crate::http_api::attempts::FAILURE_RETRY_AFTER;
 use crate::metrics;
 
+/// Copies of a buffered answer that are held at once: as collected, with spare room, and as sent.
+const TEXT_COPIES: usize = 4;
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
@@ -115,6 +118,10 @@
                             format!("received token {index}, expected {}", self.sent_tokens);
                         return Ok(AttemptResult::Broken(detail));
                     }
+                    if index >= self.work.max_output.0 {
+                        let detail = format!("received more than {index} tokens");
+                        return Ok(AttemptResult::Broken(detail));
+                    }
                     self.forward_token(index, &text)?;
                 }
                 Ok(AttemptEvent::Done { total, prompt }) => {
@@ -152,11 +159,27 @@
             metrics::observe_first_token(service, self.started_at.elapsed());
         }
         self.report_start();
+        self.take_memory(text)?;
         self.sink.push_token(index, text)?;
         self.sent_tokens += 1;
         Ok(())
     }
 
+    /// Takes the memory of a token that is kept until the answer is complete.
+    fn take_memory(&mut self, text: &str) -> Result<(), CompletionEnd> {
+        if self.body.stream {
+            return Ok(());
+        }
+        let taken = self.share.grow(text.len() * TEXT_COPIES);
+        taken.map_err(|_exhausted| {
+            CompletionEnd::Refused(Refusal {
+                reason: RefusalReason::VmLimit,
+                run: RunState::MayHaveRun,
+                retry_after: Some(FAILURE_RETRY_AFTER),
+            })
+        })
+    }
+
     /// Reports the first token of each attempt to the dispatcher.
     fn report_start(&mut self) {
         if self.reported_start != self.attempts.number {
--- a/node/src/http_api/listener.rs
+++ b/node/src/http_api/listener.rs
@@ -13,12 +13,15 @@
 use tiny_http::{Request, Server};
 
 use super::response::refuse;
+use crate::memory_budget::{MemoryBudget, MemoryShare};
 use crate::timer::Timer;
 
 /// Length of the accept queue, in connections.
 const BACKLOG: i32 = 1024;
 /// Size of the buffer for reading a body.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Copies of a body that are held at once: as received, as parsed and as sent.
+const BODY_COPIES: usize = 3;
 /// Retry delay for callers while the limit of requests in progress is reached.
 const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -157,16 +160,28 @@
     drop(spawned);
 }
 
+/// Whole body of a request, with the memory that it takes.
+#[derive(Debug)]
+pub struct ReceivedBody {
+    /// The body.
+    pub bytes: Vec<u8>,
+    /// Memory of the body and of the copies that are made of it.
+    pub share: MemoryShare,
+}
+
 /// Reads a body of at most `max_bytes`, which must arrive completely within `timeout`.
 ///
+/// Its memory, and that of its copies, is taken from `budget`.
+///
 /// # Errors
-/// Returns a refusal if the body is too large, arrives too slowly or ends early; a failed read
-/// counts as too slow.
+/// Returns a refusal if the body is too large, arrives too slowly or ends early, or if other bodies
+/// take the budget; a failed read counts as too slow.
 pub fn read_body(
     request: &mut Request,
     max_bytes: usize,
     timeout: Duration,
-) -> Result<Vec<u8>, Refusal> {
+    budget: &Arc<MemoryBudget>,
+) -> Result<ReceivedBody, Refusal> {
     let too_large = Refusal::not_run(RefusalReason::BodyTooLarge, None);
     if request
         .body_length()
@@ -176,14 +191,20 @@
     }
     let stated_length = request.body_length();
     let start = Instant::now();
-    let mut body = Vec::with_capacity(stated_length.unwrap_or_default());
+    let mut share = MemoryShare::new(budget);
+    let mut body = Vec::new();
     let mut chunk = vec![0; READ_BUFFER_BYTES];
     loop {
         let read = request.as_reader().read(&mut chunk);
         let slow = Refusal::not_run(RefusalReason::SlowBody, None);
         match read {
             Ok(0) => break,
-            Ok(length) => body.extend_from_slice(&chunk[..length]),
+            Ok(length) => {
+                let no_memory = Refusal::not_run(RefusalReason::VmLimit, Some(LIMIT_RETRY_AFTER));
+                let taken = share.grow(length * BODY_COPIES);
+                taken.map_err(|_exhausted| no_memory)?;
+                body.extend_from_slice(&chunk[..length]);
+            }
             Err(_) => return Err(slow),
         }
         if body.len() > max_bytes {
@@ -196,5 +217,5 @@
     if stated_length.is_some_and(|length| length != body.len()) {
         return Err(Refusal::not_run(RefusalReason::BadRequest, None));
     }
-    Ok(body)
+    Ok(ReceivedBody { bytes: body, share })
 }
--- a/node/src/http_api/plain.rs
+++ b/node/src/http_api/plain.rs
@@ -29,6 +29,7 @@
 use crate::constants::PROPOSE_TIMEOUT;
 use crate::control::input::{ControlInput, DispatchDecision, Proposal};
 use crate::http_api::listener::read_body;
+use crate::memory_budget::MemoryShare;
 use crate::metrics;
 
 /// Maximum time that an answer waits until the control log has recorded it.
@@ -43,6 +44,8 @@
     api: &'a CallerApi,
     admitted: AdmittedRequest,
     call: PlainCall,
+    /// Memory of the call's body and of its answer.
+    share: MemoryShare,
     /// Digest of method, URL and body.
     content: ContentDigest,
     /// Whether the route allows the call to run more than once.
@@ -53,7 +56,7 @@
 /// Handles a plain call; returns once the response is sent.
 pub(super) fn handle(api: &CallerApi, mut request: Request) {
     let id = new_request_id();
-    let plain_request = match admit(api, &mut request, id) {
+    let mut plain_request = match admit(api, &mut request, id) {
         Ok(plain_request) => plain_request,
         Err(refusal) => {
             refuse(request, Some(id), &refusal);
@@ -106,14 +109,14 @@
         .unwrap_or_default()
         .to_owned();
     let limits = &api.limits;
-    let body = read_body(request, limits.body_bytes, limits.body_timeout)?;
-    let content = ContentDigest::of(&[method.as_bytes(), url.as_bytes(), &body].join(&0));
+    let body = read_body(request, limits.body_bytes, limits.body_timeout, &api.memory)?;
+    let content = ContentDigest::of(&[method.as_bytes(), url.as_bytes(), &body.bytes].join(&0));
     let deadline = api.clock.now() + service.deadline;
     let call = PlainCall {
         method,
         path: url,
         content_type,
-        body,
+        body: body.bytes,
         key,
         request_id: id.to_string(),
     };
@@ -127,6 +130,7 @@
             deadline,
         },
         call,
+        share: body.share,
         content,
         idempotent: route.idempotent,
         attempts: Attempts::new(),
@@ -135,7 +139,7 @@
 
 impl PlainRequest<'_> {
     /// Runs the call, unless it is quarantined or already has an answer.
-    fn run(mut self) -> Result<RecordedAnswer, Refusal> {
+    fn run(&mut self) -> Result<RecordedAnswer, Refusal> {
         if self
             .api
             .published
@@ -257,7 +261,7 @@
             let grant = self.wait_for_grant()?;
             let server = &grant.servers[0];
             let time_left = self.api.time_left(&self.admitted);
-            let result = call(&server.address, &self.call, time_left);
+            let result = call(&server.address, &self.call, time_left, &mut self.share);
             let end = attempt_end(&grant, &result);
             self.api
                 .report_attempt_end(self.admitted.id, self.attempts.number, end);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod http_api;
 pub mod links;
 pub mod logging;
+pub mod memory_budget;
 pub mod mesh;
 pub mod metrics;
 pub mod metrics_port;
--- a/node/src/options/settings.rs
+++ b/node/src/options/settings.rs
@@ -97,6 +97,8 @@
     pub max_requests: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Memory for the bodies and answers of all requests together, with copies, in bytes.
+    pub memory_bytes: usize,
     /// Time without a byte after which a connection is closed; used on every HTTP port.
     pub idle_timeout: Duration,
     /// Time in which a caller must send its whole body.
@@ -211,11 +213,13 @@
 fn read_limits(reader: &mut Reader<'_>) -> LimitSettings {
     let max_requests = reader.number("limits", "requests", 1024, 1, 100_000);
     let body_bytes = reader.number("limits", "body_bytes", 16 << 20, 1024, 256 << 20);
+    let memory_bytes = reader.number("limits", "memory_bytes", 64 << 20, 1 << 20, 1 << 40);
     let idle_ms = reader.number("limits", "idle_ms", 20_000, 100, 3_600_000);
     let body_ms = reader.number("limits", "body_ms", 60_000, 100, 3_600_000);
     LimitSettings {
         max_requests: usize::try_from(max_requests).unwrap_or(usize::MAX),
         body_bytes: usize::try_from(body_bytes).unwrap_or(usize::MAX),
+        memory_bytes: usize::try_from(memory_bytes).unwrap_or(usize::MAX),
         idle_timeout: Duration::from_millis(idle_ms),
         body_timeout: Duration::from_millis(body_ms),
     }
--- a/node/src/vm.rs
+++ b/node/src/vm.rs
@@ -21,6 +21,7 @@
 use crate::http_api::HttpServer;
 use crate::http_api::backend_api::BackendApi;
 use crate::http_api::caller_api::CallerApi;
+use crate::memory_budget::MemoryBudget;
 use crate::mesh::tls::MeshKeys;
 use crate::mesh::{Mesh, MessageHandler};
 use crate::metrics;
@@ -81,9 +82,18 @@
         };
         control::spawn(config, &control, inputs, &timer)?;
         reconcile::spawn(control.clone(), &timer, log)?;
-        let callers = bind_callers(settings, &control, &published, clock, &timer, log)?;
-        let backends = bind_backends(settings, &control, &timer, log)?;
-        let admin = bind_admin(settings, &control, &published, clock, &timer, log)?;
+        let apis = ApiParts {
+            settings,
+            control: &control,
+            published: &published,
+            memory: Arc::new(MemoryBudget::new(settings.limits.memory_bytes)),
+            clock,
+            timer: &timer,
+            log,
+        };
+        let callers = bind_callers(&apis)?;
+        let backends = bind_backends(&apis)?;
+        let admin = bind_admin(&apis)?;
         info!(log, "VM started"; "zone" => %settings.zone, "callers" => %callers.address(),
             "backends" => %backends.address(), "admin" => %admin.address(),
             "mesh" => %mesh.local_addr());
@@ -177,22 +187,28 @@
     .context("cannot start the mesh")
 }
 
-fn bind_callers(
-    settings: &Settings,
-    control: &ControlHandle,
-    published: &RoutingSnapshotCell,
+/// What the HTTP APIs of a VM share.
+struct ApiParts<'a> {
+    settings: &'a Settings,
+    control: &'a ControlHandle,
+    published: &'a RoutingSnapshotCell,
+    memory: Arc<MemoryBudget>,
     clock: Clock,
-    timer: &Timer,
-    log: &Logger,
-) -> Result<HttpServer> {
-    let log = log.new(o!("part" => "entry"));
+    timer: &'a Timer,
+    log: &'a Logger,
+}
+
+fn bind_callers(apis: &ApiParts<'_>) -> Result<HttpServer> {
+    let settings = apis.settings;
+    let log = apis.log.new(o!("part" => "entry"));
     let callers = Arc::new(CallerApi {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        control: control.clone(),
-        published: published.clone(),
-        clock,
+        control: apis.control.clone(),
+        published: apis.published.clone(),
+        clock: apis.clock,
         limits: settings.limits,
+        memory: Arc::clone(&apis.memory),
         estimator: Mutex::new(Estimator::default()),
         budgets: Mutex::new(HashMap::new()),
         log: log.clone(),
@@ -202,55 +218,47 @@
         settings.listen.callers,
         limits.idle_timeout,
         limits.max_requests,
-        timer,
+        apis.timer,
         &log,
         Arc::new(move |request| callers.handle(request)),
     )
 }
 
-fn bind_backends(
-    settings: &Settings,
-    control: &ControlHandle,
-    timer: &Timer,
-    log: &Logger,
-) -> Result<HttpServer> {
-    let log = log.new(o!("part" => "backends"));
+fn bind_backends(apis: &ApiParts<'_>) -> Result<HttpServer> {
+    let settings = apis.settings;
+    let log = apis.log.new(o!("part" => "backends"));
     let token = Arc::from(settings.tokens.backends.as_str());
     let backends = Arc::new(BackendApi {
-        control: control.clone(),
+        control: apis.control.clone(),
         token,
+        memory: Arc::clone(&apis.memory),
     });
     HttpServer::bind(
         settings.listen.backends,
         settings.limits.idle_timeout,
         MAX_ADMIN_REQUESTS,
-        timer,
+        apis.timer,
         &log,
         Arc::new(move |request| backends.handle(request)),
     )
 }
 
-fn bind_admin(
-    settings: &Settings,
-    control: &ControlHandle,
-    published: &RoutingSnapshotCell,
-    clock: Clock,
-    timer: &Timer,
-    log: &Logger,
-) -> Result<HttpServer> {
-    let log = log.new(o!("part" => "admin"));
+fn bind_admin(apis: &ApiParts<'_>) -> Result<HttpServer> {
+    let settings = apis.settings;
+    let log = apis.log.new(o!("part" => "admin"));
     let admin = Arc::new(Admin {
-        control: control.clone(),
-        published: published.clone(),
-        clock,
+        control: apis.control.clone(),
+        published: apis.published.clone(),
+        clock: apis.clock,
         token: Arc::from(settings.tokens.admin.as_str()),
+        memory: Arc::clone(&apis.memory),
         log: log.clone(),
     });
     HttpServer::bind(
         settings.listen.admin,
         settings.limits.idle_timeout,
         MAX_ADMIN_REQUESTS,
-        timer,
+        apis.timer,
         &log,
         Arc::new(move |request| admin.handle(request)),
     )
--- a/node/tests/integration/http_server.rs
+++ b/node/tests/integration/http_server.rs
@@ -8,6 +8,7 @@
 use crossbeam::channel::bounded;
 use merlinrudder_node::http_api::{HttpServer, read_body};
 use merlinrudder_node::logging::discard;
+use merlinrudder_node::memory_budget::{MemoryBudget, MemoryShare};
 use merlinrudder_node::timer::Timer;
 use tiny_http::{Request, Response};
 
@@ -30,9 +31,14 @@
     (server.expect("bind the server"), timer)
 }
 
-fn echo(mut request: Request) {
-    let (status, text) = match read_body(&mut request, 1_000_000, TEST_TIMEOUT) {
-        Ok(body) => (200, format!("{} bytes", body.len())),
+fn echo(request: Request) {
+    echo_within(&Arc::new(MemoryBudget::new(10_000_000)), request);
+}
+
+/// Answers with the length of the body, whose memory is taken from `budget`.
+fn echo_within(budget: &Arc<MemoryBudget>, mut request: Request) {
+    let (status, text) = match read_body(&mut request, 1_000_000, TEST_TIMEOUT, budget) {
+        Ok(body) => (200, format!("{} bytes", body.bytes.len())),
         Err(refusal) => (408, refusal.reason.code().to_owned()),
     };
     drop(request.respond(Response::from_string(text).with_status_code(status)));
@@ -59,6 +65,30 @@
     text
 }
 
+/// Guards against bodies that are bounded one by one only, and memory that is never returned.
+#[test]
+fn a_body_is_refused_while_others_take_the_memory() {
+    let budget = Arc::new(MemoryBudget::new(100_000));
+    let of_server = Arc::clone(&budget);
+    let (server, _timer) = bind(8, move |request| echo_within(&of_server, request));
+    let mut others = MemoryShare::new(&budget);
+    others.grow(90_000).expect("room for the others");
+    let request = format!(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20000\r\n\r\n{}",
+        "x".repeat(20_000)
+    );
+    let send = || {
+        let mut stream = connect(&server);
+        let sent = stream.write_all(request.as_bytes());
+        sent.expect("send the request");
+        read_until(&mut stream, "\r\n\r\n") + &read_until(&mut stream, "t")
+    };
+    assert!(send().contains("vm_limit"));
+    drop(others);
+    assert!(send().contains("20000 bytes"));
+    assert_eq!(budget.taken(), 0);
+}
+
 /// A client that stops sending its body must not keep a request thread.
 #[test]
 fn incomplete_body_times_out_and_frees_its_thread() {
