bug: heads of callers and rests of refused bodies are read without a bound

Callers saw the VM end: any caller, without a token, can send a head without an end, and the VM keeps it all. What is left of a body that was refused was set aside at once, by its stated length. Cause: the HTTP library of the whole VM's ports reads heads whole, whatever their length, and its requests read the rest of a body on drop. Why it works: the ports are served by hyper, as those of the hosting platform are: a head has at most 16 KiB and an idle timeout, at most 1536 connections are open, and the rest of a refused body is read and dropped in parts, for 5 s at most. Handlers still run on a thread each. A caller that takes no bytes for the idle timeout is closed by the socket. A stop closes connections after their response has left. http_server.rs lost the timer argument of bind; what its tests assert is unchanged.

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::bounded;
+use hyper::Method;
 use merlinrudder_core::control::{Answer, Command, PublishedManifest};
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::outcome::{Refusal, RefusalReason};
 use merlinrudder_wire::manifest::{ManifestError, ManifestFault, parse_manifest};
 use serde_json::{Value, json};
 use slog::{Logger, info};
-use tiny_http::{Method, Request};
 
 use crate::clock::Clock;
 use crate::constants::{MANIFEST_ROLLOUT_WAIT, MAX_ADMIN_BODY_BYTES, PROPOSE_TIMEOUT};
@@ -19,7 +19,7 @@
 use crate::http_api::response::{
     refuse, refuse_with_message, send_json, send_ready, send_response,
 };
-use crate::http_api::{has_token, read_body};
+use crate::http_api::{Request, has_token, read_body};
 use crate::memory_budget::MemoryBudget;
 use crate::metrics;
 use crate::published::RoutingSnapshotCell;
@@ -55,12 +55,12 @@
             .next()
             .unwrap_or_default()
             .to_owned();
-        match (request.method(), path.as_str()) {
-            (Method::Get, "/health") => {
+        match (request.method().clone(), path.as_str()) {
+            (Method::GET, "/health") => {
                 send_response(request, 200, "text/plain", "ok\n".into(), &[]);
             }
-            (Method::Get, "/ready") => send_ready(request, self.published.load().ready),
-            (Method::Get, "/metrics") => {
+            (Method::GET, "/ready") => send_ready(request, self.published.load().ready),
+            (Method::GET, "/metrics") => {
                 send_response(
                     request,
                     200,
@@ -76,8 +76,8 @@
                     &Refusal::not_run(RefusalReason::UnknownCustomer, None),
                 );
             }
-            (Method::Get, "/admin/status") => self.answer_status(request),
-            (Method::Post, "/admin/manifest") => self.publish(request),
+            (Method::GET, "/admin/status") => self.answer_status(request),
+            (Method::POST, "/admin/manifest") => self.publish(request),
             _ => refuse(
                 request,
                 None,
--- a/node/src/http_api.rs
+++ b/node/src/http_api.rs
@@ -9,8 +9,12 @@
 mod completions;
 mod listener;
 mod plain;
+mod received_body;
+mod request;
 pub mod response;
 mod stream;
 
 pub use auth::has_token;
-pub use listener::{HttpServer, ReceivedBody, read_body};
+pub use listener::HttpServer;
+pub use received_body::{ReceivedBody, read_body};
+pub use request::Request;
--- a/node/src/http_api/auth.rs
+++ b/node/src/http_api/auth.rs
@@ -5,23 +5,15 @@
 use merlinrudder_core::manifest::{CustomerRule, Manifest};
 use merlinrudder_core::outcome::{Refusal, RefusalReason};
 use merlinrudder_core::units::ContentDigest;
-use tiny_http::Request;
+
+use super::request::Request;
 
 /// Start of an `Authorization` value that carries a bearer token.
 const BEARER_PREFIX: &str = "Bearer ";
 
-/// Returns the first header of this name, which is case-insensitive.
-pub(super) fn header_value<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
-    let found = request
-        .headers()
-        .iter()
-        .find(|header| header.field.equiv(name));
-    found.map(|header| header.value.as_str())
-}
-
 /// Returns the bearer token, or `None` if the request has none.
 fn bearer_token(request: &Request) -> Option<&str> {
-    header_value(request, "Authorization")?.strip_prefix(BEARER_PREFIX)
+    request.header("Authorization")?.strip_prefix(BEARER_PREFIX)
 }
 
 /// Returns the customer whose token the request carries.
--- a/node/src/http_api/backend_api.rs
+++ b/node/src/http_api/backend_api.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Method;
 use merlinrudder_core::outcome::{Refusal, RefusalReason};
 use merlinrudder_core::registry::Announcement;
 use merlinrudder_wire::announce::WireAnnouncement;
 use serde_json::json;
-use tiny_http::{Method, Request};
 
 use super::auth::has_token;
-use super::listener::read_body;
+use super::received_body::read_body;
+use super::request::Request;
 use super::response::{refuse, refuse_with_message, send_json};
 use crate::constants::MAX_ADMIN_BODY_BYTES;
 use crate::control::ControlHandle;
@@ -42,7 +43,7 @@
             );
             return;
         }
-        if *request.method() != Method::Post || request.url() != "/v1/announce" {
+        if *request.method() != Method::POST || request.url() != "/v1/announce" {
             refuse(
                 request,
                 None,
--- a/node/src/http_api/caller_api.rs
+++ b/node/src/http_api/caller_api.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, unbounded};
+use hyper::Method;
 use merlinrudder_core::dispatch::message::{AttemptEnd, AttemptSpec, Finish};
 use merlinrudder_core::estimate::Estimator;
 use merlinrudder_core::manifest::{CustomerRule, Manifest, ServiceRule};
@@ -17,8 +18,8 @@
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{AttemptId, RequestId};
 use slog::Logger;
-use tiny_http::{Method, Request};
 
+use super::request::Request;
 use super::response::{refuse, send_ready};
 use super::{completions, plain};
 use crate::clock::Clock;
@@ -77,9 +78,9 @@
             .next()
             .unwrap_or_default()
             .to_owned();
-        match (request.method(), path.as_str()) {
-            (Method::Get, "/v1/ready") => send_ready(request, self.published.load().ready),
-            (Method::Post, "/v1/completions") => completions::handle(self, request),
+        match (request.method().clone(), path.as_str()) {
+            (Method::GET, "/v1/ready") => send_ready(request, self.published.load().ready),
+            (Method::POST, "/v1/completions") => completions::handle(self, request),
             _ if path.starts_with("/v1/") => {
                 refuse(
                     request,
--- a/node/src/http_api/completions.rs
+++ b/node/src/http_api/completions.rs
@@ -14,17 +14,17 @@
 use merlinrudder_core::units::{AttemptId, ContentDigest};
 use merlinrudder_wire::engine::prefix_blocks;
 use slog::{info, warn};
-use tiny_http::Request;
 
 use self::attempt::AttemptResult;
 use self::body::{CompletionBody, parse_body};
 use self::sink::{CallerGone, ResponseSink};
 use super::attempts::{Attempts, FAILURE_RETRY_AFTER, FailedAttempt};
 use super::caller_api::{AdmittedRequest, CallerApi, new_request_id};
+use super::received_body::read_body;
+use super::request::Request;
 use super::{auth, response};
 use crate::constants::STREAM_KEEPALIVE_INTERVAL;
 use crate::control::input::{ControlInput, DispatchDecision};
-use crate::http_api::listener::read_body;
 use crate::memory_budget::MemoryShare;
 use crate::metrics;
 
--- a/node/src/http_api/completions/sink.rs
+++ b/node/src/http_api/completions/sink.rs
@@ -5,8 +5,8 @@
 use merlinrudder_core::outcome::Refusal;
 use merlinrudder_core::units::RequestId;
 use serde_json::json;
-use tiny_http::Request;
 
+use crate::http_api::request::Request;
 use crate::http_api::response::{refusal_body, refusal_message, refuse, send_json};
 use crate::http_api::stream::EventStream;
 use crate::metrics;
--- a/node/src/http_api/plain.rs
+++ b/node/src/http_api/plain.rs
@@ -18,17 +18,17 @@
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::{ContentDigest, Tokens};
 use slog::{info, warn};
-use tiny_http::Request;
 
 use super::attempts::{Attempts, FAILURE_RETRY_AFTER, FailedAttempt};
 use super::auth;
 use super::caller_api::{AdmittedRequest, CallerApi, new_request_id};
-use super::response::{refuse, send_response};
+use super::received_body::read_body;
+use super::request::Request;
+use super::response::{REQUEST_ID, refuse, send_response};
 use crate::backend::is_alive;
 use crate::backend::plain::{PlainCall, PlainResult, call};
 use crate::constants::PROPOSE_TIMEOUT;
 use crate::control::input::{ControlInput, DispatchDecision, Proposal};
-use crate::http_api::listener::read_body;
 use crate::memory_budget::MemoryShare;
 use crate::metrics;
 
@@ -66,7 +66,7 @@
     let service = plain_request.admitted.service.name.clone();
     let (outcome, reason) = match plain_request.run() {
         Ok(answer) => {
-            let headers = [("X-Request-Id", id.to_string())];
+            let headers = [(REQUEST_ID, id.to_string())];
             let body = answer.body.as_deref().unwrap_or_default().to_vec();
             send_response(request, answer.status, &answer.content_type, body, &headers);
             ("complete", "")
@@ -98,14 +98,15 @@
     if !customer.may_use(&service.name) {
         return Err(Refusal::not_run(RefusalReason::ServiceNotAllowed, None));
     }
-    let key = auth::header_value(request, "Idempotency-Key").map(str::to_owned);
+    let key = request.header("Idempotency-Key").map(str::to_owned);
     if key
         .as_ref()
         .is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES)
     {
         return Err(Refusal::not_run(RefusalReason::BadRequest, None));
     }
-    let content_type = auth::header_value(request, "Content-Type")
+    let content_type = request
+        .header("Content-Type")
         .unwrap_or_default()
         .to_owned();
     let limits = &api.limits;
--- a/node/src/http_api/stream.rs
+++ b/node/src/http_api/stream.rs
@@ -1,10 +1,15 @@
 //! Stream of server-sent events to a caller, flushed after each event.
 
-use std::io::{self, Write};
+use std::io;
 
+use bytes::Bytes;
+use hyper::Response;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use merlinrudder_core::units::RequestId;
 use serde::Serialize;
-use tiny_http::Request;
+
+use super::request::{PartWriter, Request};
+use super::response::REQUEST_ID;
 
 /// Event stream to a caller; the first event or comment sends the response head.
 pub(super) struct EventStream {
@@ -16,7 +21,7 @@
     /// Nothing was sent yet.
     Unsent(Request),
     /// The response head was sent.
-    Open(Box<dyn Write + Send>),
+    Open(PartWriter),
     /// The caller disconnected, or `take_unsent` returned the request.
     Closed,
 }
@@ -46,7 +51,7 @@
     /// Returns an error if the caller disconnected.
     pub(super) fn send_event<T: Serialize>(&mut self, value: &T) -> io::Result<()> {
         let json = serde_json::to_string(value).map_err(io::Error::other)?;
-        self.write_chunk(&format!("data: {json}\n\n"))
+        self.write(format!("data: {json}\n\n"))
     }
 
     /// Sends an SSE comment, which detects a disconnected caller.
@@ -54,7 +59,7 @@
     /// # Errors
     /// Returns an error if the caller disconnected.
     pub(super) fn send_comment(&mut self) -> io::Result<()> {
-        self.write_chunk(": waiting\n\n")
+        self.write(": waiting\n\n".to_owned())
     }
 
     /// Sends `[DONE]`, which marks the answer as complete, and closes the stream.
@@ -62,43 +67,35 @@
     /// # Errors
     /// Returns an error if the caller disconnected.
     pub(super) fn finish(mut self) -> io::Result<()> {
-        self.write_chunk("data: [DONE]\n\n")?;
+        self.write("data: [DONE]\n\n".to_owned())?;
         self.close()
     }
 
-    /// Closes the stream with the last HTTP chunk, without `[DONE]`.
+    /// Ends the HTTP response, without `[DONE]`.
     ///
     /// # Errors
     /// Returns an error if the caller disconnected.
     pub(super) fn close(mut self) -> io::Result<()> {
-        let writer = self.open_writer()?;
-        writer.write_all(b"0\r\n\r\n")?;
-        writer.flush()
+        self.open_writer()?;
+        if let State::Open(writer) = self.state {
+            writer.finish();
+        }
+        Ok(())
     }
 
-    /// Writes one HTTP chunk and flushes it.
-    fn write_chunk(&mut self, text: &str) -> io::Result<()> {
-        let writer = self.open_writer()?;
-        let sent = write!(writer, "{:x}\r\n{text}\r\n", text.len()).and_then(|()| writer.flush());
+    /// Sends a part of the response.
+    fn write(&mut self, text: String) -> io::Result<()> {
+        let sent = self.open_writer()?.send(Bytes::from(text));
         if sent.is_err() {
             self.state = State::Closed;
         }
         sent
     }
 
-    /// Returns the connection; sends the response head first if that was not done yet.
-    fn open_writer(&mut self) -> io::Result<&mut Box<dyn Write + Send>> {
-        if let State::Unsent(_) = self.state
-            && let State::Unsent(request) = std::mem::replace(&mut self.state, State::Closed)
-        {
-            let mut writer = request.into_writer();
-            write!(
-                writer,
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-                 Cache-Control: no-store\r\nX-Request-Id: {}\r\n\
-                 Transfer-Encoding: chunked\r\n\r\n",
-                self.id
-            )?;
+    /// Returns the open response; sends its head first if that was not done yet.
+    fn open_writer(&mut self) -> io::Result<&mut PartWriter> {
+        if let Some(request) = self.take_unsent() {
+            let writer = request.respond_in_parts(head(self.id))?;
             self.state = State::Open(writer);
         }
         match &mut self.state {
@@ -107,3 +104,15 @@
         }
     }
 }
+
+/// Returns the head of the response to a request.
+fn head(id: RequestId) -> Response<()> {
+    let mut head = Response::new(());
+    let headers = head.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        headers.insert(REQUEST_ID, id);
+    }
+    head
+}
--- a/node/src/vm.rs
+++ b/node/src/vm.rs
@@ -32,6 +32,8 @@
 
 /// Most requests in progress on each of the ports for operators and backend servers.
 const MAX_ADMIN_REQUESTS: usize = 64;
+/// Time that connections of callers get to close before the process ends.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between checks for requests in progress during a stop.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -88,7 +90,6 @@
             published: &published,
             memory: Arc::new(MemoryBudget::new(settings.limits.memory_bytes)),
             clock,
-            timer: &timer,
             log,
         };
         let callers = bind_callers(&apis)?;
@@ -165,6 +166,7 @@
             warn!(self.log, "Stopping with requests in progress";
                 "requests" => self.callers.in_progress());
         }
+        self.callers.close(CLOSE_TIMEOUT);
         self.control.send(ControlInput::Quit);
         drop(self.timer);
         info!(self.log, "Stopped");
@@ -194,7 +196,6 @@
     published: &'a RoutingSnapshotCell,
     memory: Arc<MemoryBudget>,
     clock: Clock,
-    timer: &'a Timer,
     log: &'a Logger,
 }
 
@@ -218,7 +219,6 @@
         settings.listen.callers,
         limits.idle_timeout,
         limits.max_requests,
-        apis.timer,
         &log,
         Arc::new(move |request| callers.handle(request)),
     )
@@ -237,7 +237,6 @@
         settings.listen.backends,
         settings.limits.idle_timeout,
         MAX_ADMIN_REQUESTS,
-        apis.timer,
         &log,
         Arc::new(move |request| backends.handle(request)),
     )
@@ -258,7 +257,6 @@
         settings.listen.admin,
         settings.limits.idle_timeout,
         MAX_ADMIN_REQUESTS,
-        apis.timer,
         &log,
         Arc::new(move |request| admin.handle(request)),
     )
