bug: bodies of callers are bounded one by one only at entry VMs

Callers saw the VM end: 60 callers with a body of 3.9 MB each that they do not finish take 250 MB, where the smallest VM has 160. Cause: each body has the limit of the configuration (4 MiB), their sum has none. Why it works: bodies beyond 4 KiB take their bytes from 16 MiB that all share; without room a request is refused at once with 503 (not run, may come back).

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod relay_ingress;
 mod request;
+mod request_body;
 mod reservation;
 mod selection;
 mod server_notices;
--- a/node/src/gateway/admission.rs
+++ b/node/src/gateway/admission.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::http::request::Parts;
@@ -19,15 +17,16 @@
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_platform::headers;
 use slog::info;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::header_fields::{parse_header, strip_hop_by_hop, text, text_header};
 use super::lookup::{self, Allowed};
 use super::open_requests::OpenRequestGuard;
-use super::refusal::{DEFAULT_RETRY_AFTER, no_manifest, retryable};
+use super::refusal::{no_manifest, retryable};
 use super::relay;
 use super::relay_ingress::Relayed;
 use super::request::{CallerRequest, RequestContent};
+use super::request_body;
 use super::state::Gateway;
 
 /// Time between two checks whether a starting VM knows its deployment and servers.
@@ -102,7 +101,8 @@
     let caller_limit = parse_header::<f64>(&head.headers, headers::DEADLINE)
         .and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok());
     let time_limit = caller_limit.map_or(route.timeout, |time_limit| time_limit.min(route.timeout));
-    let body = read_body(body, deployment.limits.body_bytes, time_limit).await?;
+    let (body, share) =
+        request_body::read(gateway, body, deployment.limits.body_bytes, time_limit).await?;
     let service = admission
         .service
         .or_else(|| route.choose_service(fastrand::f64()).cloned());
@@ -116,6 +116,7 @@
         uri: origin_form(&head.uri),
         customer,
         body,
+        _share: share,
         parts: prompt_parts(&head.headers, service.as_str()),
         digest: OnceCell::new(),
     };
@@ -195,23 +196,6 @@
     gateway.deployment()
 }
 
-/// Reads the body of at most `max_bytes` within `time_limit`.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    time_limit: Duration,
-) -> Result<Bytes, Refusal> {
-    let reading = timeout(time_limit, Limited::new(body, max_bytes).collect()).await;
-    let slow = |_elapsed| Refusal::not_run(RefusalReason::SlowBody, Some(DEFAULT_RETRY_AFTER));
-    match reading.map_err(slow)? {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(Refusal::not_run(RefusalReason::BodyTooLarge, None))
-        }
-        Err(_) => Err(Refusal::not_run(RefusalReason::CallerGone, None)),
-    }
-}
-
 /// Returns the URI in origin form: path and query only.
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -20,6 +20,7 @@
 use super::header_fields::{set_header, text};
 use super::open_requests::OpenRequestGuard;
 use super::relay_ingress::Relayed;
+use crate::memory_budget::MemoryShare;
 
 /// An admitted request with its complete body.
 #[derive(Debug)]
@@ -64,6 +65,8 @@
     /// Customer of the API key; `None` where no key was needed or known.
     pub(super) customer: Option<Arc<CustomerRule>>,
     pub(super) body: Bytes,
+    /// Memory that the body takes.
+    pub(super) _share: MemoryShare,
     /// Digests of the prompt's parts but the last one, which is the request's own.
     ///
     /// Of a prompt with very many parts only the first ones are kept.
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -29,10 +29,12 @@
 use super::manifest_state::ManifestState;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
+use super::request_body::BODY_MEMORY_BYTES;
 use super::upstream::ConnectionPool;
 use super::waiting::WaitQueues;
 use crate::clock::Clock;
 use crate::links::Links;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics;
 
 /// Stages of a planned stop, in their order.
@@ -73,6 +75,8 @@
     pub(super) relay_token: u128,
     /// Idle connections to backend servers and other VMs.
     pub(super) pool: ConnectionPool,
+    /// Memory for the bodies of callers' requests.
+    pub(super) body_memory: Arc<MemoryBudget>,
     /// Memory for responses until their callers have read them.
     pub(super) buffer_budget: Rc<BufferBudget>,
     /// Placements made here, and changes not yet sent to the other entry VMs.
@@ -132,6 +136,7 @@
             relays: RefCell::default(),
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
+            body_memory: Arc::new(MemoryBudget::new(BODY_MEMORY_BYTES)),
             buffer_budget: Rc::default(),
             leaving: RefCell::default(),
             capacity: CapacityWatch::default(),
--- a/node/src/memory_budget.rs
+++ b/node/src/memory_budget.rs
@@ -70,10 +70,24 @@
         self.bytes += bytes;
         Ok(())
     }
+
+    /// Takes more bytes until it has at least `bytes`.
+    ///
+    /// # Errors
+    /// Fails, and takes nothing, if the budget has too few bytes left.
+    pub fn grow_to(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+        self.grow(bytes.saturating_sub(self.bytes))
+    }
+
+    /// Returns all its bytes.
+    pub fn clear(&mut self) {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.budget.taken.fetch_sub(bytes, Ordering::Relaxed);
+    }
 }
 
 impl Drop for MemoryShare {
     fn drop(&mut self) {
-        self.budget.taken.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.clear();
     }
 }
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod cut_off_vms;
 mod deployment;
 mod endless_answers;
+mod endless_requests;
 mod evacuation;
 mod failing_helpers;
 mod full_disk;
