bug: unfinished heads of callers are bounded one by one only at entry VMs

Callers saw the VM end: 3,000 connections, which need no key, with 60 KB of an unfinished head each take 249 MB, where the smallest VM has 160. Cause: each head has the limit of the configuration, and a VM has up to 4,100 connections. Why it works: what arrives between two requests of a connection is counted; beyond 4 KiB it takes bytes from 16 MiB that all heads share, and a connection without room is closed, before its request was read. The memory returns once the head is complete.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -17,6 +17,7 @@
 mod evacuation;
 mod exchange;
 mod failure;
+mod head_budget;
 mod header_fields;
 mod hedge;
 mod ingress;
--- a/node/src/gateway/ingress.rs
+++ b/node/src/gateway/ingress.rs
@@ -18,6 +18,7 @@
 use tokio::task::spawn_local;
 
 use super::body::ResponseBody;
+use super::head_budget::{HeadMeter, MeteredStream};
 use super::open_requests::OpenRequest;
 use super::request::CallerRequest;
 use super::state::{ConnectionGuard, Gateway, StopStage};
@@ -91,10 +92,20 @@
         warn!(gateway.log, "Failed to set socket options"; "error" => %error);
     }
     let limits = gateway.deployment().map(|d| d.limits).unwrap_or_default();
+    let meter = HeadMeter::new(&gateway.head_memory);
     let service = service_fn(|request| {
-        let gateway = Rc::clone(&gateway);
-        async move { Ok::<_, Infallible>(respond_to(&gateway, request, sender).await) }
+        let (gateway, meter) = (Rc::clone(&gateway), Rc::clone(&meter));
+        async move {
+            meter.begin_request();
+            let response = respond_to(&gateway, request, sender).await;
+            meter.end_request();
+            Ok::<_, Infallible>(response)
+        }
     });
+    let stream = MeteredStream {
+        stream,
+        meter: Rc::clone(&meter),
+    };
     let header_bytes = match sender {
         Sender::Caller => limits.header_bytes,
         Sender::OtherVm => limits.header_bytes + MAX_RELAY_HEADER_BYTES,
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -26,6 +26,7 @@
 use super::buffer_budget::BufferBudget;
 use super::capacity::CapacityWatch;
 use super::crash_watch::CrashWatch;
+use super::head_budget::HEAD_MEMORY_BYTES;
 use super::manifest_state::ManifestState;
 use super::open_requests::OpenRequests;
 use super::placement_sync::Outbox;
@@ -75,6 +76,8 @@
     pub(super) relay_token: u128,
     /// Idle connections to backend servers and other VMs.
     pub(super) pool: ConnectionPool,
+    /// Memory for unfinished heads of callers' requests.
+    pub(super) head_memory: Arc<MemoryBudget>,
     /// Memory for the bodies of callers' requests.
     pub(super) body_memory: Arc<MemoryBudget>,
     /// Memory for responses until their callers have read them.
@@ -136,6 +139,7 @@
             relays: RefCell::default(),
             relay_token,
             pool: ConnectionPool::new(config.local_peer.address.ip()),
+            head_memory: Arc::new(MemoryBudget::new(HEAD_MEMORY_BYTES)),
             body_memory: Arc::new(MemoryBudget::new(BODY_MEMORY_BYTES)),
             buffer_budget: Rc::default(),
             leaving: RefCell::default(),
