bug: merlinctl reads answers and lines of VMs and engines without a bound

An operator's command could be ended by a server that sends without an end, as VMs were. Answers are read up to 16 MiB, lines of a stream up to 1 MiB; more counts as an error.

--- a/ctl/src/client.rs
+++ b/ctl/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for the interfaces of callers and operators.
 
-use std::io::{BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, Read};
 use std::time::{Duration, Instant};
 
 use anyhow::{Result, anyhow};
@@ -17,6 +17,11 @@
 /// Timeout of a call to a control VM, which answers within a second.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest answer that is read whole, in bytes.
+const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// Longest line of an event stream, in bytes; a longer one ends the stream.
+const MAX_LINE_BYTES: u64 = 1024 * 1024;
+
 /// Result of a call, as its caller saw it.
 #[derive(Clone, Debug, Default)]
 pub struct CallOutcome {
@@ -111,7 +116,7 @@
         .send()?;
     let (_, _, reader) = response.split();
     let mut first = None;
-    for line in BufReader::new(reader).lines() {
+    for line in limited_lines(reader) {
         if line?.starts_with("data: ") {
             first.get_or_insert_with(|| started.elapsed());
         }
@@ -140,11 +145,11 @@
     let mut outcome = match builder.text(body.to_owned()).send() {
         Ok(response) if response.is_success() => {
             let status = response.status().as_u16();
-            let text = response.text_utf8().unwrap_or_default();
+            let text = read_text(response);
             CallOutcome {
                 status,
-                text,
-                whole: true,
+                whole: text.is_ok(),
+                text: text.unwrap_or_default(),
                 ..CallOutcome::default()
             }
         }
@@ -170,9 +175,45 @@
     }
 }
 
+/// Reads a whole answer.
+///
+/// # Errors
+/// Fails if it is larger than `MAX_ANSWER_BYTES` or does not arrive whole.
+fn read_answer(response: Response) -> io::Result<Vec<u8>> {
+    let (_, _, reader) = response.split();
+    let mut body = Vec::new();
+    let length = reader.take(MAX_ANSWER_BYTES + 1).read_to_end(&mut body)?;
+    if length as u64 > MAX_ANSWER_BYTES {
+        return Err(io::Error::other("the answer is too large"));
+    }
+    Ok(body)
+}
+
+/// Reads a whole answer as text.
+fn read_text(response: Response) -> io::Result<String> {
+    String::from_utf8(read_answer(response)?).map_err(io::Error::other)
+}
+
+/// Returns the lines of a stream; one longer than `MAX_LINE_BYTES` is an error.
+fn limited_lines(reader: impl Read) -> impl Iterator<Item = io::Result<String>> {
+    let mut reader = BufReader::new(reader);
+    std::iter::from_fn(move || {
+        let mut line = String::new();
+        let read = reader.by_ref().take(MAX_LINE_BYTES).read_line(&mut line);
+        match read {
+            Ok(0) => None,
+            Ok(length) if length as u64 == MAX_LINE_BYTES => {
+                Some(Err(io::Error::other("the line is too long")))
+            }
+            Ok(_) => Some(Ok(line.trim_end().to_owned())),
+            Err(error) => Some(Err(error)),
+        }
+    })
+}
+
 fn read_error_response(response: Response) -> CallOutcome {
     let status = response.status().as_u16();
-    let text = response.text_utf8().unwrap_or_default();
+    let text = read_text(response).unwrap_or_default();
     let detail = serde_json::from_str::<ErrorBody>(&text)
         .ok()
         .map(|body| body.error);
@@ -192,7 +233,7 @@
         ..CallOutcome::default()
     };
     let (_, _, reader) = response.split();
-    for line in BufReader::new(reader).lines() {
+    for line in limited_lines(reader) {
         let Ok(line) = line else {
             return outcome;
         };
@@ -235,7 +276,7 @@
         .bytes(manifest.to_vec())
         .send()?;
     let status = response.status().as_u16();
-    Ok((status, serde_json::from_slice(&response.bytes()?)?))
+    Ok((status, serde_json::from_slice(&read_answer(response)?)?))
 }
 
 /// Makes a call without a body to a control VM; returns the HTTP status code and the response.
@@ -261,5 +302,5 @@
     if !response.is_success() {
         return Err(anyhow!("{admin} answered {}", response.status()));
     }
-    Ok(serde_json::from_slice(&response.bytes()?)?)
+    Ok(serde_json::from_slice(&read_answer(response)?)?)
 }
