bug: a plain answer that is cut off counts as whole

Callers of a whole VM got half an answer as a success, and a claimed call recorded it as its answer: a server that states 90,000 bytes, sends four and closes. Cause: the HTTP library takes the end of the connection for the end of the body, and nobody compared it with the stated length. Evidence: a_plain_answer_that_breaks_off_is_not_whole; before, the call returns Answered with 4 bytes. Why it works: a body shorter than stated counts as broken, except for HEAD and 304, whose length states another answer's.

--- a/node/src/backend/plain.rs
+++ b/node/src/backend/plain.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use attohttpc::header::{CONTENT_TYPE, HeaderName, HeaderValue};
-use attohttpc::{Method, RequestBuilder, Response};
+use attohttpc::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue};
+use attohttpc::{Method, RequestBuilder, Response, StatusCode};
 use merlinrudder_core::claims::RecordedAnswer;
 
 use super::{DEADLINE_PASSED, is_connect_error, request_builder};
@@ -66,13 +66,14 @@
     let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
         return PlainResult::NotConnected(format!("HTTP method {} is not valid", call.method));
     };
+    let has_body = method != Method::HEAD;
     let sent = build_request(address, method, call)
         .bytes(call.body.clone())
         .read_timeout(time_left)
         .timeout(time_left)
         .send();
     match sent {
-        Ok(response) => read_answer(response, share),
+        Ok(response) => read_answer(response, has_body, share),
         Err(error) if is_connect_error(&error) => PlainResult::NotConnected(error.to_string()),
         Err(error) => PlainResult::Broken(error.to_string()),
     }
@@ -101,8 +102,10 @@
     builder
 }
 
-/// Reads an answer of at most `MAX_BUFFERED_RESPONSE_BYTES`; a larger one counts as broken.
-fn read_answer(response: Response, share: &mut MemoryShare) -> PlainResult {
+/// Reads an answer of at most `MAX_BUFFERED_RESPONSE_BYTES`.
+///
+/// A larger one counts as broken, and so does one that is shorter than stated if it `has_body`.
+fn read_answer(response: Response, has_body: bool, share: &mut MemoryShare) -> PlainResult {
     let (status, headers, reader) = response.split();
     if status.as_u16() == 503 && headers.contains_key(NOT_RUN_HEADER) {
         return PlainResult::Refused;
@@ -110,12 +113,22 @@
     let content_type = headers
         .get(CONTENT_TYPE)
         .and_then(|value| value.to_str().ok());
+    // The HTTP library takes the end of the connection for the end of the body.
+    let stated_length = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse::<usize>().ok())
+        .filter(|_| has_body && status != StatusCode::NOT_MODIFIED);
     match read_body(reader, share) {
-        Ok(body) => PlainResult::Answered(RecordedAnswer {
-            status: status.as_u16(),
-            content_type: Arc::from(content_type.unwrap_or(DEFAULT_CONTENT_TYPE)),
-            body: Some(Arc::from(body)),
-        }),
+        Ok(body) if stated_length.is_some_and(|length| length != body.len()) => {
+            PlainResult::Broken(format!("the answer ended after {} bytes", body.len()))
+        }
+        Ok(body) => {
+            PlainResult::Answered(RecordedAnswer {
+                status: status.as_u16(),
+                content_type: Arc::from(content_type.unwrap_or(DEFAULT_CONTENT_TYPE)),
+                body: Some(Arc::from(body)),
+            })
+        }
         Err(error) => PlainResult::Broken(error.to_string()),
     }
 }
--- a/node/tests/integration/http_server.rs
+++ b/node/tests/integration/http_server.rs
@@ -7,6 +7,8 @@
 
 use crossbeam::channel::bounded;
 use hyper::{Response, StatusCode};
+use merlinrudder_fakes::raw_server::RawServer;
+use merlinrudder_node::backend::plain::{PlainCall, PlainResult, call};
 use merlinrudder_node::http_api::{HttpServer, Request, read_body};
 use merlinrudder_node::logging::discard;
 use merlinrudder_node::memory_budget::{MemoryBudget, MemoryShare};
@@ -82,6 +84,28 @@
     assert_eq!(budget.taken(), 0);
 }
 
+/// Guards against half an answer that passes for a whole one.
+#[test]
+fn a_plain_answer_that_breaks_off_is_not_whole() {
+    let budget = Arc::new(MemoryBudget::new(1_000_000));
+    let server = RawServer::bind(|connection, _| {
+        connection.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\nhalf")?;
+        Err(std::io::ErrorKind::ConnectionAborted.into())
+    });
+    let address = server.expect("raw server listens").address.to_string();
+    let plain = PlainCall {
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        content_type: String::new(),
+        body: Vec::new(),
+        key: None,
+        request_id: "r".to_owned(),
+    };
+    let mut share = MemoryShare::new(&budget);
+    let result = call(&address, &plain, TEST_TIMEOUT, &mut share);
+    assert!(matches!(result, PlainResult::Broken(_)), "{result:?}");
+}
+
 /// A client that stops sending its body must not keep a request thread.
 #[test]
 fn incomplete_body_times_out_and_frees_its_thread() {
