bug: answers of a plain call that broke off keep their memory until its last attempt ends

Cause: each attempt's answer grew the share of its request, and a broken answer returned nothing. Evidence: a_plain_answer_that_breaks_off_is_not_whole_and_returns_its_memory. Why it works: an answer has a share of its own, which the request takes over only with a whole answer.

--- a/node/src/backend/plain.rs
+++ b/node/src/backend/plain.rs
@@ -118,11 +118,13 @@
         .get(CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse::<usize>().ok())
         .filter(|_| has_body && status != StatusCode::NOT_MODIFIED);
-    match read_body(reader, share) {
+    let mut answer_share = share.sibling();
+    match read_body(reader, &mut answer_share) {
         Ok(body) if stated_length.is_some_and(|length| length != body.len()) => {
             PlainResult::Broken(format!("the answer ended after {} bytes", body.len()))
         }
         Ok(body) => {
+            share.absorb(answer_share);
             PlainResult::Answered(RecordedAnswer {
                 status: status.as_u16(),
                 content_type: Arc::from(content_type.unwrap_or(DEFAULT_CONTENT_TYPE)),
--- a/node/src/memory_budget.rs
+++ b/node/src/memory_budget.rs
@@ -79,6 +79,17 @@
         self.grow(bytes.saturating_sub(self.bytes))
     }
 
+    /// Creates another share of the same budget, of zero bytes.
+    #[must_use]
+    pub fn sibling(&self) -> Self {
+        Self::new(&self.budget)
+    }
+
+    /// Takes over the bytes of another share of the same budget.
+    pub fn absorb(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Returns all its bytes.
     pub fn clear(&mut self) {
         let bytes = std::mem::take(&mut self.bytes);
--- a/node/tests/integration/http_server.rs
+++ b/node/tests/integration/http_server.rs
@@ -84,9 +84,9 @@
     assert_eq!(budget.taken(), 0);
 }
 
-/// Guards against half an answer that passes for a whole one.
+/// Guards against half an answer that passes for a whole one, and against memory that it keeps.
 #[test]
-fn a_plain_answer_that_breaks_off_is_not_whole() {
+fn a_plain_answer_that_breaks_off_is_not_whole_and_returns_its_memory() {
     let budget = Arc::new(MemoryBudget::new(1_000_000));
     let server = RawServer::bind(|connection, _| {
         connection.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\nhalf")?;
@@ -104,6 +104,7 @@
     let mut share = MemoryShare::new(&budget);
     let result = call(&address, &plain, TEST_TIMEOUT, &mut share);
     assert!(matches!(result, PlainResult::Broken(_)), "{result:?}");
+    assert_eq!(budget.taken(), 0);
 }
 
 /// A client that stops sending its body must not keep a request thread.
