--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -31,10 +31,6 @@
 const MAX_ENGINE_COST_FRACTION: f64 = 0.5;
 /// Least value of a prompt for each second of its prefill.
 const MIN_PREFILL_VALUE: f64 = 5.0;
-/// What a caller loses by a refusal, as a multiple of what it gains by a placement now.
-///
-/// It has waited in vain, and comes back to wait again.
-const REFUSAL_LOSS: f64 = 1.3;
 /// Fraction of its total time that a prompt may wait for a burst to end.
 ///
 /// A prompt that is placed later than that is seldom answered before its caller leaves, and one that
@@ -122,7 +118,7 @@
     if has_waited_less(request, MAX_WAIT_FRACTION) {
         return PlacementDecision::Wait(weighed);
     }
-    if external_cost < gain * REFUSAL_LOSS {
+    if external_cost < gain {
         PlacementDecision::Place
     } else {
         PlacementDecision::Refuse(weighed)
