bug: bodies and answers of a whole VM reach the memory of the smallest VM beside what the process takes itself

Cause: 64 MiB of counted bytes, the room that growing buffers keep spare, thread stacks and what the allocator holds back add up to the whole VM. Why it works: 52 MiB leave that room, and still hold the largest body with its copies (48 MiB).

--- a/node/src/options/settings.rs
+++ b/node/src/options/settings.rs
@@ -213,7 +213,7 @@
 fn read_limits(reader: &mut Reader<'_>) -> LimitSettings {
     let max_requests = reader.number("limits", "requests", 1024, 1, 100_000);
     let body_bytes = reader.number("limits", "body_bytes", 16 << 20, 1024, 256 << 20);
-    let memory_bytes = reader.number("limits", "memory_bytes", 64 << 20, 1 << 20, 1 << 40);
+    let memory_bytes = reader.number("limits", "memory_bytes", 52 << 20, 1 << 20, 1 << 40);
     let idle_ms = reader.number("limits", "idle_ms", 20_000, 100, 3_600_000);
     let body_ms = reader.number("limits", "body_ms", 60_000, 100, 3_600_000);
     LimitSettings {
