bug: merlinctl reads answers of control VMs without a bound

One read was left when the others got a limit: control_call took an answer whole, whatever its length. It has the same 16 MiB now. No test of its own.

--- a/ctl/src/client.rs
+++ b/ctl/src/client.rs
@@ -288,7 +288,7 @@
     let response = build_request(method, control, path, "")
         .timeout(CONTROL_TIMEOUT)
         .send()?;
-    Ok((response.status().as_u16(), response.text_utf8()?))
+    Ok((response.status().as_u16(), read_text(response)?))
 }
 
 /// Fetches the status of a VM.
