bug: engines of an entry VM that lost power count as idle while they go on with its prompts

Cause: 12 of 69 entry VMs lose power at 13.0 s. Their links fall silent at 14.0 to 14.26 s, and all other VMs drop their placements at that moment, so that engines with their long prefills and answers look idle. The engines have not heard of it either and go on until the VMs are back at 15.2 s. Change: a lost link says whether the other host closed it or fell silent. Placements of a VM that closed its connections go at once, as before; those of a silent one stay until the expected end of their answers, or until the VM lists what it has.

--- a/core/src/engine_placement/loads.rs
+++ b/core/src/engine_placement/loads.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::from_millis;
 use crate::capacity::learned::LearnedTable;
 use crate::engine_model::{EngineProfile, as_float};
 use crate::names::{ServerId, VmId};
@@ -76,6 +77,8 @@
     prefill_ms: f64,
     /// Share of `prefill_ms` that fits into one pass, in milliseconds.
     in_pass: f64,
+    /// When the engine is expected to have ended the answer.
+    ends_at: Moment,
 }
 
 /// Prompts and answers that one engine processes.
@@ -171,6 +174,8 @@
     engines: BTreeMap<ServerId, EngineLoad>,
     /// Engines of each placement, the lead first.
     placed: BTreeMap<PlacementKey, Vec<ServerId>>,
+    /// Placements of VMs that fell silent, by the time at which they are removed.
+    lapsing: BTreeSet<(Moment, PlacementKey)>,
     /// Learned capacities, by which predicted times grow.
     learned: LearnedTable,
 }
@@ -239,6 +244,8 @@
                 as_float(now.as_millis()) + pass / 2.0
             };
             load.prefill_end = start + prefill_ms * pace;
+            let answer_ms = as_float(placed.answer_tokens) / profile.pass_steps * pass;
+            let ends_after = load.prefill_end - as_float(now.as_millis()) + answer_ms;
             let leads = *server == placed.lead;
             let on_helpers = placed.helper_tokens * placed.helpers.len() as u64;
             let part = PromptPart {
@@ -258,6 +265,7 @@
                 delay_weight: 1.0 / as_float(parts as u64),
                 prefill_ms: prefill_ms * pace,
                 in_pass: in_pass * pace,
+                ends_at: now + from_millis(ends_after),
             };
             load.parts.insert(key.clone(), part);
         }
@@ -286,6 +294,7 @@
     ///
     /// If it was still in prefill, one pass of that prefill is deducted from the backlog.
     pub fn remove(&mut self, now: Moment, key: &PlacementKey) {
+        self.lapsing.retain(|(_, lapsing)| lapsing != key);
         for server in self.placed.remove(key).into_iter().flatten() {
             let Some(load) = self.engines.get_mut(&server) else {
                 continue;
@@ -303,13 +312,43 @@
 
     /// Removes all placements of an entry VM.
     pub fn remove_entry(&mut self, now: Moment, entry: &VmId) {
-        let keys = self.placed.keys().filter(|key| key.entry == *entry);
-        let keys: Vec<_> = keys.cloned().collect();
-        for key in keys {
+        for key in self.keys_of(entry) {
             self.remove(now, &key);
         }
     }
 
+    /// Keeps the placements of an entry VM that fell silent until their expected end.
+    ///
+    /// Its engines go on with them: they have not heard either that the VM is gone.
+    pub fn lapse_entry(&mut self, now: Moment, entry: &VmId) {
+        for key in self.keys_of(entry) {
+            let ends_at = self.expected_end(&key).unwrap_or(now);
+            self.lapsing.insert((ends_at, key));
+        }
+    }
+
+    /// Removes the placements of silent VMs that are expected to have ended.
+    pub fn remove_lapsed(&mut self, now: Moment) {
+        while let Some((ends_at, key)) = self.lapsing.first().cloned() {
+            if ends_at > now {
+                return;
+            }
+            self.lapsing.pop_first();
+            self.remove(now, &key);
+        }
+    }
+
+    fn keys_of(&self, entry: &VmId) -> Vec<PlacementKey> {
+        let keys = self.placed.keys().filter(|key| key.entry == *entry);
+        keys.cloned().collect()
+    }
+
+    fn expected_end(&self, key: &PlacementKey) -> Option<Moment> {
+        let servers = self.placed.get(key)?.iter();
+        let parts = servers.filter_map(|server| self.engines.get(server)?.parts.get(key));
+        parts.map(|part| part.ends_at).max()
+    }
+
     /// Removes the placements of an entry VM whose numbers are not in `numbers`.
     pub fn keep_only(&mut self, now: Moment, entry: &VmId, numbers: &BTreeSet<u64>) {
         let keys = self.placed.keys().filter(|key| key.entry == *entry);
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -7,6 +7,7 @@
 use crate::directory::ServerRecord;
 use crate::engine_model::EngineProfile;
 use crate::engine_placement::loads::{PlacedPrompt, PlacementKey};
+use crate::link_policy::LinkLoss;
 use crate::names::{ServerId, VmId};
 use crate::time::Moment;
 
@@ -34,8 +35,13 @@
     }
 
     /// Removes the placements of an entry VM whose link was lost.
-    pub fn entry_lost(&mut self, now: Moment, entry: &VmId) {
-        self.loads.remove_entry(now, entry);
+    ///
+    /// Those of a VM that fell silent stay until their expected end, as engines go on with them.
+    pub fn entry_lost(&mut self, now: Moment, entry: &VmId, loss: LinkLoss) {
+        match loss {
+            LinkLoss::Closed => self.loads.remove_entry(now, entry),
+            LinkLoss::Silent => self.loads.lapse_entry(now, entry),
+        }
     }
 
     /// Counts a plain call to a server as in progress.
--- a/core/src/link_policy.rs
+++ b/core/src/link_policy.rs
@@ -75,6 +75,15 @@
 /// late by up to 100 ms at each check, which must count.
 const MAX_SILENCE_STEP: Duration = Duration::from_millis(250);
 
+/// How a link was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkLoss {
+    /// The other VM's host closed the connection, and so its connections with servers.
+    Closed,
+    /// Nothing arrives or leaves any more; servers may not know of it yet.
+    Silent,
+}
+
 /// What an idle link needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum IdleAction {
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -38,6 +38,7 @@
 mod reach;
 mod restart_of_all;
 mod retry;
+mod silent_vms;
 mod suspects;
 mod util;
 mod zone_links;
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -251,7 +251,7 @@
     fn handle_link_event(&mut self, now: Moment, event: LinkEvent) {
         match event {
             LinkEvent::Up(peer) => self.handle_link_up(now, &peer),
-            LinkEvent::Down(vm) => self.crashes.link_down(&vm),
+            LinkEvent::Down(vm, _) => self.crashes.link_down(&vm),
             LinkEvent::Message(from, message) => self.handle_message(now, &from, message),
         }
     }
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -4,6 +4,7 @@
 
 use merlinrudder_core::control::PublishedManifest;
 use merlinrudder_core::directory::{Merged, ServerRecord};
+use merlinrudder_core::link_policy::LinkLoss;
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::{VmId, ZoneName};
 use merlinrudder_core::time::Moment;
@@ -32,7 +33,7 @@
     while let Some(event) = events.recv().await {
         match event {
             LinkEvent::Up(peer) => link_up(&gateway, &peer),
-            LinkEvent::Down(vm) => link_down(&gateway, &vm),
+            LinkEvent::Down(vm, loss) => link_down(&gateway, &vm, loss),
             LinkEvent::Message(from, message) => handle_message(&gateway, &from, message),
         }
     }
@@ -73,10 +74,10 @@
     }
 }
 
-/// Forgets the placements and the advertised manifest of a lost VM.
+/// Forgets the advertised manifest of a lost VM, and its placements as far as engines have them no more.
 ///
 /// Without a link to a control VM, missing heartbeats no longer count against a server.
-fn link_down(gateway: &Rc<Gateway>, vm: &VmId) {
+fn link_down(gateway: &Rc<Gateway>, vm: &VmId, loss: LinkLoss) {
     let now = gateway.now();
     let has_control_link = gateway.links.peers().iter().any(|peer| peer.control);
     manifest_sync::link_down(gateway, vm);
@@ -85,7 +86,7 @@
     placement_sync::link_down(gateway, vm);
     let mut fleet = gateway.fleet.borrow_mut();
     fleet.receives_heartbeats = has_control_link;
-    fleet.entry_lost(now, vm);
+    fleet.entry_lost(now, vm, loss);
     if let Some(zone) = fleet.zone_links.lost(now, vm) {
         info!(gateway.log, "All links to an availability zone lost"; "zone" => %zone);
     }
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -281,6 +281,8 @@
     excluded: &[ServerId],
 ) -> Result<Selection, NoChoice> {
     let prompt = describe_prompt(gateway, call, profile, tokens);
+    let now = gateway.now();
+    gateway.fleet.borrow_mut().loads.remove_lapsed(now);
     let fleet = gateway.fleet.borrow();
     let (placement, decision) =
         fleet.choose_engines(gateway.now(), &call.service, profile, &prompt, excluded)?;
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -15,7 +15,7 @@
 
 use anyhow::{Result, anyhow, bail};
 use merlinrudder_core::link_policy::{
-    IDLE_CHECK_INTERVAL, IdleLimits, connect_retry_delay, dial_delay,
+    IDLE_CHECK_INTERVAL, IdleLimits, LinkLoss, connect_retry_delay, dial_delay,
 };
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::{
@@ -61,8 +61,8 @@
 pub enum LinkEvent {
     /// The first link to a VM was opened.
     Up(WirePeer),
-    /// The last link to a VM was closed.
-    Down(VmId),
+    /// The last link to a VM was lost.
+    Down(VmId, LinkLoss),
     /// A message arrived from a VM.
     Message(VmId, MeshMessage),
 }
@@ -326,21 +326,34 @@
         info!(shared.log, "Link open"; "peer" => %vm, "address" => %peer.address);
         (shared.handler)(LinkEvent::Up(peer));
     }
-    let result = tokio::select! {
-        result = read_messages(shared, &vm, &mut reader, &signals) => result,
-        () = signals.silent.notified() => Err(anyhow!("silent")),
-        result = write_frames(shared, &vm, &mut writer, frames) => result,
+    let (result, loss) = tokio::select! {
+        result = read_messages(shared, &vm, &mut reader, &signals) => (result, LinkLoss::Closed),
+        () = signals.silent.notified() => (Err(anyhow!("silent")), LinkLoss::Silent),
+        result = write_frames(shared, &vm, &mut writer, frames) => {
+            let loss = write_loss(&result);
+            (result, loss)
+        }
     };
     let was_last = shared.table.close(&vm, id);
     metrics::set_open_links(shared.table.count());
     if was_last {
         let reason = result.as_ref().err().map(ToString::to_string);
         info!(shared.log, "Link lost"; "peer" => %vm, "reason" => reason);
-        (shared.handler)(LinkEvent::Down(vm));
+        (shared.handler)(LinkEvent::Down(vm, loss));
     }
     result
 }
 
+/// Returns how a link was lost on which a write failed; one that is merely late has no error of its own.
+fn write_loss(result: &Result<()>) -> LinkLoss {
+    let failed = result.as_ref().err();
+    if failed.is_some_and(anyhow::Error::is::<std::io::Error>) {
+        LinkLoss::Closed
+    } else {
+        LinkLoss::Silent
+    }
+}
+
 async fn read_messages(
     shared: &Shared,
     vm: &VmId,
--- a/node/tests/integration/links.rs
+++ b/node/tests/integration/links.rs
@@ -192,7 +192,7 @@
     for new in [&vms[0], &vms[2]] {
         assert_exchange(old, new);
         let ups = new.count_events(|event| matches!(event, LinkEvent::Up(_)));
-        let downs = new.count_events(|event| matches!(event, LinkEvent::Down(_)));
+        let downs = new.count_events(|event| matches!(event, LinkEvent::Down(..)));
         assert_eq!((ups, downs), (1, 0), "{:?}", new.peer);
     }
     assert_eq!(vms[2].links.count(), 1, "the higher VM must not dial");
@@ -233,7 +233,7 @@
         let expected = Duration::from_millis(900)..Duration::from_millis(1500);
         assert!(expected.contains(&took), "{took:?}, control: {control}");
         wait_for("end of the link", || {
-            vm.count_events(|event| matches!(event, LinkEvent::Down(_))) == 1
+            vm.count_events(|event| matches!(event, LinkEvent::Down(..))) == 1
         });
     }
 }
