--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -11,7 +11,6 @@
 pub mod decision;
 pub mod loads;
 mod packing;
-pub mod shares;
 
 use std::iter::Sum;
 use std::time::Duration;
@@ -71,8 +70,6 @@
     pub time_left: Duration,
     /// Factor on the value of the prompt, by its rank; 1 without other ranks.
     pub weight: f64,
-    /// Whether prompts of its length were placed far less often than others.
-    pub is_underserved: bool,
     /// Seed of the random choice between engines that are nearly as good.
     pub random_seed: u64,
 }
--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -67,12 +67,6 @@
     Refuse(Weighed),
 }
 
-/// Returns whether a prompt is long enough to be weighed against others before it is placed.
-#[must_use]
-pub fn is_weighed(profile: &EngineProfile, prompt_tokens: u64) -> bool {
-    profile.prefill_time(prompt_tokens) >= MIN_PREFILL_MS
-}
-
 /// Returns whether a prompt that no engines have room for now may wait until they have.
 #[must_use]
 pub fn may_await_room(request: &PlacementRequest) -> bool {
@@ -96,7 +90,7 @@
     busy_fraction: f64,
 ) -> PlacementDecision {
     let prefill = profile.prefill_time(request.prompt_tokens);
-    if !is_weighed(profile, request.prompt_tokens) {
+    if prefill < MIN_PREFILL_MS {
         return PlacementDecision::Place;
     }
     let external_cost = placement.external_cost.total();
@@ -105,18 +99,9 @@
     let seconds = prefill / 1000.0;
     let value = prompt_value(request.prompt_tokens).max(seconds * MIN_PREFILL_VALUE);
     let value = value * request.weight;
-    let late_loss = miss_probability(ttft, objective) * (1.0 - LATE_VALUE_FRACTION);
-    let gain = if request.is_underserved {
-        value
-    } else {
-        value * (1.0 - late_loss)
-    };
+    let gain = value * (1.0 - miss_probability(ttft, objective) * (1.0 - LATE_VALUE_FRACTION));
     let engine_cost = seconds * BUSY_ENGINE_VALUE * busy_fraction;
-    let engine_cost = if request.is_underserved {
-        0.0
-    } else {
-        engine_cost.min(value * MAX_ENGINE_COST_FRACTION)
-    };
+    let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
     let weighed = Weighed {
         external_cost: placement.external_cost,
         gain,
@@ -133,7 +118,7 @@
     if has_waited_less(request, MAX_WAIT_FRACTION) {
         return PlacementDecision::Wait(weighed);
     }
-    if external_cost < gain || request.is_underserved {
+    if external_cost < gain {
         PlacementDecision::Place
     } else {
         PlacementDecision::Refuse(weighed)
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -19,7 +19,6 @@
 use crate::deployment::Deployment;
 use crate::directory::{Directory, Merged, ServerRecord};
 use crate::engine_placement::loads::LoadTable;
-use crate::engine_placement::shares::LengthShares;
 use crate::evacuation::Evacuations;
 use crate::health::{HealthTable, ServerOutcome};
 use crate::hold_off::HoldOffs;
@@ -36,8 +35,6 @@
     pub directory: Directory,
     /// Predicted load of the engines, from the placements of all entry VMs.
     pub loads: LoadTable,
-    /// How often prompts of each length are placed.
-    pub shares: LengthShares,
     /// Results of recent requests, by server.
     pub health: HealthTable,
     /// Limits on the request rates of servers, and permits of this VM.
@@ -75,7 +72,6 @@
             rates,
             directory: Directory::default(),
             loads: LoadTable::default(),
-            shares: LengthShares::default(),
             health: HealthTable::default(),
             hold_offs: HoldOffs::default(),
             zone_links: ZoneLinks::default(),
--- a/core/tests/integration/util/burst_sim.rs
+++ b/core/tests/integration/util/burst_sim.rs
@@ -13,7 +13,6 @@
 use fastrand::Rng;
 use merlinrudder_core::engine_model::as_float;
 use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
-use merlinrudder_core::engine_placement::shares::LengthDecision;
 use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::time::Moment;
 
@@ -21,7 +20,6 @@
 pub use self::load::{Kind, Load, Outcome, Record, Trouble};
 use super::engine_sim::{JobId, SimEngine};
 use super::learning_sim::LearningSim;
-use crate::fleets::service;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Age of the news that entry VMs have of each other's placements.
@@ -62,8 +60,6 @@
 
 enum News {
     Placed(PlacedPrompt),
-    /// A prompt of this length was refused.
-    Refused(u64),
     FirstEvent,
     Ended,
 }
@@ -187,21 +183,6 @@
                 match &news {
                     News::Placed(placed) => {
                         fleet.add_placement(moment, &key, &self.load.profile, placed);
-                        let tokens = placed.prompt_tokens;
-                        let placed = LengthDecision::Placed;
-                        fleet
-                            .shares
-                            .record(moment, &service(), &self.load.profile, tokens, placed);
-                    }
-                    News::Refused(tokens) => {
-                        let refused = LengthDecision::Refused;
-                        fleet.shares.record(
-                            moment,
-                            &service(),
-                            &self.load.profile,
-                            *tokens,
-                            refused,
-                        );
                     }
                     News::FirstEvent => fleet.loads.mark_prefilled(&key),
                     News::Ended => fleet.loads.remove(moment, &key),
--- a/core/tests/integration/util/burst_sim/placing.rs
+++ b/core/tests/integration/util/burst_sim/placing.rs
@@ -27,8 +27,6 @@
     pub(super) fn decide(&mut self, now: u64, number: JobId) {
         let job = &self.jobs[number];
         let kind = self.load.kinds[job.kind];
-        let moment = Moment::from_millis(now);
-        let fleet = &self.fleets[job.vm];
         let answer_tokens = as_float(u64::from(kind.events)) * self.load.profile.pass_steps;
         #[expect(
             clippy::cast_possible_truncation,
@@ -43,11 +41,10 @@
             pause_objective: Duration::from_millis(kind.pause_ms),
             weight: self.load.standing(&kind).weight,
             time_left: Duration::from_millis(kind.deadline_ms - (now - job.came_at)),
-            is_underserved: fleet
-                .shares
-                .is_short_of_service(moment, &service(), job.prompt),
             random_seed: job.seed,
         };
+        let moment = Moment::from_millis(now);
+        let fleet = &self.fleets[job.vm];
         let profile = self.load.profile;
         let chosen = fleet.choose_engines(moment, &service(), &profile, &request, &[]);
         let (mut placement, decision) = match chosen {
@@ -96,10 +93,6 @@
     fn refuse(&mut self, now: u64, number: JobId) {
         let wait = RETURN_MS * (1.0 + self.rng.f64() / 2.0);
         let job = &mut self.jobs[number];
-        if job.refusals > 0 {
-            let refused = News::Refused(job.prompt);
-            self.news.push_back((now, placement_key(0), refused));
-        }
         job.refusals += 1;
         job.state = if job.refusals > 1 {
             State::Over(Outcome::Refused)
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -267,7 +267,6 @@
             | MeshMessage::CutOff(_)
             | MeshMessage::ColdServers(_)
             | MeshMessage::Capacities(_)
-            | MeshMessage::PromptRefused(_)
             | MeshMessage::ManifestUpdate(_)
             | MeshMessage::CrashReports(_)
             | MeshMessage::Evacuations(_)
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -21,7 +21,6 @@
 mod header_fields;
 mod hedge;
 mod ingress;
-mod length_shares;
 mod link_events;
 mod lookup;
 mod manifest_decode;
@@ -140,7 +139,6 @@
             capacity: config.learn_capacity,
             manifest_updates: true,
             compressed_frames: true,
-            refusals: true,
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -12,7 +12,6 @@
 use super::exchange::UpstreamResponse;
 use super::failure::{Failure, record_failure};
 use super::hedge::AttemptContext;
-use super::length_shares;
 use super::open_requests::Phase;
 use super::refusal::DEFAULT_RETRY_AFTER;
 use super::request::CallerRequest;
@@ -174,7 +173,6 @@
                 Selection::HeldBack(left) => return Err(self.held_back_refusal(left)),
                 Selection::Refuse(weighed) => {
                     self.log_refused_prompt(gateway, call, &weighed);
-                    length_shares::record_refusal(gateway, call);
                     return Err(self.refusal(RefusalReason::QueueFull));
                 }
                 Selection::NoRoom => {
@@ -295,7 +293,6 @@
             "least_cost_ms" => cheapest.map(|least| least.waited.as_millis()),
             "spent_ms" => call.spent_before().as_millis(),
             "busy_fraction" => weighed.busy_fraction, "engines" => weighed.engines,
-            "underserved" => length_shares::is_underserved(gateway, call),
             "predicted_ms" => weighed.predicted_ttft.as_millis());
     }
 
--- a/node/src/gateway/placement_sync.rs
+++ b/node/src/gateway/placement_sync.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
-use merlinrudder_core::engine_placement::shares::LengthDecision;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::{ServerId, ServiceName, VmId, ZoneName};
 use merlinrudder_core::placement_batches::{ChangeKind, PlacementBatches};
@@ -16,7 +15,6 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::length_shares;
 use super::state::Gateway;
 
 /// Placements made by this VM, and changes not yet sent to others.
@@ -62,8 +60,6 @@
         outbox.last_number += 1;
         let number = outbox.last_number;
         add_to_load_table(gateway, now, &gateway.vm, number, service, &placed);
-        let tokens = placed.prompt_tokens;
-        length_shares::record(gateway, service, tokens, LengthDecision::Placed);
         let wire_placement = WirePlacement::new(now, number, service, &placed);
         let engines = std::iter::once(&placed.lead).chain(&placed.helpers);
         let zones = zones_of(gateway, engines);
@@ -268,10 +264,6 @@
                 let (service, mut placed) = placement.into_core(now);
                 placed.weight = weight_by_objectives(gateway, &service, &placed);
                 add_to_load_table(gateway, now, from, number, &service, &placed);
-                if !placements.is_snapshot {
-                    let tokens = placed.prompt_tokens;
-                    length_shares::record(gateway, &service, tokens, LengthDecision::Placed);
-                }
             }
             WirePlacementChange::FirstEvent(number) => {
                 let mut fleet = gateway.fleet.borrow_mut();
--- a/node/src/gateway/selection.rs
+++ b/node/src/gateway/selection.rs
@@ -7,7 +7,7 @@
 use merlinrudder_core::deployment::CallKind;
 use merlinrudder_core::directory::ServerRecord;
 use merlinrudder_core::engine_model::EngineProfile;
-use merlinrudder_core::engine_placement::decision::{PlacementDecision, Weighed, is_weighed};
+use merlinrudder_core::engine_placement::decision::{PlacementDecision, Weighed};
 use merlinrudder_core::engine_placement::loads::{EngineLoad, PlacedPrompt};
 use merlinrudder_core::engine_placement::{Placement, PlacementRequest};
 use merlinrudder_core::fleet::NoChoice;
@@ -18,7 +18,6 @@
 
 use super::capacity::{Awaited, PendingSample};
 use super::cold;
-use super::length_shares;
 use super::placement_sync::LocalPlacement;
 use super::rate_limits;
 use super::relay::{self, RelayGuard};
@@ -288,11 +287,6 @@
     let (placement, decision) =
         fleet.choose_engines(gateway.now(), &call.service, profile, &prompt, excluded)?;
     match decision {
-        PlacementDecision::Place
-            if prompt.is_underserved && is_weighed(profile, prompt.prompt_tokens) =>
-        {
-            length_shares::log_helped(gateway, call, &placement);
-        }
         PlacementDecision::Place => {}
         PlacementDecision::Wait(weighed) => return Ok(Selection::Wait(weighed)),
         PlacementDecision::Refuse(weighed) => return Ok(Selection::Refuse(weighed)),
@@ -383,7 +377,6 @@
         pause_objective: pause_objective(&call.route),
         weight: call.standing.weight,
         time_left: call.time_left(now),
-        is_underserved: length_shares::is_underserved(gateway, call),
         random_seed: call.tie_breaker,
     }
 }
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -17,7 +17,7 @@
 use crate::evacuation::WireEvacuations;
 use crate::manifest_update::WireManifestUpdate;
 use crate::membership::WireMembership;
-use crate::peers::{WireColdServer, WirePeer, WirePlacements, WireRefusedPrompt, WireServer};
+use crate::peers::{WireColdServer, WirePeer, WirePlacements, WireServer};
 use crate::rates::WireRateMessage;
 use crate::relay::WireRelay;
 
@@ -149,10 +149,6 @@
     ///
     /// Only sent to VMs with [`WireFeatures::manifest_updates`].
     ManifestUpdate(WireManifestUpdate),
-    /// Prompt that the sender refused for good, since others would have lost more.
-    ///
-    /// Only sent to VMs with [`WireFeatures::refusals`].
-    PromptRefused(WireRefusedPrompt),
 }
 
 /// Abilities of a VM that earlier versions lack.
@@ -179,8 +175,6 @@
     pub manifest_updates: bool,
     /// Whether it understands frames from [`compress_frame`].
     pub compressed_frames: bool,
-    /// Whether it understands `PromptRefused`.
-    pub refusals: bool,
 }
 
 impl WireFeatures {
@@ -197,7 +191,6 @@
         features.capacity = take_appended(&mut rest)?;
         features.manifest_updates = take_appended(&mut rest)?;
         features.compressed_frames = take_appended(&mut rest)?;
-        features.refusals = take_appended(&mut rest)?;
         Ok(features)
     }
 }
--- a/wire/src/peers.rs
+++ b/wire/src/peers.rs
@@ -10,7 +10,7 @@
 use merlinrudder_core::names::VmId;
 use serde::{Deserialize, Serialize};
 
-pub use self::placements::{WirePlacement, WirePlacementChange, WirePlacements, WireRefusedPrompt};
+pub use self::placements::{WirePlacement, WirePlacementChange, WirePlacements};
 pub use self::servers::{WireColdServer, WireServer};
 
 /// Description of a VM, as the VM sends it when a link opens.
--- a/wire/src/peers/placements.rs
+++ b/wire/src/peers/placements.rs
@@ -31,15 +31,6 @@
     ServerFailed(String),
 }
 
-/// Prompt that an entry VM refused for good.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct WireRefusedPrompt {
-    /// Service that the prompt was for.
-    pub service: String,
-    /// Length of the prompt, in tokens.
-    pub prompt_tokens: u64,
-}
-
 /// Placement of a prompt on a lead engine and its helpers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WirePlacement {
--- a/wire/tests/integration/round_trips.rs
+++ b/wire/tests/integration/round_trips.rs
@@ -27,7 +27,7 @@
     MeshMessage, WireFeatures, decode_frame, decode_handshake, encode, encode_frame,
     encode_handshake,
 };
-use merlinrudder_wire::peers::{WireColdServer, WirePeer, WireRefusedPrompt, WireServer};
+use merlinrudder_wire::peers::{WireColdServer, WirePeer, WireServer};
 use merlinrudder_wire::rates::WireRateMessage;
 use merlinrudder_wire::relay::WireRelay;
 
@@ -233,7 +233,6 @@
         capacity: true,
         manifest_updates: true,
         compressed_frames: true,
-        refusals: true,
     };
     let frame = encode_handshake(&peer, &features);
     assert_eq!(decode_handshake(&frame), Ok((peer.clone(), features)));
@@ -266,13 +265,3 @@
     };
     assert_eq!(decode_handshake(&frame), Ok((peer, features)));
 }
-
-/// Guards against refusals that other VMs cannot read.
-#[test]
-fn a_refused_prompt_survives_a_round_trip() {
-    let message = MeshMessage::PromptRefused(WireRefusedPrompt {
-        service: "assistant".to_owned(),
-        prompt_tokens: 600_040,
-    });
-    assert_eq!(decode_frame(&encode_frame(&message)), Ok(message));
-}
