--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -28,6 +28,7 @@
 mod manifest_pull;
 mod manifest_spread;
 mod membership;
+mod overload;
 mod pair_start;
 mod peer_list;
 mod placement_batches;
