--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// Forgets the advertised manifest of a lost VM, and its placements as far as engines have them no more.
+/// Forgets the advertised manifest of a lost VM, and its placements unless engines go on with them.
 ///
 /// Without a link to a control VM, missing heartbeats no longer count against a server.
 fn link_down(gateway: &Rc<Gateway>, vm: &VmId, loss: LinkLoss) {
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -344,7 +344,9 @@
     result
 }
 
-/// Returns how a link was lost on which a write failed; one that is merely late has no error of its own.
+/// Returns how a link was lost on which a write failed.
+///
+/// A closed connection fails with an error of the system, a silent one with a timeout.
 fn write_loss(result: &Result<()>) -> LinkLoss {
     let failed = result.as_ref().err();
     if failed.is_some_and(anyhow::Error::is::<std::io::Error>) {
--- a/node/tests/integration/links.rs
+++ b/node/tests/integration/links.rs
@@ -5,7 +5,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use merlinrudder_core::link_policy::DIAL_HELP_DELAY;
+use merlinrudder_core::link_policy::{DIAL_HELP_DELAY, LinkLoss};
 use merlinrudder_core::names::VmId;
 use merlinrudder_node::links::{LinkEvent, Links};
 use merlinrudder_node::logging::discard;
@@ -233,7 +233,18 @@
         let expected = Duration::from_millis(900)..Duration::from_millis(1500);
         assert!(expected.contains(&took), "{took:?}, control: {control}");
         wait_for("end of the link", || {
-            vm.count_events(|event| matches!(event, LinkEvent::Down(..))) == 1
+            vm.count_events(|event| matches!(event, LinkEvent::Down(_, LinkLoss::Silent))) == 1
         });
     }
 }
+
+/// Guards against placements of a stopped VM that are kept as if it had lost power.
+#[test]
+fn a_link_that_the_other_vm_closes_does_not_count_as_silent() {
+    let vm = Vm::start("vm", addresses(1)[0], false);
+    let link = HandLink::open(vm.peer.address, "by-hand", false);
+    drop(link);
+    wait_for("end of the link", || {
+        vm.count_events(|event| matches!(event, LinkEvent::Down(_, LinkLoss::Closed))) == 1
+    });
+}
