--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -425,6 +425,7 @@
             "route" => &*self.call.route.name, "outcome" => outcome, "events" => self.event_count,
             "prompt" => self.call.token_counts.map(|tokens| tokens.prompt),
             "server" => %self.last_placement.target, "helpers" => self.last_placement.helper_count,
+            "spent_ms" => self.call.spent_before().as_millis(),
             "placed_ms" => self.last_placement.placement_delay.as_millis(),
             "predicted_ms" => self.last_placement.predicted_wait.map(|wait| wait.as_millis()),
             "first_ms" => self.ttft.map(|first| first.as_millis()),
