--- a/core/tests/integration/long_prompt_bursts.rs
+++ b/core/tests/integration/long_prompt_bursts.rs
@@ -4,7 +4,7 @@
 use merlinrudder_core::rank::ServiceRanks;
 
 use crate::fleets::profile;
-use crate::util::burst_sim::{BurstSim, Kind, Load, Outcome, Record, Trouble};
+use crate::util::burst_sim::{BurstSim, Kind, Load, Outcome, Record, SHORT_KIND, Trouble};
 use crate::util::learning_sim::EntryVms;
 
 /// Indices of the shortest and the longest kind in `KINDS`.
@@ -20,17 +20,7 @@
 const MIN_FAIR_SHARE: f64 = 0.8;
 
 const KINDS: [Kind; 3] = [
-    Kind {
-        mean: 4_960.0,
-        spread: 0.9,
-        max: 23_800.0,
-        events: 31,
-        objective_ms: 300,
-        pause_ms: 250,
-        deadline_ms: 10_000,
-        value: 1.3,
-        rank: 0,
-    },
+    SHORT_KIND,
     Kind {
         mean: 45_000.0,
         spread: 0.5,
--- a/core/tests/integration/overload.rs
+++ b/core/tests/integration/overload.rs
@@ -4,7 +4,7 @@
 use merlinrudder_core::rank::ServiceRanks;
 
 use crate::fleets::profile;
-use crate::util::burst_sim::{BurstSim, Kind, Load, Outcome, Record};
+use crate::util::burst_sim::{BurstSim, Load, Outcome, Record, SHORT_KIND};
 use crate::util::learning_sim::EntryVms;
 
 /// Length of the calm before and after the burst, in milliseconds.
@@ -16,17 +16,6 @@
 
 /// Returns a burst before 24 engines of 12 slots, which serve about 115 such prompts a second.
 fn short_burst() -> Load {
-    let short = Kind {
-        mean: 4_960.0,
-        spread: 0.9,
-        max: 23_800.0,
-        events: 31,
-        objective_ms: 300,
-        pause_ms: 250,
-        deadline_ms: 10_000,
-        value: 1.3,
-        rank: 0,
-    };
     Load {
         engines: 24,
         profile: EngineProfile {
@@ -35,7 +24,7 @@
             pass_steps: 48.0,
             ..profile()
         },
-        kinds: vec![short],
+        kinds: vec![SHORT_KIND],
         phases: vec![
             (CALM_MS, vec![40.0]),
             (BURST_MS, vec![160.0]),
--- a/core/tests/integration/util/burst_sim.rs
+++ b/core/tests/integration/util/burst_sim.rs
@@ -18,7 +18,7 @@
 use merlinrudder_core::time::Moment;
 
 use self::fleet::{build_fleet, placement_key};
-pub use self::load::{Kind, Load, Outcome, Record, Trouble};
+pub use self::load::{Kind, Load, Outcome, Record, SHORT_KIND, Trouble};
 use super::engine_sim::{JobId, SimEngine};
 use super::learning_sim::LearningSim;
 use crate::fleets::service;
--- a/core/tests/integration/util/burst_sim/load.rs
+++ b/core/tests/integration/util/burst_sim/load.rs
@@ -29,6 +29,19 @@
     pub rank: u8,
 }
 
+/// Short prompts of people who wait for the answer.
+pub const SHORT_KIND: Kind = Kind {
+    mean: 4_960.0,
+    spread: 0.9,
+    max: 23_800.0,
+    events: 31,
+    objective_ms: 300,
+    pause_ms: 250,
+    deadline_ms: 10_000,
+    value: 1.3,
+    rank: 0,
+};
+
 impl Kind {
     /// Returns the value of an answer to a prompt.
     pub(super) fn value_of(&self, prompt: u64) -> f64 {
