--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -31,8 +31,6 @@
 ///
 /// More would make the length of a prompt alone a reason to refuse it.
 const MAX_ENGINE_COST_FRACTION: f64 = 0.5;
-/// The same while a prompt is helped since its length was left out.
-const HELPED_ENGINE_COST_FRACTION: f64 = 0.3;
 /// Fraction of slots taken from which on a length that was left out is not helped.
 const MAX_TAKEN_FRACTION: f64 = 0.4;
 /// Fraction of the objective for which a prompt of such a length is helped.
@@ -130,13 +128,13 @@
     let is_helped = request.is_underserved
         && pressure.taken_fraction < MAX_TAKEN_FRACTION
         && waited < objective * MAX_HELP_FRACTION;
-    let (gain, most) = if is_helped {
-        (value, HELPED_ENGINE_COST_FRACTION)
+    let gain = if is_helped {
+        value
     } else {
-        (value * (1.0 - late_loss), MAX_ENGINE_COST_FRACTION)
+        value * (1.0 - late_loss)
     };
     let engine_cost = seconds * BUSY_ENGINE_VALUE * pressure.busy_fraction;
-    let engine_cost = engine_cost.min(value * most);
+    let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
     let weighed = Weighed {
         external_cost: placement.external_cost,
         gain,
--- a/core/src/engine_placement/length_shares.rs
+++ b/core/src/engine_placement/length_shares.rs
@@ -22,7 +22,7 @@
 /// Rate at which a group of lengths is to be placed, as a fraction of the rate of its class.
 const TARGET_FRACTION: f64 = 0.8;
 /// Factors on this target for the shortest and the longest prompt of the longest tenth.
-const SHORTEST_FACTOR: f64 = 2.0;
+const SHORTEST_FACTOR: f64 = 1.5;
 const LONGEST_FACTOR: f64 = 0.5;
 
 /// Prompts whose lengths are compared: those of a service with one objective.
