--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,4 +1,4 @@
-//! Case 1: an engine crashes in the middle of a plain answer that has no length.
+//! Case 1: the only tenant loses its keys, one after the other.
 
 #[path = "../harness/mod.rs"]
 mod harness;
@@ -9,22 +9,26 @@
 use std::time::Duration;
 
 use harness::engine::{self, Engine, Settings};
-use harness::json::{self, Route};
+use harness::json::{self, KEY, Route};
 use harness::record::Record;
 use harness::system::System;
 use harness::{client, trouble};
 
 /// Loopback addresses of this case: 127.SUBNET.x.y.
 const SUBNET: u8 = 101;
-/// Time between the halves of an answer without a length.
-const PAUSE: Duration = Duration::from_millis(400);
-/// Time from the request to the crash, between the halves.
-const CRASH_AFTER: Duration = Duration::from_millis(200);
+/// Second key of the tenant.
+const SECOND_KEY: &str = "anfqasnmgkcuyj8pjbvk";
+/// A key that no configuration ever held.
+const UNKNOWN_KEY: &str = "zzzzzzzzzzzzzzzzzzzz";
+/// Time between the two revocations.
+const GAP: Duration = Duration::from_millis(1500);
+/// `config-apply-ms` and half a second more.
+const APPLIED: Duration = Duration::from_millis(2500);
 
 fn main() {
     engine::run_if_asked();
     let record = Record::create(Path::new("review/1/record.txt"));
-    let system = System::start(SUBNET, 1, &record);
+    let system = System::start(SUBNET, 2, &record);
     let settings = Settings {
         id: "i-7f3a91c2".to_owned(),
         service: "bokapp".to_owned(),
@@ -32,70 +36,76 @@
         address: (system.engine_ip(0), 18_080).into(),
         controls: system.controls(),
         events: 1,
-        pause: PAUSE,
+        pause: Duration::from_millis(50),
     };
     let engine = Engine::start(&settings, &record);
-    let route = |name, prefix, kind, max_attempts| Route {
-        name,
-        prefix,
-        kind,
+    let routes = [Route {
+        name: "file-once",
+        prefix: "/file/",
+        kind: "unsafe",
         service: "bokapp",
         timeout_ms: 1200,
         slo_ms: 150,
-        max_attempts,
+        max_attempts: 1,
         resumable: false,
+    }];
+    let publish = |version: u64, keys: &[&str]| {
+        record.line(&format!(
+            "operator sends version {version} with the keys {keys:?}"
+        ));
+        system.publish(&json::configuration_with_keys(
+            version,
+            &routes,
+            &["bokapp"],
+            keys,
+        ));
     };
-    let routes = [
-        route("file-once", "/file/", "unsafe", 1),
-        route("saldo-read", "/saldo/", "safe", 2),
-    ];
-    system.publish(&json::configuration(7, &routes, &["bokapp"]));
+    publish(7, &[KEY, SECOND_KEY]);
     system.await_ready();
-    let front = system.front(0);
-    let mut broken = 0;
-    for (number, (method, path)) in [("POST", "/file/unframed"), ("GET", "/saldo/unframed")]
-        .iter()
-        .enumerate()
-    {
-        let attempt = format!("9c41d07be2a35f6{number}");
-        record.line(&format!("client sends {method} {path} attempt={attempt}"));
-        let sent = attempt.clone();
-        let (method, path) = ((*method).to_owned(), (*path).to_owned());
-        let client = thread::spawn(move || client::call(front, &method, &path, &sent, 2500, ""));
-        thread::sleep(CRASH_AFTER);
-        if trouble() && number == 0 {
-            record.line("engine killed while it sends its answer");
-            engine.kill();
-        }
-        let answer = client.join().unwrap_or_default();
-        let whole = answer.text() == engine::plain_body(&attempt);
-        let success = (200..300).contains(&answer.status);
+    let send = |entry: usize, key: &str, attempt: &str| {
         record.line(&format!(
-            "client got status={} bytes={} of {} framing complete={} seal={:?} ({}) after {} ms",
-            answer.status,
-            answer.body.len(),
-            engine::PLAIN_BYTES,
-            answer.complete,
-            answer.header("x-merlinrudder-response-seal"),
-            answer.end,
-            answer.took.as_millis()
+            "client sends POST /file/x attempt={attempt} to entry {entry} with key {key}"
         ));
-        if success && answer.complete && !whole {
-            record.line(
-                "MIXED broken: a success that looks complete, with a part of the engine's body",
-            );
-            broken += 1;
-        }
-        if !trouble() && !(success && answer.complete && whole) {
-            record.line("without the disruption the answer was not whole");
+        let front = system.front(entry);
+        let answer =
+            client::call_with_key(front, key, "POST", "/file/x", attempt, 2500, "a filing");
+        let runs = engine.count(&[&format!("runs attempt={attempt} ")]);
+        record.line(&format!(
+            "client got status={}; the engine ran it {runs} times",
+            answer.status
+        ));
+        (answer.status, runs)
+    };
+    if send(0, KEY, "known-before") != (200, 1)
+        || send(1, UNKNOWN_KEY, "unknown-before") != (401, 0)
+    {
+        harness::give_up("keys were not told apart before the disruption");
+    }
+    if trouble() {
+        publish(8, &[SECOND_KEY]);
+        thread::sleep(GAP);
+        publish(9, &[]);
+    }
+    thread::sleep(APPLIED);
+    let mut broken = false;
+    for entry in 0..2 {
+        let dropped = send(entry, KEY, &format!("dropped-{entry}"));
+        let unknown = send(entry, UNKNOWN_KEY, &format!("unknown-{entry}"));
+        if trouble() {
+            if dropped.1 > 0 {
+                record.line("CONFIG broken: a request was run with a dropped key");
+            }
+            if unknown.1 > 0 {
+                record.line("ROUTE broken: a request ran whose key no configuration ever held");
+            }
+            broken |= dropped.1 > 0 || unknown.1 > 0;
+        } else if dropped != (200, 1) || unknown != (401, 0) {
+            record.line("without the disruption keys were not told apart");
             exit(harness::NOT_RUN);
         }
-        if trouble() && number == 0 {
-            break;
-        }
     }
     drop((engine, system));
-    exit(if broken > 0 {
+    exit(if broken {
         harness::BROKEN
     } else {
         harness::HELD
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -43,6 +43,19 @@
     attempt: &str,
     deadline_ms: u32,
     body: &str,
+) -> Answer {
+    call_with_key(front, KEY, method, path, attempt, deadline_ms, body)
+}
+
+/// Sends a client's request as `call` does, with another key.
+pub fn call_with_key(
+    front: SocketAddr,
+    key: &str,
+    method: &str,
+    path: &str,
+    attempt: &str,
+    deadline_ms: u32,
+    body: &str,
 ) -> Answer {
     let length = if method == "GET" && body.is_empty() {
         String::new()
@@ -51,13 +64,10 @@
     };
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\n\
-         X-Merlinrudder-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n{length}\r\n{body}"
+         X-Merlinrudder-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n{length}\r\n{body}"
     );
-    exchange(
-        front,
-        request.as_bytes(),
-        Duration::from_millis(u64::from(deadline_ms) + 500),
-    )
+    let limit = Duration::from_millis(u64::from(deadline_ms) + 500);
+    exchange(front, request.as_bytes(), limit)
 }
 
 /// Sends a call of the operator or an engine to a control address.
--- a/review/harness/json.rs
+++ b/review/harness/json.rs
@@ -20,8 +20,19 @@
 /// Name of the only tenant.
 pub const TENANT: &str = "hule930";
 
-/// Returns a whole configuration with one tenant.
+/// Returns a whole configuration with one tenant that has one key.
 pub fn configuration(version: u64, routes: &[Route<'_>], services: &[&str]) -> String {
+    configuration_with_keys(version, routes, services, &[KEY])
+}
+
+/// Returns a whole configuration with one tenant that has these keys.
+pub fn configuration_with_keys(
+    version: u64,
+    routes: &[Route<'_>],
+    services: &[&str],
+    keys: &[&str],
+) -> String {
+    let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     let routes: Vec<_> = routes
         .iter()
         .map(|route| {
@@ -43,8 +54,9 @@
         })
         .collect();
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"{TENANT}","api-keys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"{TENANT}","api-keys":[{}],"priority":1}}]}}"#,
         routes.join(","),
-        services.join(",")
+        services.join(","),
+        keys.join(",")
     )
 }
