Review case 2: a part that sound prompts share is quarantined with the crashing one

Cause: parts that come together in all crashes are blamed alike, and a completion of more than 30 s ago does not count for a part.

--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -47,6 +47,19 @@
     call_with_key(front, KEY, method, path, attempt, deadline_ms, body)
 }
 
+/// Sends a prompt with these parts, the last of which is its own, and reads the stream to its end.
+pub fn prompt(front: SocketAddr, path: &str, attempt: &str, parts: &str) -> Answer {
+    let body = format!("the prompt of {attempt}");
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\n\
+         X-Merlinrudder-Model: m\r\nX-Merlinrudder-Token-Count: 1460,80\r\n\
+         X-Merlinrudder-Prompt-Prefix: {parts}\r\nX-Merlinrudder-Deadline-Ms: 10000\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    exchange(front, request.as_bytes(), Duration::from_secs(10))
+}
+
 /// Sends a client's request as `call` does, with another key.
 pub fn call_with_key(
     front: SocketAddr,
--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -1,9 +1,10 @@
 //! A stand-in of an engine, as a process of its own that registers itself and serves HTTP/1.1.
 //!
-//! What it does to a request follows from the path alone:
+//! What it does to a request follows from its path and the parts of its prompt alone:
 //! - `.../draft/...` is answered with a stream of events, all others with a plain body;
 //! - `slow` in the path: the work for a plain body takes longer;
 //! - `unframed` in the path: the answer has no length and ends with its channel;
+//! - a prompt with the part `CRASHING_PART` that isn't its last: the process crashes as it begins to answer;
 //! - `poison` in the path: the process crashes a moment after it began to run the request.
 //!
 //! It prints a line for each request that it runs or rejects, and one for each end of a run. It takes
@@ -23,6 +24,8 @@
 
 /// First argument of a process that is to be an engine.
 pub const ARGUMENT: &str = "engine";
+/// Part of a prompt that crashes each engine that begins to write an answer on it.
+pub const CRASHING_PART: &str = "91bd3f06";
 /// Bytes of each plain answer, as on the users' sheets.
 pub const PLAIN_BYTES: usize = 800;
 
@@ -352,6 +355,12 @@
         thread::sleep(state.settings.pause);
         std::process::abort();
     }
+    if has_crashing_part(request) {
+        let head = head(state, &attempt, 1, 0, "Transfer-Encoding: chunked\r\n");
+        stream.write_all(head.as_bytes())?;
+        thread::sleep(state.settings.pause);
+        std::process::abort();
+    }
     let running = state.running.fetch_add(1, Ordering::SeqCst) + 1;
     let result = if request.path.contains("/draft/") {
         send_stream(state, stream, request, &attempt, running)
@@ -371,6 +380,17 @@
     }
 }
 
+/// Whether a part of the prompt, other than the last, is the one that crashes engines.
+fn has_crashing_part(request: &Request) -> bool {
+    let parts = request.field("x-merlinrudder-prompt-prefix");
+    let mut parts: Vec<_> = parts
+        .split(',')
+        .map(|part| part.split(':').next())
+        .collect();
+    parts.pop();
+    parts.contains(&Some(CRASHING_PART))
+}
+
 /// The whole body of the plain answer to an attempt.
 pub fn plain_body(attempt: &str) -> String {
     let mut body = format!("answer to {attempt};");
