--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -33,7 +33,7 @@
         id: "i-7f3a91c2".to_owned(),
         service: "bokapp".to_owned(),
         zone: System::zone(0),
-        address: (system.engine_ip(0), 18_080).into(),
+        address: system.engine(0),
         controls: system.controls(),
         events: 1,
         pause: Duration::from_millis(50),
--- a/review/harness/system.rs
+++ b/review/harness/system.rs
@@ -14,6 +14,9 @@
 /// Number of control machines, one in each zone.
 pub const CONTROLS: usize = 3;
 
+/// Engines for which a free port is looked up.
+const MAX_ENGINES: u8 = 10;
+
 /// A process that is ended when this is dropped.
 pub struct Owned(pub Child);
 
@@ -76,9 +79,12 @@
         let seed = u16::try_from(std::process::id() % 1000).unwrap_or_default();
         for step in 0..200 {
             let base = 15_000 + (seed * 13 + step * 8) % 12_000;
-            let free = (0..CONTROLS + self.entries).all(|machine| {
+            let machines = (0..CONTROLS + self.entries).all(|machine| {
                 (0..8).all(|port| TcpListener::bind((self.ip(machine), base + port)).is_ok())
             });
+            let free = machines
+                && (0..MAX_ENGINES)
+                    .all(|number| TcpListener::bind((self.engine_ip(number), base + 7)).is_ok());
             if free {
                 return base;
             }
@@ -117,11 +123,15 @@
         SocketAddr::new(self.ip(CONTROLS + entry), self.base + 2)
     }
 
-    /// Address in the subnet for an engine.
-    pub fn engine_ip(&self, number: u8) -> IpAddr {
+    fn engine_ip(&self, number: u8) -> IpAddr {
         IpAddr::from([127, self.subnet, 2, 10 + number])
     }
 
+    /// Address of the engine with this number, from 0.
+    pub fn engine(&self, number: u8) -> SocketAddr {
+        SocketAddr::new(self.engine_ip(number), self.base + 7)
+    }
+
     pub fn data_dir(&self, machine: usize) -> PathBuf {
         self.folder.join(format!("data-{machine}"))
     }
