bug: the last revoked API key opened the service to everybody

Cause: whether callers need a key was read from the table of customers by key. An empty one stood for a deployment without customers, at the gateway and at the relay. Change: a configuration with the field `tenants` requires keys, whatever is in it; one without the field requires none. One function decides it for the gateway and the relay. Why it works: the requirement no longer depends on how many keys are left. Test before: `callers_are_refused_once_the_last_key_is_revoked` failed (200 in place of 401).

--- a/core/src/deployment.rs
+++ b/core/src/deployment.rs
@@ -131,6 +131,8 @@
     pub services: BTreeMap<ServiceName, Arc<ServiceRule>>,
     /// Customers by API key; a key belongs to one customer.
     keys: HashMap<Arc<str>, Arc<CustomerRule>>,
+    /// Whether callers need an API key; true also while no customer holds one.
+    keys_required: bool,
     /// Limits on requests and connections of callers.
     pub limits: CallerLimits,
     /// Ranks of the requests to each service; filled by `rank_services`.
@@ -165,6 +167,11 @@
         paths.insert(Arc::clone(&route.prefix), route).is_none()
     }
 
+    /// Requires an API key on all routes that are not public, whether or not any key is added.
+    pub const fn require_keys(&mut self) {
+        self.keys_required = true;
+    }
+
     /// Adds an API key; returns false if it belongs to another customer, be it of the same name.
     #[must_use]
     pub fn add_key(&mut self, key: Arc<str>, customer: &Arc<CustomerRule>) -> bool {
@@ -219,9 +226,9 @@
         customers.find(|customer| customer.name.as_str() == name)
     }
 
-    /// Returns whether API keys are configured; without any, callers need none.
+    /// Returns whether the route accepts a call with this customer, `None` for an unknown or missing key.
     #[must_use]
-    pub fn has_customers(&self) -> bool {
-        !self.keys.is_empty()
+    pub const fn admits(&self, route: &RouteRule, customer: Option<&Arc<CustomerRule>>) -> bool {
+        customer.is_some() || route.public || !self.keys_required
     }
 }
--- a/node/src/gateway/lookup.rs
+++ b/node/src/gateway/lookup.rs
@@ -74,7 +74,7 @@
 /// Finds the customer by the API key in the `Authorization` header.
 ///
 /// # Errors
-/// Refuses a missing or unknown key, unless the route is public or the deployment has no customers.
+/// Refuses a missing or unknown key, unless the route is public or the deployment requires no keys.
 fn find_customer(
     deployment: &Deployment,
     route: &RouteRule,
@@ -82,7 +82,7 @@
 ) -> Result<Option<Arc<CustomerRule>>, Refusal> {
     let key = text_header(headers, AUTHORIZATION.as_str()).and_then(headers::bearer_key);
     let customer = key.and_then(|key| deployment.customer(key)).cloned();
-    if customer.is_none() && deployment.has_customers() && !route.public {
+    if !deployment.admits(route, customer.as_ref()) {
         return Err(Refusal::not_run(RefusalReason::UnknownCustomer, None));
     }
     Ok(customer)
--- a/node/src/gateway/relay_ingress.rs
+++ b/node/src/gateway/relay_ingress.rs
@@ -117,7 +117,7 @@
 ) -> Result<Option<Arc<CustomerRule>>, Refusal> {
     let name = text_header(&head.headers, headers::CUSTOMER);
     let customer = name.and_then(|name| deployment.customer_named(name));
-    if customer.is_none() && deployment.has_customers() && !route.public {
+    if !deployment.admits(route, customer) {
         return Err(Refusal::not_run(RefusalReason::UnknownCustomer, None));
     }
     Ok(customer.cloned())
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -25,6 +25,7 @@
 mod platform;
 mod rate_limits;
 mod retry_budget;
+mod revoked_keys;
 mod server_notices;
 mod settings;
 mod silent_servers;
