bug: a customer whose last service is taken away may use all services

Cause: an empty list stood for "all", as did a missing one. Change: a missing list means all, an empty one none. Documents without the field read as before. Evidence and test before: `a_customer_without_listed_services_may_use_none` failed (2 services usable, 0 allowed). After: the manifest tests pass.

--- a/core/src/manifest.rs
+++ b/core/src/manifest.rs
@@ -126,15 +126,16 @@
     pub weight: u32,
     /// Maximum number of requests in progress in one zone; positive.
     pub max_running: u32,
-    /// Services that the customer may use; empty means all.
-    pub services: Vec<ServiceName>,
+    /// Services that the customer may use; `None` means all.
+    pub services: Option<Vec<ServiceName>>,
 }
 
 impl CustomerRule {
     /// Returns whether the customer may use this service.
     #[must_use]
     pub fn may_use(&self, service: &ServiceName) -> bool {
-        self.services.is_empty() || self.services.contains(service)
+        let listed = self.services.as_ref();
+        listed.is_none_or(|services| services.contains(service))
     }
 }
 
--- a/core/tests/integration/dispatch.rs
+++ b/core/tests/integration/dispatch.rs
@@ -48,7 +48,7 @@
             token: ContentDigest::of(name.as_bytes()),
             weight,
             max_running: 40,
-            services: Vec::new(),
+            services: None,
         };
         (rule.name.clone(), Arc::new(rule))
     };
--- a/ctl/src/replay/sample_manifest.rs
+++ b/ctl/src/replay/sample_manifest.rs
@@ -42,7 +42,7 @@
             token: ContentDigest([0; 32]),
             weight: if number < 2 { 4 } else { 1 },
             max_running: 2_000,
-            services: Vec::new(),
+            services: None,
         };
         (rule.name.clone(), Arc::new(rule))
     });
--- a/wire/src/manifest.rs
+++ b/wire/src/manifest.rs
@@ -106,9 +106,9 @@
     /// Maximum number of requests in progress in one zone; positive.
     #[serde(default = "default_max_running")]
     pub max_running: u32,
-    /// Services that the customer may use; empty means all.
-    #[serde(default)]
-    pub services: Vec<String>,
+    /// Services that the customer may use; all without this field, none if the list is empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub services: Option<Vec<String>>,
 }
 
 /// Scheduling policy of the dispatchers: a preset and the values that override it.
@@ -365,7 +365,7 @@
         format!("{field}.max_running"),
         "must be at least 1",
     );
-    for (index, service) in customer.services.iter().enumerate() {
+    for (index, service) in customer.services.iter().flatten().enumerate() {
         let known = services.contains(service.as_str());
         faults.require(
             known,
@@ -448,7 +448,9 @@
             token: token.unwrap_or(ContentDigest([0; 32])),
             weight: wire.weight,
             max_running: wire.max_running,
-            services: wire.services.into_iter().map(ServiceName::from).collect(),
+            services: wire
+                .services
+                .map(|services| services.into_iter().map(ServiceName::from).collect()),
         }
     }
 }
--- a/wire/tests/integration/manifests.rs
+++ b/wire/tests/integration/manifests.rs
@@ -4,7 +4,9 @@
 use std::path::PathBuf;
 
 use merlinrudder_core::manifest::{ManifestNumber, Policy};
+use merlinrudder_core::names::{CustomerName, ServiceName};
 use merlinrudder_wire::manifest::parse_manifest;
+use serde_json::{Value, json};
 
 fn samples_dir() -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../sample_configs")
@@ -29,6 +31,36 @@
     );
 }
 
+/// Guards against a customer that may use every service once its last one is taken away.
+#[test]
+fn a_customer_without_listed_services_may_use_none() {
+    let bytes = fs::read(samples_dir().join("cscva/manifest.json")).expect("sample file");
+    let mut document: Value = serde_json::from_slice(&bytes).expect("JSON");
+    let names: Vec<_> = document["services"]
+        .as_array()
+        .expect("a list of services")
+        .iter()
+        .map(|service| service["name"].as_str().expect("a name").to_owned())
+        .collect();
+    let mut usable = |listed: Option<Value>| {
+        let customer = document["customers"][0]
+            .as_object_mut()
+            .expect("a customer");
+        match listed {
+            Some(listed) => customer.insert("services".to_owned(), listed),
+            None => customer.remove("services"),
+        };
+        let customer = CustomerName::from(customer["name"].as_str().expect("a name"));
+        let manifest = parse_manifest(document.to_string().as_bytes()).expect("valid manifest");
+        let services = names.iter().map(|name| ServiceName::from(name.as_str()));
+        let rule = &manifest.customers[&customer];
+        services.filter(|service| rule.may_use(service)).count()
+    };
+    assert_eq!(usable(None), 2);
+    assert_eq!(usable(Some(json!([names[0]]))), 1);
+    assert_eq!(usable(Some(json!([]))), 0);
+}
+
 #[test]
 fn invalid_samples_report_every_invalid_field() {
     let folder = samples_dir().join("invalid");
