feature: logs and a gauge of who tells an entry VM the newest manifest

Change: an entry VM logs each control VM that it dials and where it has the address from, when no control VM in contact with the leader has told the newest manifest for 1.2 s and when one does again, and with each request without route or key what it knew. Control VMs log to whom they sent which manifest. A gauge has the age of the last confirmation. Nothing that decides is changed.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod completions;
 pub mod consensus;
 pub mod control;
+pub mod control_contact;
 pub mod crash_detector;
 pub mod crash_history;
 pub mod deployment;
--- a/core/src/manifest_pull.rs
+++ b/core/src/manifest_pull.rs
@@ -218,6 +218,14 @@
         self.sources.values().any(|source| source.number > have)
     }
 
+    /// Returns the highest number that a linked VM has advertised, and that VM.
+    #[must_use]
+    pub fn newest_source(&self) -> Option<(&VmId, ManifestNumber)> {
+        let sources = self.sources.iter();
+        let newest = sources.max_by_key(|(_, source)| source.number);
+        newest.map(|(vm, source)| (vm, source.number))
+    }
+
     /// Whether VMs of other zones may be asked.
     fn asks_other_zones(&self, now: Moment, have: ManifestNumber) -> bool {
         let mut sources = self.sources.values();
--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -31,7 +31,7 @@
 use self::input::{Input, InputSender};
 use self::state::Controller;
 use crate::clock::Clock;
-use crate::links::Links;
+use crate::links::{AddressSource, Links};
 use crate::replica::disk::OpenedDisk;
 use crate::timer::Timer;
 
@@ -89,7 +89,7 @@
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
-            links.dial(*seed, true);
+            links.dial(*seed, AddressSource::Settings);
         }
         let zones = Arc::new(config.zones.clone());
         tokio::spawn(api::serve(listener, inputs.clone(), zones, log.clone()));
--- a/node/src/controller/manifest_source.rs
+++ b/node/src/controller/manifest_source.rs
@@ -11,7 +11,7 @@
 use merlinrudder_wire::compression::compress;
 use merlinrudder_wire::manifest_update::WireManifestUpdate;
 use merlinrudder_wire::mesh::MeshMessage;
-use slog::debug;
+use slog::info;
 
 use super::state::Controller;
 use crate::digest::sha256;
@@ -98,7 +98,7 @@
         }
         if let Some(update) = self.manifests.update_since(ManifestNumber(have)) {
             metrics::count_manifest_sent(update.base() == ManifestNumber(0), update.bytes());
-            debug!(self.log, "Manifest sent"; "number" => update.number, "to" => %to,
+            info!(self.log, "Manifest sent"; "number" => update.number, "to" => %to, "have" => have,
                 "base" => update.base().0, "steps" => update.step_count(), "bytes" => update.bytes());
             self.send(to, &MeshMessage::ManifestUpdate(update));
         }
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -21,7 +21,7 @@
 use super::servers::ServerTracker;
 use crate::clock::Clock;
 use crate::crash_exchange::CrashExchange;
-use crate::links::{LinkEvent, Links};
+use crate::links::{AddressSource, LinkEvent, Links};
 use crate::metrics;
 use crate::replica::disk::OpenedDisk;
 use crate::replica::formation::ClusterFormation;
@@ -259,7 +259,7 @@
     /// Sends a newly linked VM all servers, the manifest number and the list of known VMs.
     fn handle_link_up(&mut self, now: Moment, peer: &WirePeer) {
         if peer.control {
-            self.links.dial(peer.address, false);
+            self.links.dial(peer.address, AddressSource::Handshake);
         }
         self.resolve_initial_vms();
         let vm = peer.vm_id();
@@ -334,7 +334,7 @@
             MeshMessage::ColdServers(servers) => self.handle_cold_servers(now, servers),
             MeshMessage::Peers(peers) => {
                 for peer in peers.iter().filter(|peer| peer.control) {
-                    self.links.dial(peer.address, false);
+                    self.links.dial(peer.address, AddressSource::PeerList);
                 }
             }
             // A control VM has no use for the other messages.
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -11,6 +11,7 @@
 mod buffered;
 mod capacity;
 mod cold;
+mod control_contact;
 mod crash_verdict;
 mod crash_watch;
 mod entry_links;
@@ -67,7 +68,7 @@
 
 use self::ingress::Sender;
 use self::state::{Gateway, StopStage};
-use crate::links::Links;
+use crate::links::{AddressSource, Links};
 
 /// Time that a stopping VM reports unready before it refuses requests.
 ///
@@ -144,11 +145,12 @@
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
-            links.dial(*seed, true);
+            links.dial(*seed, AddressSource::Settings);
         }
         let gateway = Rc::new(Gateway::new(&config, relay.token, links, log));
         spawn_local(link_events::run(Rc::clone(&gateway), receiver));
         spawn_local(manifest_sync::run(Rc::clone(&gateway)));
+        spawn_local(control_contact::run(Rc::clone(&gateway)));
         spawn_local(entry_links::release_later(Rc::clone(&gateway)));
         spawn_local(placement_sync::run(Rc::clone(&gateway)));
         spawn_local(rate_limits::run(Rc::clone(&gateway)));
--- a/node/src/gateway/entry_links.rs
+++ b/node/src/gateway/entry_links.rs
@@ -13,6 +13,7 @@
 use super::cold;
 use super::rate_limits;
 use super::state::Gateway;
+use crate::links::AddressSource;
 
 /// Time after the start after which a VM no longer waits for the placements of VMs that it cannot reach.
 const MAX_UNSEEN_TIME: Duration = Duration::from_secs(10);
@@ -25,7 +26,7 @@
     let linked = gateway.links.peers();
     for peer in peers.iter().chain(&linked) {
         if peer.control {
-            gateway.links.dial(peer.address, false);
+            gateway.links.dial(peer.address, AddressSource::PeerList);
         } else if peer.vm_id() != gateway.vm {
             addresses.push(peer.address);
             entry_vms.record(now, peer.vm_id());
--- a/node/src/gateway/lookup.rs
+++ b/node/src/gateway/lookup.rs
@@ -15,6 +15,7 @@
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 
+use super::control_contact;
 use super::header_fields::text_header;
 use super::refusal::retryable;
 use super::state::Gateway;
@@ -47,6 +48,7 @@
     {
         let changed = gateway.manifests.changed.notified();
         if timeout_at(give_up_at, changed).await.is_err() {
+            control_contact::log_denial(gateway, head, denial);
             info!(gateway.log, "Not denied by an outdated manifest"; "reason" => denial.reason.code());
             return Err(retryable(RefusalReason::NoManifest));
         }
@@ -54,6 +56,9 @@
             found = find_in(deployment, head);
         }
     }
+    if let Err(denial) = &found {
+        control_contact::log_denial(gateway, head, denial);
+    }
     found
 }
 
--- a/node/src/gateway/manifest_state.rs
+++ b/node/src/gateway/manifest_state.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex};
 
 use merlinrudder_core::control::PublishedManifest;
-use merlinrudder_core::manifest::ManifestNumber;
+use merlinrudder_core::control_contact::ControlContact;
 use merlinrudder_core::manifest_pull::ManifestPull;
 use merlinrudder_core::names::VmId;
+use merlinrudder_core::time::Moment;
 use merlinrudder_platform::config::ConfigReader;
 use tokio::sync::Notify;
 
@@ -33,13 +34,13 @@
     ///
     /// Set by a control VM in contact with the leader, and never reset.
     pub(super) confirmed: Cell<bool>,
-    /// Number that a control VM in contact with the leader last told as the newest.
-    pub(super) current: Cell<Option<ManifestNumber>>,
+    /// What control VMs in contact with the leader tell of the newest manifest.
+    pub(super) contact: RefCell<ControlContact>,
 }
 
 impl ManifestState {
     /// Creates the state of a VM without a manifest.
-    pub(super) fn new(vm: VmId) -> Self {
+    pub(super) fn new(vm: VmId, now: Moment) -> Self {
         Self {
             document: RefCell::default(),
             reader: Arc::default(),
@@ -48,7 +49,7 @@
             changed: Notify::new(),
             watch: RefCell::default(),
             confirmed: Cell::new(false),
-            current: Cell::new(None),
+            contact: RefCell::new(ControlContact::new(now)),
         }
     }
 }
--- a/node/src/gateway/manifest_sync.rs
+++ b/node/src/gateway/manifest_sync.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use super::cold;
+use super::control_contact;
 use super::entry_links;
 use super::manifest_decode::{DecodedManifest, ReceivedManifest};
 use super::state::Gateway;
@@ -38,8 +39,8 @@
     let mut pull = gateway.manifests.pull.borrow_mut();
     pull.advertised(from, newest, same_zone);
     drop(pull);
-    if current && newest > ManifestNumber(0) {
-        gateway.manifests.current.set(Some(newest));
+    if current {
+        control_contact::confirmed(gateway, from, newest);
     }
     let local_number = gateway.manifest_number();
     if newest <= local_number {
@@ -57,11 +58,9 @@
 /// Confirms the manifest in force if a VM in contact with the leader has told of no newer one.
 fn confirm(gateway: &Rc<Gateway>) {
     let number = gateway.manifest_number();
-    let is_newest = gateway
-        .manifests
-        .current
-        .get()
-        .is_some_and(|newest| newest <= number);
+    let contact = gateway.manifests.contact.borrow();
+    let newest = contact.last().map(|last| last.number);
+    let is_newest = newest.is_some_and(|newest| newest > ManifestNumber(0) && newest <= number);
     if is_newest && !gateway.manifests.confirmed.replace(true) {
         info!(gateway.log, "Manifest confirmed as the newest"; "number" => number.0);
         gateway.manifests.changed.notify_waiters();
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -128,10 +128,10 @@
         Self {
             outbox: RefCell::new(Outbox::new(zone.clone())),
             zone,
-            clock,
             links,
             deployment: RefCell::new(None),
-            manifests: ManifestState::new(vm.clone()),
+            manifests: ManifestState::new(vm.clone(), clock.now()),
+            clock,
             vm,
             fleet: RefCell::new(fleet),
             open_requests: OpenRequests::default(),
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -56,6 +56,28 @@
 /// Size of the read buffer of a link.
 const READ_BUFFER_BYTES: usize = 4096;
 
+/// How this VM learnt the address of another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AddressSource {
+    /// The settings name it as a seed; it is never given up.
+    Settings,
+    /// Another VM listed it.
+    PeerList,
+    /// The VM introduced itself on a link.
+    Handshake,
+}
+
+impl AddressSource {
+    /// Name in log lines.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Settings => "settings",
+            Self::PeerList => "peer_list",
+            Self::Handshake => "handshake",
+        }
+    }
+}
+
 /// Event on the links of this VM.
 #[derive(Debug)]
 pub enum LinkEvent {
@@ -124,11 +146,14 @@
 
     /// Connects to a VM and reconnects whenever the link is lost.
     ///
-    /// A `seed` is never given up, another address is after `MAX_CONNECT_FAILURES`. Must be called
-    /// on the runtime of `bind`.
-    pub fn dial(&self, address: SocketAddr, seed: bool) {
+    /// An address of the settings is never given up, another one is after `MAX_CONNECT_FAILURES`.
+    /// Must be called on the runtime of `bind`.
+    pub fn dial(&self, address: SocketAddr, source: AddressSource) {
         let is_local = address == self.shared.local_peer.address;
         if !is_local && self.shared.table.start_dialling(address).is_some() {
+            info!(self.shared.log, "Dialling a control VM"; "address" => %address,
+                "source" => source.name());
+            let seed = source == AddressSource::Settings;
             tokio::spawn(dial(Arc::clone(&self.shared), address, seed));
         }
     }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -15,7 +15,7 @@
 pub use self::disk::{count_compaction_skipped, count_disk_failure, set_disk_failing};
 pub use self::manifests::{
     count_manifest_pull, count_manifest_received, count_manifest_rejected, count_manifest_sent,
-    observe_manifest_in_force, set_manifest_heard,
+    observe_manifest_in_force, set_manifest_confirmation_age, set_manifest_heard,
 };
 pub use self::servers::{
     count_announcement, count_cold_left_out, count_dropped_event, count_leaving_answer,
--- a/node/src/metrics/manifests.rs
+++ b/node/src/metrics/manifests.rs
@@ -19,6 +19,11 @@
     gauge!("merlinrudder_manifest_heard").set(number as f64);
 }
 
+/// Sets the gauge of the time since a control VM in contact with the leader told the newest number.
+pub fn set_manifest_confirmation_age(age: Duration) {
+    gauge!("merlinrudder_manifest_confirmation_age_seconds").set(age.as_secs_f64());
+}
+
 /// Counts a request for a newer manifest by why its VM is asked.
 pub fn count_manifest_pull(reason: PullReason) {
     let reason = match reason {
--- a/node/tests/integration/links.rs
+++ b/node/tests/integration/links.rs
@@ -7,7 +7,7 @@
 
 use merlinrudder_core::link_policy::{DIAL_HELP_DELAY, LinkLoss};
 use merlinrudder_core::names::VmId;
-use merlinrudder_node::links::{LinkEvent, Links};
+use merlinrudder_node::links::{AddressSource, LinkEvent, Links};
 use merlinrudder_node::logging::discard;
 use merlinrudder_wire::mesh::{MeshMessage, WireFeatures};
 use merlinrudder_wire::peers::WirePeer;
@@ -73,7 +73,7 @@
     /// Dials whether there is a link or not, as control VMs and earlier versions do.
     fn dial(&self, other: &Self) {
         let _entered = self.runtime.enter();
-        self.links.dial(other.peer.address, true);
+        self.links.dial(other.peer.address, AddressSource::Settings);
     }
 
     fn count_events(&self, matches: impl Fn(&LinkEvent) -> bool) -> usize {
