bug: an entry VM that missed the replacement of all control VMs stayed on its old configuration

Cause: an entry VM learns control VMs from its settings at the start, and from control VMs. While it can't hear of them (stopped, or cut off) all three may be replaced, one after the other. It then has links to all other entry VMs and knows no control VM that still runs; nobody dials it, and entry VMs told each other of no control VM. Evidence: processes on loopback, one entry VM stopped from 3 s before the first until after the third replacement: it stayed on version 2 while 3 to 9 were confirmed, with no control VM linked and no higher number heard. The record of the users fits (a whole older configuration at one VM 13 s after the confirmation, three replacements before); the log of that VM is not in it, so that it is the same is likely, not shown. Change: an entry VM that for 1.2 s has heard from no control VM in contact with the leader asks three other entry VMs each second for the control VMs with which they have links, and dials those. VMs of earlier builds are not asked. Why it works: a VM that reaches any entry VM with a link to the core finds the core within about two seconds.

--- a/core/src/control_contact.rs
+++ b/core/src/control_contact.rs
@@ -15,6 +15,11 @@
 /// VM knows of a manifest within 2 s of its publication, or that it may have missed one.
 pub const RECENT_CONFIRMATION: Duration = Duration::from_millis(1200);
 
+/// Interval at which other entry VMs are asked for control VMs.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of entry VMs that are asked at a time.
+const MAX_ASKED: usize = 3;
+
 /// What a control VM in contact with the leader told last.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Confirmation {
@@ -33,6 +38,10 @@
     last: Option<Confirmation>,
     /// Whether the lack of a recent confirmation was reported.
     is_lost: bool,
+    /// When entry VMs were last asked for control VMs; `None` if never.
+    asked_at: Option<Moment>,
+    /// Number of entry VMs asked so far.
+    asked: usize,
 }
 
 impl ControlContact {
@@ -43,6 +52,8 @@
             start,
             last: None,
             is_lost: false,
+            asked_at: None,
+            asked: 0,
         }
     }
 
@@ -79,4 +90,21 @@
         let is_lost = self.age(now) > RECENT_CONFIRMATION;
         is_lost && !std::mem::replace(&mut self.is_lost, true)
     }
+
+    /// Returns which of the linked entry VMs to ask for control VMs now, each in its turn.
+    ///
+    /// All control VMs that this VM knows may have been replaced while it could not hear of it.
+    pub fn asks(&mut self, now: Moment, entry_vms: &[VmId]) -> Vec<VmId> {
+        let is_early = self.asked_at.is_some_and(|at| now.since(at) < ASK_INTERVAL);
+        if self.age(now) <= RECENT_CONFIRMATION || is_early || entry_vms.is_empty() {
+            return Vec::new();
+        }
+        self.asked_at = Some(now);
+        let count = entry_vms.len().min(MAX_ASKED);
+        let turn = (self.asked..).take(count);
+        let vms = turn.map(|number| entry_vms[number % entry_vms.len()].clone());
+        let vms: Vec<_> = vms.collect();
+        self.asked += count;
+        vms
+    }
 }
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod cold_servers;
 mod consensus;
 mod control;
+mod control_contact;
 mod crash_blame;
 mod crash_detector;
 mod crash_history;
--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -31,6 +31,8 @@
 
 /// Last byte of the first node's address.
 const FIRST_HOST: u8 = 10;
+/// Last byte of the address of the first control VM that replaces another one.
+const FIRST_REPLACEMENT: u8 = 100;
 /// Ports of each node.
 const PORTS: u16 = 6;
 /// Ports from which those of a deployment are drawn.
@@ -56,6 +58,10 @@
     entry_args: Vec<String>,
     /// Time from SIGTERM to SIGKILL that a starting node is told, in seconds.
     grace_seconds: AtomicU64,
+    /// Control VMs that a starting node is told as its seeds.
+    seeds: Vec<IpAddr>,
+    /// Number of control VMs that were replaced.
+    replacements: u8,
 }
 
 /// What a backend server says of itself in a heartbeat.
@@ -109,12 +115,15 @@
                 child: Mutex::new(None),
             }
         });
+        let nodes: Vec<_> = nodes.collect();
         let nodes = Self {
+            seeds: nodes.iter().take(CONTROL_VMS).map(|n| n.ip).collect(),
+            replacements: 0,
             program: program.to_owned(),
             folder: tempfile::tempdir()?,
             subnet,
             ports: [base, base + 1, base + 2, base + 3],
-            processes: nodes.collect(),
+            processes: nodes,
             entry_args: entry_args.iter().map(ToString::to_string).collect(),
             grace_seconds: AtomicU64::new(GRACE_SECONDS),
         };
@@ -162,12 +171,10 @@
 
     /// Returns the text of a node's settings file.
     fn settings(&self, index: usize, bootstrap: bool) -> Result<String> {
-        let subnet = self.subnet;
         let grace = self.grace_seconds.load(Ordering::Relaxed);
         let [control, callers, ready, internal] = self.ports;
-        let seeds: Vec<_> = (FIRST_HOST..FIRST_HOST + 3)
-            .map(|host| format!("127.77.{subnet}.{host}:{control}"))
-            .collect();
+        let seeds = self.seeds.iter();
+        let seeds: Vec<_> = seeds.map(|ip| format!("{ip}:{control}")).collect();
         let NodeProcess { name, ip, .. } = &self.processes[index];
         let mut text = format!(
             "node={name}\nzone=z{}\nip={ip}\nseeds={}\nbootstrap={bootstrap}\n\
@@ -190,6 +197,41 @@
         Ok(text)
     }
 
+    /// Kills a control VM for good, and starts one with another name, address and empty disk in its place.
+    ///
+    /// The new VM has the index of the old one. It is told the other control VMs as its seeds; nodes
+    /// that start later are told the same seeds as before.
+    ///
+    /// # Errors
+    /// Fails if a process cannot be killed or started.
+    pub fn replace_control(&mut self, index: usize) -> Result<()> {
+        self.kill(index)?;
+        self.replacements += 1;
+        let number = self.replacements;
+        self.processes[index] = NodeProcess {
+            name: format!("control-{index}-{number}"),
+            ip: IpAddr::from([127, 77, self.subnet, FIRST_REPLACEMENT + number]),
+            child: Mutex::new(None),
+        };
+        let control_vms = self.control_ips();
+        let seeds = std::mem::replace(&mut self.seeds, control_vms);
+        let started = self.start(index, false);
+        self.seeds = seeds;
+        started
+    }
+
+    /// Returns the addresses of the control VMs as they are now.
+    fn control_ips(&self) -> Vec<IpAddr> {
+        let control = self.processes.iter().take(CONTROL_VMS);
+        control.map(|node| node.ip).collect()
+    }
+
+    /// Returns the name of a node.
+    #[must_use]
+    pub fn name(&self, index: usize) -> &str {
+        &self.processes[index].name
+    }
+
     fn child(&self, index: usize) -> std::sync::MutexGuard<'_, Option<Child>> {
         let child = self.processes[index].child.lock();
         child.unwrap_or_else(std::sync::PoisonError::into_inner)
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -269,6 +269,7 @@
             | MeshMessage::Capacities(_)
             | MeshMessage::ManifestUpdate(_)
             | MeshMessage::PromptReceived(_)
+            | MeshMessage::PullControlVms
             | MeshMessage::CrashReports(_)
             | MeshMessage::Evacuations(_)
             | MeshMessage::NewestManifest { .. }
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -142,6 +142,7 @@
             manifest_updates: true,
             compressed_frames: true,
             received_prompts: true,
+            control_lists: true,
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/node/src/gateway/control_contact.rs
+++ b/node/src/gateway/control_contact.rs
@@ -1,4 +1,5 @@
-//! Contact with the control VMs that know the newest manifest: when it is lost, and what is known then.
+//! Contact with the control VMs that know the newest manifest: when it is lost, what is known then, and
+//! whom this VM asks for others.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,12 +10,14 @@
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::outcome::Refusal;
 use merlinrudder_platform::headers;
+use merlinrudder_wire::mesh::MeshMessage;
 use merlinrudder_wire::peers::WirePeer;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::time::sleep;
 
 use super::header_fields::text_header;
 use super::state::Gateway;
+use crate::links::AddressSource;
 use crate::metrics;
 
 /// Interval at which the contact is looked at.
@@ -34,20 +37,50 @@
     }
 }
 
-/// Logs and measures the lack of contact until the process exits.
+/// Measures the contact, and asks other entry VMs for control VMs while there is none.
+///
+/// Ends with the process.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     loop {
         sleep(CHECK_INTERVAL).await;
-        let now = gateway.now();
-        let mut contact = gateway.manifests.contact.borrow_mut();
-        let age = contact.age(now);
-        metrics::set_manifest_confirmation_age(age);
-        if contact.newly_lost(now) {
-            let last = contact.last().map(|last| last.from.to_string());
-            warn!(gateway.log, "No control VM tells the newest manifest";
-                "age_ms" => age.as_millis(), "last" => last, "linked" => linked_control_vms(&gateway),
-                "manifest" => gateway.manifest_number().0);
-        }
+        check(&gateway);
+    }
+}
+
+fn check(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut contact = gateway.manifests.contact.borrow_mut();
+    let age = contact.age(now);
+    metrics::set_manifest_confirmation_age(age);
+    if contact.newly_lost(now) {
+        let last = contact.last().map(|last| last.from.to_string());
+        warn!(gateway.log, "No control VM tells the newest manifest";
+            "age_ms" => age.as_millis(), "last" => last, "linked" => linked_control_vms(gateway),
+            "manifest" => gateway.manifest_number().0);
+    }
+    if contact.is_recent(now) {
+        return;
+    }
+    let entry_vms = gateway.links.vms_with(|features| features.control_lists);
+    let asked = contact.asks(now, &entry_vms);
+    gateway.links.send_all(&asked, &MeshMessage::PullControlVms);
+}
+
+/// Tells another entry VM the control VMs with which this one has a link.
+pub(super) fn answer(gateway: &Gateway, from: &VmId) {
+    let mut peers = gateway.links.peers();
+    peers.retain(|peer| peer.control);
+    if peers.is_empty() {
+        return;
+    }
+    debug!(gateway.log, "Control VMs listed for an entry VM"; "to" => %from, "vms" => peers.len());
+    gateway.links.send(from, &MeshMessage::Peers(peers));
+}
+
+/// Connects to the control VMs that another entry VM has listed.
+pub(super) fn receive(gateway: &Gateway, listed: &[WirePeer]) {
+    for peer in listed.iter().filter(|peer| peer.control) {
+        gateway.links.dial(peer.address, AddressSource::EntryVm);
     }
 }
 
--- a/node/src/gateway/link_events.rs
+++ b/node/src/gateway/link_events.rs
@@ -15,6 +15,7 @@
 
 use super::capacity;
 use super::cold;
+use super::control_contact;
 use super::crash_verdict;
 use super::crash_watch;
 use super::entry_links;
@@ -108,7 +109,11 @@
             }
         }
         MeshMessage::ColdServers(servers) => cold::receive(gateway, servers),
+        MeshMessage::Peers(peers) if is_entry_vm(gateway, from) => {
+            control_contact::receive(gateway, &peers);
+        }
         MeshMessage::Peers(peers) => entry_links::receive(gateway, &peers),
+        MeshMessage::PullControlVms => control_contact::answer(gateway, from),
         MeshMessage::NewestManifest { number, current } => {
             manifest_sync::receive_number(gateway, from, ManifestNumber(number), current);
         }
@@ -138,6 +143,13 @@
     }
 }
 
+fn is_entry_vm(gateway: &Gateway, vm: &VmId) -> bool {
+    let linked = gateway.links.peers();
+    linked
+        .iter()
+        .any(|peer| !peer.control && peer.vm_id() == *vm)
+}
+
 /// Merges a record of a backend server, which was current at `heard_at`.
 ///
 /// A later lifetime shows that an earlier one, which has not said goodbye, has crashed.
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -61,8 +61,10 @@
 pub enum AddressSource {
     /// The settings name it as a seed; it is never given up.
     Settings,
-    /// Another VM listed it.
+    /// A control VM listed it.
     PeerList,
+    /// An entry VM listed it.
+    EntryVm,
     /// The VM introduced itself on a link.
     Handshake,
 }
@@ -73,6 +75,7 @@
         match self {
             Self::Settings => "settings",
             Self::PeerList => "peer_list",
+            Self::EntryVm => "entry_vm",
             Self::Handshake => "handshake",
         }
     }
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -24,6 +24,7 @@
 mod planned_stop;
 mod platform;
 mod rate_limits;
+mod replaced_control_vms;
 mod retry_budget;
 mod revoked_keys;
 mod server_notices;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -153,6 +153,10 @@
     ///
     /// Only sent to VMs with [`WireFeatures::received_prompts`].
     PromptReceived(WireReceivedPrompt),
+    /// Asks an entry VM for the control VMs with which it has a link; answered with `Peers`.
+    ///
+    /// Only sent to VMs with [`WireFeatures::control_lists`].
+    PullControlVms,
 }
 
 /// Abilities of a VM that earlier versions lack.
@@ -181,6 +185,8 @@
     pub compressed_frames: bool,
     /// Whether it understands `PromptReceived`.
     pub received_prompts: bool,
+    /// Whether it is an entry VM that answers `PullControlVms`.
+    pub control_lists: bool,
 }
 
 impl WireFeatures {
@@ -198,6 +204,7 @@
         features.manifest_updates = take_appended(&mut rest)?;
         features.compressed_frames = take_appended(&mut rest)?;
         features.received_prompts = take_appended(&mut rest)?;
+        features.control_lists = take_appended(&mut rest)?;
         Ok(features)
     }
 }
