--- a/node/src/gateway/control_contact.rs
+++ b/node/src/gateway/control_contact.rs
@@ -89,14 +89,14 @@
     let contact = gateway.manifests.contact.borrow();
     let last = contact.last();
     let pull = gateway.manifests.pull.borrow();
-    let heard = pull.newest_source();
+    let source = pull.newest_source();
     info!(gateway.log, "Request not allowed by the manifest";
         "request" => text_header(&head.headers, headers::ATTEMPT), "reason" => denial.reason.code(),
         "manifest" => gateway.manifest_number().0,
         "told" => last.map(|last| last.number.0), "told_by" => last.map(|last| last.from.to_string()),
         "told_ms" => contact.age(gateway.now()).as_millis(),
-        "heard" => heard.map(|(_, number)| number.0),
-        "heard_from" => heard.map(|(vm, _)| vm.to_string()));
+        "heard" => source.map(|(_, number)| number.0),
+        "heard_from" => source.map(|(vm, _)| vm.to_string()));
 }
 
 /// Describes the control VMs with an open link for the log, as in `core-1 core-2`.
