bug: an entry VM denied requests for good by a manifest that nobody confirmed any more

Callers saw: an entry VM that had lost all control VMs answered 404 and 401 to requests that newer configurations allow. These answers are final; no caller tries again. Cause: once any control VM in contact with the leader had confirmed a manifest, it counted as the newest for as long as the process lived, unless a linked control VM told of a newer one. A VM without links hears of none. Change: a manifest denies requests for 1.2 s after it was last confirmed; without that a request without a route or key waits 0.5 s for a newer manifest or a confirmation and then gets 503 with Retry-After. The bound follows from the 2 s in which a configuration must be in force, less the 0.7 s of contact with the leader that a control VM's word may be old. What a manifest allows is served as before. Test before: `an_entry_vm_without_control_vms_denies_no_request_for_good` failed (404 in place of 503). After: passes. Ruled out: to report such a VM unready. While the whole core is down that would hold for all VMs.

--- a/core/src/control_contact.rs
+++ b/core/src/control_contact.rs
@@ -9,7 +9,7 @@
 use crate::names::VmId;
 use crate::time::Moment;
 
-/// Age up to which a confirmation is recent.
+/// Age up to which a confirmation is recent, and a manifest may deny requests by it.
 ///
 /// The number is told each 0.4 s, by a VM that heard from the leader 0.7 s before at most, so an entry
 /// VM knows of a manifest within 2 s of its publication, or that it may have missed one.
--- a/node/src/gateway/control_contact.rs
+++ b/node/src/gateway/control_contact.rs
@@ -31,6 +31,9 @@
         at: gateway.now(),
     };
     let mut contact = gateway.manifests.contact.borrow_mut();
+    if !contact.is_recent(confirmation.at) {
+        gateway.manifests.changed.notify_waiters();
+    }
     if let Some(lost_for) = contact.confirmed(confirmation) {
         info!(gateway.log, "Newest manifest told again"; "from" => %from, "number" => number.0,
             "after_ms" => lost_for.as_millis());
--- a/node/src/gateway/lookup.rs
+++ b/node/src/gateway/lookup.rs
@@ -1,7 +1,7 @@
 //! Finds the route and the customer of a request.
 //!
 //! A manifest denies a request only if it is known to be the newest: a request for which it has no
-//! route or key waits a short time for the newer one.
+//! route or key waits a short time for a newer one, or until a control VM confirms the manifest again.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,7 +49,7 @@
         let changed = gateway.manifests.changed.notified();
         if timeout_at(give_up_at, changed).await.is_err() {
             control_contact::log_denial(gateway, head, denial);
-            info!(gateway.log, "Not denied by an outdated manifest"; "reason" => denial.reason.code());
+            info!(gateway.log, "Not denied, as the manifest may be outdated"; "reason" => denial.reason.code());
             return Err(retryable(RefusalReason::NoManifest));
         }
         if let Some(deployment) = gateway.deployment() {
--- a/node/src/gateway/state.rs
+++ b/node/src/gateway/state.rs
@@ -173,10 +173,13 @@
         deployment.map_or(ManifestNumber(0), |deployment| deployment.number)
     }
 
-    /// Whether the manifest in force was confirmed, and no newer one is known.
+    /// Whether the manifest in force was confirmed, lately again, and no newer one is known.
     pub(super) fn has_newest_manifest(&self) -> bool {
         let pull = self.manifests.pull.borrow();
-        self.manifests.confirmed.get() && !pull.is_behind(self.manifest_number())
+        let contact = self.manifests.contact.borrow();
+        self.manifests.confirmed.get()
+            && contact.is_recent(self.now())
+            && !pull.is_behind(self.manifest_number())
     }
 
     /// Whether the load balancer should send callers to this VM.
--- a/node/tests/integration/replaced_control_vms.rs
+++ b/node/tests/integration/replaced_control_vms.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use merlinrudder_fakes::backend::FakeBackend;
-use merlinrudder_fakes::http_client::send_customer_request;
+use merlinrudder_fakes::http_client::{send_customer_request, send_request_with_key};
 use merlinrudder_fakes::nodes::{CONTROL_VMS, Nodes, sample_configuration, wait_for};
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -64,7 +64,7 @@
     wait_for("closed links", || {
         let lost = format!("\"peer\":\"{}\"", nodes.name(missing));
         let has_lost = |index| {
-            let log: String = nodes.log(index);
+            let log = nodes.log(index);
             let mut lines = log.lines();
             lines.any(|line| line.contains("Link lost") && line.contains(&lost))
         };
@@ -80,3 +80,30 @@
     publish_version(&nodes, version + 1);
     await_in_force(&nodes, missing, version + 1);
 }
+
+/// Guards against final answers by a manifest of which nobody tells any more whether it is the newest.
+#[test]
+fn an_entry_vm_without_control_vms_denies_no_request_for_good() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake backend server listens");
+    let nodes = start_deployment(1, &[&server]);
+    let callers = nodes.callers_address(CONTROL_VMS);
+    let status = |path: &str, key| send_request_with_key(callers, path, "denied", key).status;
+    assert_eq!(status("GET /nowhere/x", "k1"), 404);
+    assert_eq!(status("GET /read/x", "unknown"), 401);
+    for index in 0..CONTROL_VMS {
+        nodes.kill(index).expect("control VM killed");
+    }
+    wait_for("the lost contact", || {
+        nodes
+            .log(CONTROL_VMS)
+            .contains("No control VM tells the newest manifest")
+    });
+    assert_eq!(status("GET /nowhere/x", "k1"), 503);
+    assert_eq!(status("GET /read/x", "unknown"), 503);
+    assert_eq!(status("GET /read/x", "k1"), 200);
+    for index in 0..CONTROL_VMS {
+        nodes.start(index, false).expect("control VM started");
+    }
+    wait_for("a final answer", || status("GET /nowhere/x", "k1") == 404);
+    wait_for("a final answer", || status("GET /read/x", "unknown") == 401);
+}
