bug: VMs that start with outdated seeds never found the control VMs

Cause: where other VMs can be reached stood in the settings alone, which were read at the start only. The control log has the names of the voters, not their addresses, and control VMs never dialled entry VMs. Change: control VMs keep the addresses of all VMs in the file `peers` of their data folder (written by a thread of its own, when it has changed, each 2 s at most) and dial them at the start. They dial entry VMs that have had no link for 2 s. All VMs read the seeds in the settings file each 2 s and on SIGHUP, and dial them. Why it works: a voter finds the last voters at their last addresses, also when no seed is left; an entry VM is found by any control VM that knew it, or finds one as soon as its settings are rewritten. The file may be lost; seeds work as before then.

--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -220,12 +220,46 @@
         started
     }
 
+    /// Starts a further entry VM that is told these seeds; returns its index.
+    ///
+    /// # Errors
+    /// Fails if its process cannot be started.
+    pub fn add_entry(&mut self, seeds: Vec<IpAddr>) -> Result<usize> {
+        let index = self.processes.len();
+        let host = FIRST_HOST + u8::try_from(index)?;
+        self.processes.push(NodeProcess {
+            name: format!("entry-{index}"),
+            ip: IpAddr::from([127, 77, self.subnet, host]),
+            child: Mutex::new(None),
+        });
+        let seeds = std::mem::replace(&mut self.seeds, seeds);
+        let started = self.start(index, false);
+        self.seeds = seeds;
+        started.map(|()| index)
+    }
+
+    /// Writes the settings file of a node as it would be written at its next start.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written.
+    pub fn rewrite_settings(&self, index: usize) -> Result<()> {
+        let name = &self.processes[index].name;
+        let file = self.folder.path().join(format!("{name}.conf"));
+        Ok(fs::write(&file, self.settings(index, false)?)?)
+    }
+
     /// Returns the addresses of the control VMs as they are now.
     fn control_ips(&self) -> Vec<IpAddr> {
         let control = self.processes.iter().take(CONTROL_VMS);
         control.map(|node| node.ip).collect()
     }
 
+    /// Returns the size of the file in which a control VM keeps the addresses of others; 0 without it.
+    #[must_use]
+    pub fn kept_bytes(&self, index: usize) -> u64 {
+        fs::metadata(self.data_dir(index).join("peers")).map_or(0, |file| file.len())
+    }
+
     /// Returns the name of a node.
     #[must_use]
     pub fn name(&self, index: usize) -> &str {
--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod evacuations;
 mod input;
+mod known_peers;
 mod manifest_source;
 mod servers;
 mod state;
@@ -65,6 +66,7 @@
 #[derive(Debug)]
 pub struct RunningController {
     inputs: InputSender,
+    links: Links,
 }
 
 impl RunningController {
@@ -93,8 +95,14 @@
         }
         let zones = Arc::new(config.zones.clone());
         tokio::spawn(api::serve(listener, inputs.clone(), zones, log.clone()));
-        spawn_thread(config, links, inputs.clone(), receiver, log)?;
-        Ok(Self { inputs })
+        spawn_thread(config, links.clone(), inputs.clone(), receiver, log)?;
+        Ok(Self { inputs, links })
+    }
+
+    /// Returns the links to other VMs.
+    #[must_use]
+    pub fn links(&self) -> &Links {
+        &self.links
     }
 
     /// Transfers the leadership and waits for pending calls; the process may exit afterwards.
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -17,6 +17,7 @@
 use super::ControllerConfig;
 use super::calls::PendingCalls;
 use super::input::{Input, InputSender};
+use super::known_peers::KnownPeers;
 use super::manifest_source::ManifestSource;
 use super::servers::ServerTracker;
 use crate::clock::Clock;
@@ -57,6 +58,8 @@
     next_advertise: Moment,
     /// When the linked VMs are sent the list of known VMs.
     peer_list: PeerListSchedule,
+    /// The other VMs, as they are kept for the next start.
+    known_peers: KnownPeers,
     was_leader: bool,
     pub(super) log: Logger,
 }
@@ -74,6 +77,8 @@
         let now = clock.now();
         let report = move |report| inputs.send(Input::Disk(report));
         let own = config.local_peer.vm_id();
+        let known_peers = KnownPeers::open(now, &config.data_dir, &log)?;
+        dial_kept(&links, known_peers.kept());
         let mut replica = Replica::open(now, &own, disk, report, &log)?;
         replica
             .consensus
@@ -100,6 +105,7 @@
             advertised: 0,
             next_advertise: now,
             peer_list: PeerListSchedule::default(),
+            known_peers,
             was_leader: false,
             log,
         })
@@ -169,6 +175,9 @@
         if self.peer_list.is_due(now) {
             self.send_peers(now);
         }
+        if self.known_peers.is_due(now) {
+            self.save_peers(now);
+        }
         let is_leader = self.replica.consensus.is_leader();
         if is_leader != self.was_leader {
             self.was_leader = is_leader;
@@ -260,7 +269,10 @@
     fn handle_link_up(&mut self, now: Moment, peer: &WirePeer) {
         if peer.control {
             self.links.dial(peer.address, AddressSource::Handshake);
+        } else {
+            self.links.help_dial(peer.address);
         }
+        self.known_peers.linked(now, peer);
         self.resolve_initial_vms();
         let vm = peer.vm_id();
         self.send_all_cold(now, &vm);
@@ -438,6 +450,14 @@
         self.links.send_all(&entries, &newest);
     }
 
+    /// Keeps the known VMs for the next start.
+    fn save_peers(&mut self, now: Moment) {
+        let linked = self.links.peers();
+        let voters = self.replica.consensus.voters().iter();
+        let voters: Vec<_> = voters.map(|voter| voter.vm.clone()).collect();
+        self.known_peers.save(now, &linked, &voters);
+    }
+
     /// Returns all linked VMs and this one.
     fn known_peers(&self) -> Vec<WirePeer> {
         let mut peers = self.links.peers();
@@ -455,3 +475,14 @@
         self.links.send_all(&others, &MeshMessage::Peers(peers));
     }
 }
+
+/// Connects to the VMs that were kept from before the start.
+fn dial_kept(links: &Links, kept: &[WirePeer]) {
+    for peer in kept {
+        if peer.control {
+            links.dial(peer.address, AddressSource::Kept);
+        } else {
+            links.help_dial(peer.address);
+        }
+    }
+}
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -178,6 +178,12 @@
         })
     }
 
+    /// Returns the links to other VMs.
+    #[must_use]
+    pub fn links(&self) -> &Links {
+        &self.gateway.links
+    }
+
     /// Stops gracefully: reports unready, then closes idle connections and drains busy ones.
     ///
     /// Returns once all connections are closed, or shortly before the stop timeout. Each request that
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod published;
 pub mod replica;
 pub mod roles;
+mod seed_watch;
 pub mod sockets;
 pub mod timer;
 pub mod vm;
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -15,7 +15,7 @@
 
 use anyhow::{Result, anyhow, bail};
 use merlinrudder_core::link_policy::{
-    IDLE_CHECK_INTERVAL, IdleLimits, LinkLoss, connect_retry_delay, dial_delay,
+    DIAL_HELP_DELAY, IDLE_CHECK_INTERVAL, IdleLimits, LinkLoss, connect_retry_delay, dial_delay,
 };
 use merlinrudder_core::names::VmId;
 use merlinrudder_wire::mesh::{
@@ -67,6 +67,8 @@
     EntryVm,
     /// The VM introduced itself on a link.
     Handshake,
+    /// It was kept in the data folder from before the start.
+    Kept,
 }
 
 impl AddressSource {
@@ -77,6 +79,7 @@
             Self::PeerList => "peer_list",
             Self::EntryVm => "entry_vm",
             Self::Handshake => "handshake",
+            Self::Kept => "kept",
         }
     }
 }
@@ -168,11 +171,23 @@
     /// the calls. An unreachable address is given up after
     /// `MAX_CONNECT_FAILURES`. Must be called on the runtime of `bind`.
     pub fn dial_pair(&self, address: SocketAddr) {
+        self.keep_link(address, dial_delay(self.shared.local_peer.address, address));
+    }
+
+    /// Keeps one link to a VM that usually dials this one, as `dial_pair` does.
+    ///
+    /// This VM dials after `DIAL_HELP_DELAY` without a link, in case the other one does not know it.
+    pub fn help_dial(&self, address: SocketAddr) {
+        self.keep_link(address, DIAL_HELP_DELAY);
+    }
+
+    /// Dials an address whenever no link is open to its VM for `delay`.
+    fn keep_link(&self, address: SocketAddr, delay: Duration) {
         if address == self.shared.local_peer.address {
             return;
         }
         if let Some(lost) = self.shared.table.start_dialling(address) {
-            tokio::spawn(dial_pair(Arc::clone(&self.shared), address, lost));
+            tokio::spawn(keep_link(Arc::clone(&self.shared), address, delay, lost));
         }
     }
 
@@ -255,9 +270,8 @@
     give_up(&shared, address);
 }
 
-/// Dials whenever no link is open to a VM for the delay that its address asks for.
-async fn dial_pair(shared: Arc<Shared>, address: SocketAddr, lost: Arc<Notify>) {
-    let delay = dial_delay(shared.local_peer.address, address);
+/// Dials whenever no link is open to a VM for `delay`.
+async fn keep_link(shared: Arc<Shared>, address: SocketAddr, delay: Duration, lost: Arc<Notify>) {
     let mut failures = 0;
     while failures < MAX_CONNECT_FAILURES {
         wait_unlinked(&shared, address, delay, &lost).await;
--- a/node/src/roles.rs
+++ b/node/src/roles.rs
@@ -1,23 +1,29 @@
 //! Roles of a process on the hosting platform, started from the platform's settings file.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::{Context, Result};
 use merlinrudder_platform::settings::{self, NodeSettings};
 use merlinrudder_wire::peers::WirePeer;
-use slog::{Logger, error, info};
+use slog::{Logger, info};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::controller::{ControllerConfig, RunningController};
 use crate::gateway::{GatewayConfig, RunningGateway};
 use crate::options::args::{Role, RoleFlags};
+use crate::seed_watch::SeedWatch;
 use crate::{logging, metrics, metrics_port};
 
 /// Port of the metrics; must match `deploy/system.toml`.
 const METRICS_PORT: u16 = 9464;
 
+/// Interval at which the settings file is read for new seeds.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Runs a role until the process receives SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -39,7 +45,7 @@
         tokio::spawn(metrics_port::serve(metrics_addr, log.clone()));
         match role {
             Role::Entry => run_entry(&settings, flags, &log).await,
-            Role::Control => run_control(settings, &log).await,
+            Role::Control => run_control(&settings, &log).await,
         }
     })
 }
@@ -62,28 +68,31 @@
     };
     let mut signals = Signals::new()?;
     let running = RunningGateway::spawn(config, log).await?;
-    signals.wait_for_stop(log).await;
+    let mut seeds = SeedWatch::new(running.links().clone(), settings, log);
+    signals.wait_for_stop(&mut seeds, log).await;
     running.stop().await;
     Ok(())
 }
 
-async fn run_control(settings: NodeSettings, log: &Logger) -> Result<()> {
+async fn run_control(settings: &NodeSettings, log: &Logger) -> Result<()> {
     let config = ControllerConfig {
-        local_peer: local_peer(&settings, true),
+        local_peer: local_peer(settings, true),
         api_addr: settings
             .control_address
             .context("the settings lack listen.control, the address for operators")?,
-        seeds: seed_addresses(&settings),
+        seeds: seed_addresses(settings),
         bootstrap: settings.bootstrap,
         data_dir: settings
             .data_dir
+            .clone()
             .context("the settings lack data-dir, the data folder")?,
         tolerated_losses: settings.tolerated_losses,
-        zones: settings.zones,
+        zones: settings.zones.clone(),
     };
     let mut signals = Signals::new()?;
     let running = RunningController::spawn(config, log).await?;
-    signals.wait_for_stop(log).await;
+    let mut seeds = SeedWatch::new(running.links().clone(), settings, log);
+    signals.wait_for_stop(&mut seeds, log).await;
     running.stop().await;
     Ok(())
 }
@@ -104,29 +113,27 @@
         })
     }
 
-    /// Waits for SIGTERM or SIGINT; on SIGHUP, checks the settings file.
-    async fn wait_for_stop(&mut self, log: &Logger) {
+    /// Waits for SIGTERM or SIGINT; follows the settings file meanwhile.
+    ///
+    /// It may change without a SIGHUP.
+    async fn wait_for_stop(&mut self, seeds: &mut SeedWatch, log: &Logger) {
+        let mut checks = interval(SETTINGS_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => break,
                 _ = self.interrupt.recv() => break,
-                _ = self.hangup.recv() => check_settings(log),
+                _ = self.hangup.recv() => {
+                    info!(log, "Received SIGHUP");
+                    seeds.check();
+                }
+                _ = checks.tick() => seeds.check(),
             }
         }
         info!(log, "Received stop signal");
     }
 }
 
-/// Reads the settings file again and logs whether it is valid.
-///
-/// The process applies no change: addresses stay as they are until the next start.
-fn check_settings(log: &Logger) {
-    match settings::open_from_environment() {
-        Ok(settings) => info!(log, "Settings apply at the next start"; "seeds" => ?settings.seeds),
-        Err(error) => error!(log, "Failed to read settings; old ones stay"; "error" => %error),
-    }
-}
-
 /// Returns this VM as it introduces itself to other VMs.
 fn local_peer(settings: &NodeSettings, control: bool) -> WirePeer {
     WirePeer {
@@ -152,7 +159,7 @@
 }
 
 /// Returns the link addresses of the control VMs that the settings name as seeds.
-fn seed_addresses(settings: &NodeSettings) -> Vec<SocketAddr> {
+pub(crate) fn seed_addresses(settings: &NodeSettings) -> Vec<SocketAddr> {
     let port = link_address(settings.internal_address, true).port();
     let seeds = settings.seeds.iter();
     seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect()
--- a/node/tests/integration/replaced_control_vms.rs
+++ b/node/tests/integration/replaced_control_vms.rs
@@ -1,5 +1,8 @@
 //! Control VMs that are replaced one after the other by others at new addresses.
 
+use std::net::IpAddr;
+use std::ops::Range;
+use std::thread;
 use std::time::Duration;
 
 use merlinrudder_fakes::backend::FakeBackend;
@@ -8,10 +11,12 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 
-use crate::deployment::{publish, start_deployment};
+use crate::deployment::{publish, register, start_deployment};
 
 /// Time between two events of a fake backend server's stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time in which a control VM keeps the addresses of VMs with new links.
+const KEPT_INTERVAL: Duration = Duration::from_millis(2500);
 
 /// Publishes a configuration with a route of its own, which shows where it is in force.
 fn publish_version(nodes: &Nodes, version: u64) {
@@ -107,3 +112,70 @@
     wait_for("a final answer", || status("GET /nowhere/x", "k1") == 404);
     wait_for("a final answer", || status("GET /read/x", "unknown") == 401);
 }
+
+/// Kills nodes, and starts all of them again with the seeds of the first start.
+fn restart(nodes: &Nodes, range: Range<usize>) {
+    for index in range.clone() {
+        nodes.kill(index).expect("VM killed");
+    }
+    for index in range {
+        nodes.start(index, false).expect("VM started");
+    }
+}
+
+/// Waits until a control VM has kept the addresses of all others.
+fn await_kept(nodes: &Nodes) {
+    for index in 0..CONTROL_VMS {
+        wait_for("the kept addresses", || nodes.kept_bytes(index) > 0);
+    }
+    // The file is written every 2 s at most, and changes with the last links.
+    thread::sleep(KEPT_INTERVAL);
+}
+
+/// Guards against control VMs that never find each other, as their settings name only replaced ones.
+#[test]
+fn control_vms_that_start_with_outdated_seeds_find_each_other() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake backend server listens");
+    let mut nodes = start_deployment(1, &[&server]);
+    let version = replace_all(&mut nodes);
+    await_kept(&nodes);
+    restart(&nodes, 0..CONTROL_VMS);
+    publish_version(&nodes, version + 1);
+    await_in_force(&nodes, CONTROL_VMS, version + 1);
+}
+
+/// Guards against entry VMs that find no control VM, as their settings name only replaced ones.
+#[test]
+fn entry_vms_that_start_with_outdated_seeds_find_control_vms() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake backend server listens");
+    let mut nodes = start_deployment(2, &[&server]);
+    let version = replace_all(&mut nodes);
+    await_kept(&nodes);
+    let entry_vms = CONTROL_VMS..nodes.len();
+    // One alone, then all VMs of both roles.
+    restart(&nodes, CONTROL_VMS..CONTROL_VMS + 1);
+    wait_for("ready entry VM", || nodes.is_ready(CONTROL_VMS));
+    restart(&nodes, 0..nodes.len());
+    publish_version(&nodes, version + 1);
+    register(&nodes, "i-1", server.address);
+    for entry in entry_vms {
+        await_in_force(&nodes, entry, version + 1);
+    }
+}
+
+/// Guards against a VM that follows a settings file with new seeds only at its next start.
+#[test]
+fn a_vm_dials_seeds_that_its_settings_name_later() {
+    let server = FakeBackend::bind("i-1", EVENT_INTERVAL).expect("fake backend server listens");
+    let mut nodes = start_deployment(1, &[&server]);
+    let nobody = IpAddr::from([127, 77, 0, 1]);
+    let entry = nodes.add_entry(vec![nobody]).expect("entry VM started");
+    wait_for("the lack of control VMs", || {
+        nodes
+            .log(entry)
+            .contains("No control VM tells the newest manifest")
+    });
+    assert!(!nodes.is_ready(entry));
+    nodes.rewrite_settings(entry).expect("settings written");
+    wait_for("ready entry VM", || nodes.is_ready(entry));
+}
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -8,8 +8,10 @@
 mod folder;
 mod frame;
 mod journal;
+mod side_file;
 
 pub use disk::{Disk, DiskCall, DiskFault};
 pub use error::{StoreError, StoreErrorKind};
 pub use folder::{DataFolder, Recovered};
 pub use journal::Journal;
+pub use side_file::SideFile;
--- a/store/tests/integration/main.rs
+++ b/store/tests/integration/main.rs
@@ -3,3 +3,4 @@
 mod folder;
 mod full_disk;
 mod journal_fuzz;
+mod side_file;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -275,6 +275,14 @@
     postcard::to_stdvec(wire).expect("wire types can always be encoded")
 }
 
+/// Decodes a wire type that `encode` has written.
+///
+/// # Errors
+/// Fails if the bytes are not a value of this type.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    Ok(postcard::from_bytes(bytes)?)
+}
+
 /// Encodes a frame: one version byte, then the message in postcard.
 #[must_use]
 pub fn encode_frame(message: &MeshMessage) -> Vec<u8> {
