bug: a test of denials takes a control VM that falls silent for one that still confirms

Cause: its stand-in for a control VM confirms the manifest once and is silent then, for longer than the 1.2 s after which an entry VM no longer denies requests for good. A control VM in contact with the leader tells the number each 0.4 s. Change: the stand-in confirms again before the 404 is expected, and the test asks once more after 1.2 s of silence, where 503 is expected.

--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -12,6 +12,7 @@
 use merlinrudder_core::cold::plan::ColdBounds;
 use merlinrudder_core::consensus::message::{Index, Record as RaftRecord, Snapshot, Term};
 use merlinrudder_core::control::{ControlState, PublishedManifest};
+use merlinrudder_core::control_contact::RECENT_CONFIRMATION;
 use merlinrudder_core::crash_history::{CrashReport, CrashedRun};
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::history_pull::CONTROL_WAIT;
@@ -453,7 +454,12 @@
     assert_eq!(status_of_unknown_path(&vm), 503);
     control.send(&newest(5));
     control.read_for(SETTLE_TIME);
+    // A control VM tells it again and again, or it has lost the leader.
+    control.send(&newest(5));
+    control.read_for(Duration::from_millis(100));
     assert_eq!(status_of_unknown_path(&vm), 404);
+    control.read_for(RECENT_CONFIRMATION);
+    assert_eq!(status_of_unknown_path(&vm), 503);
 }
 
 /// Guards against callers that are denied by a manifest that the VM knows to be outdated.
