bug: an answer with a status that HTTP does not have reached callers

Status 000 to 099 is refused by the HTTP libraries here. Cause: the libraries take any status from 100 to 999, and the check of a response head looked at headers only. Change: a status outside 200 to 599 is no answer; the attempt is broken and may have run. The relay of other VMs has the same check.

--- a/fakes/src/http_client.rs
+++ b/fakes/src/http_client.rs
@@ -95,7 +95,8 @@
 }
 
 /// Returns the headers of a caller's request with a 10 s deadline.
-fn caller_headers(attempt_id: &str, key: &str) -> String {
+#[must_use]
+pub fn caller_headers(attempt_id: &str, key: &str) -> String {
     format!(
         "X-Merlinrudder-Attempt-Id: {attempt_id}\r\nX-Merlinrudder-Deadline-Ms: 10000\r\n\
          Authorization: Bearer {key}\r\n"
--- a/fakes/src/raw_server.rs
+++ b/fakes/src/raw_server.rs
@@ -5,6 +5,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
+use socket2::SockRef;
+
+/// Receive buffer of a server that answers early, in bytes.
+const EARLY_BUFFER_BYTES: usize = 8 * 1024;
+
 /// A request as far as an answer depends on it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RawRequest {
@@ -37,10 +42,33 @@
     /// # Errors
     /// Fails if no port can be bound.
     pub fn bind<F>(answer: F) -> std::io::Result<Self>
+    where
+        F: Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()> + Send + Sync + 'static,
+    {
+        Self::listen(answer, true)
+    }
+
+    /// Listens as `bind` does; `answer` runs once the head of a request has arrived.
+    ///
+    /// Little of the body fits into the buffers of the connection, and none of it is read.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound.
+    pub fn bind_early<F>(answer: F) -> std::io::Result<Self>
+    where
+        F: Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()> + Send + Sync + 'static,
+    {
+        Self::listen(answer, false)
+    }
+
+    fn listen<F>(answer: F, reads_body: bool) -> std::io::Result<Self>
     where
         F: Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()> + Send + Sync + 'static,
     {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        if !reads_body {
+            SockRef::from(&listener).set_recv_buffer_size(EARLY_BUFFER_BYTES)?;
+        }
         let address = listener.local_addr()?;
         let attempts = Arc::new(Mutex::new(Vec::new()));
         let (answer, recorded) = (Arc::new(answer), Arc::clone(&attempts));
@@ -49,7 +77,7 @@
                 let (answer, recorded) = (Arc::clone(&answer), Arc::clone(&recorded));
                 thread::spawn(move || {
                     // I/O errors mean that a side has closed the connection.
-                    drop(serve(connection, &recorded, answer.as_ref()));
+                    drop(serve(connection, &recorded, answer.as_ref(), reads_body));
                 });
             }
         });
@@ -68,10 +96,11 @@
     mut connection: TcpStream,
     recorded: &Mutex<Vec<String>>,
     answer: &dyn Fn(&mut TcpStream, &RawRequest) -> std::io::Result<()>,
+    reads_body: bool,
 ) -> std::io::Result<()> {
     let mut reader = BufReader::new(connection.try_clone()?);
     let mut earlier = 0;
-    while let Some(request) = read_request(&mut reader)? {
+    while let Some(request) = read_request(&mut reader, reads_body)? {
         let request = RawRequest { earlier, ..request };
         let mut attempts = recorded.lock().unwrap_or_else(PoisonError::into_inner);
         attempts.push(request.attempt.clone());
@@ -82,8 +111,11 @@
     Ok(())
 }
 
-/// Reads a request; returns `None` if the connection has closed.
-fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<RawRequest>> {
+/// Reads a request, with its body if `reads_body`; returns `None` if the connection has closed.
+fn read_request(
+    reader: &mut BufReader<TcpStream>,
+    reads_body: bool,
+) -> std::io::Result<Option<RawRequest>> {
     let (mut request, mut length) = (RawRequest::default(), 0);
     let mut start = String::new();
     if reader.read_line(&mut start)? == 0 {
@@ -112,6 +144,8 @@
             _ => {}
         }
     }
-    reader.take(length).read_to_end(&mut request.body)?;
+    if reads_body {
+        reader.take(length).read_to_end(&mut request.body)?;
+    }
     Ok(Some(request))
 }
--- a/node/src/backend/plain.rs
+++ b/node/src/backend/plain.rs
@@ -1,6 +1,7 @@
 //! Client for plain HTTP applications: sends one call and reads its whole answer.
 
 use std::io::{self, Read};
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,6 +48,9 @@
     Broken(String),
 }
 
+/// Status codes that end a request in HTTP; the HTTP library lets others up to 999 pass.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Copies of an answer that are held at once: as read, as recorded and as sent.
 const ANSWER_COPIES: usize = 3;
 /// Size of the parts in which an answer is read, in bytes.
@@ -110,6 +114,9 @@
     if status.as_u16() == 503 && headers.contains_key(NOT_RUN_HEADER) {
         return PlainResult::Refused;
     }
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return PlainResult::Broken(format!("status {status} is no final one"));
+    }
     let content_type = headers
         .get(CONTENT_TYPE)
         .and_then(|value| value.to_str().ok());
--- a/node/src/gateway/answer_head.rs
+++ b/node/src/gateway/answer_head.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use hyper::Response;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
 use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::health::ServerOutcome;
 use merlinrudder_core::names::ServerId;
@@ -28,7 +28,8 @@
 /// Checks that a response comes from the selected server and answers this attempt.
 ///
 /// A response that repeats another attempt's id is a late one and says nothing of this request, and
-/// so is one without an id on a connection that was used before. Status 421 or the not-executed
+/// so is one without an id on a connection that was used before. A status that does not end a request
+/// in HTTP is no answer. Status 421 or the not-executed
 /// header means that the request did not run. Any other response must repeat the attempt id and
 /// have no content encoding, and a success must carry the seal.
 pub(super) fn check_response_head(
@@ -38,7 +39,7 @@
 ) -> Result<(), Failure> {
     let attempt = head.headers.get(headers::ATTEMPT);
     let is_late = attempt.map_or(!connection.is_new, |attempt| *attempt != call.attempt_id);
-    if is_late {
+    if is_late || !is_final(head.status) {
         return Err(Failure::Broken);
     }
     if head.headers.contains_key(headers::NOT_RUN) {
@@ -60,6 +61,11 @@
     Ok(())
 }
 
+/// Whether a status code ends a request in HTTP; the HTTP library lets others up to 999 pass.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns `HelperFailed` in place of a refusal that names a helper, which is then left out.
 pub(super) fn blame_helper(
     context: AttemptContext<'_>,
