bug: half of a plain answer without a length reached callers as a whole one

A request that crashes its engines in this way was never recognised. Cause: the end of the connection counted as the end of the answer. Streams asked whether the engine still listens; plain calls, hedges among them, and the whole VM's client for plain applications did not. Change: one function reads the bodies of the gateway's plain answers, and asks after an end without framing. An engine that runs costs such an answer 35 ms in place of the 135 ms that a stream's end took: the first accepted connection that stays open for 20 ms settles it. The whole VM's client asks too.

--- a/fakes/src/backend.rs
+++ b/fakes/src/backend.rs
@@ -46,6 +46,9 @@
 /// Part of a path that crashes each server that runs the request.
 pub const CRASHING_PATH: &str = "/crash";
 
+/// Part of such a path for a crash after half of the answer to a plain call.
+pub const CRASHING_WITHIN_PATH: &str = "/crash-within";
+
 /// Id of a part of a prompt that crashes each server that answers it, unless it is the last part.
 pub const CRASHING_PART: &str = "deadbeef";
 
@@ -326,6 +329,10 @@
         born: u64,
     ) -> std::io::Result<ExecutionEnd> {
         if head.target.contains(CRASHING_PATH) {
+            if head.target.contains(CRASHING_WITHIN_PATH) {
+                // The server crashes also if its caller has left.
+                drop(self.send_half(writer, head, framing));
+            }
             self.end_lifetime(born);
             return Ok(ExecutionEnd::BrokenOff);
         }
@@ -398,6 +405,19 @@
         }
     }
 
+    /// Sends the first half of the answer to a plain call.
+    fn send_half(
+        &self,
+        writer: &TcpStream,
+        head: &RequestHead,
+        framing: Framing,
+    ) -> std::io::Result<()> {
+        let mut answer = self.begin(writer, head, framing)?;
+        answer.write(&PLAIN_BODY[..PLAIN_BODY.len() / 2])?;
+        thread::sleep(READ_TIME);
+        Ok(())
+    }
+
     /// Streams the events after the id in `Last-Event-ID`, or all of them.
     fn send_stream(
         &self,
--- a/node/src/backend/plain.rs
+++ b/node/src/backend/plain.rs
@@ -1,11 +1,13 @@
 //! Client for plain HTTP applications: sends one call and reads its whole answer.
 
 use std::io::{self, Read};
+use std::net::TcpStream;
 use std::ops::Range;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
-use attohttpc::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue};
+use attohttpc::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use attohttpc::{Method, RequestBuilder, Response, StatusCode};
 use merlinrudder_core::claims::RecordedAnswer;
 
@@ -48,6 +50,12 @@
     Broken(String),
 }
 
+/// Wait before the attempt to connect to an application that closed a connection.
+///
+/// A process that ends closes its connections and its listener in any order.
+const PROBE_DELAY: Duration = Duration::from_millis(15);
+/// Timeout for such an attempt; an application that cannot be reached gives no evidence.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Status codes that end a request in HTTP; the HTTP library lets others up to 999 pass.
 const FINAL_STATUSES: Range<u16> = 200..600;
 
@@ -77,7 +85,7 @@
         .timeout(time_left)
         .send();
     match sent {
-        Ok(response) => read_answer(response, has_body, share),
+        Ok(response) => read_answer(address, response, has_body, share),
         Err(error) if is_connect_error(&error) => PlainResult::NotConnected(error.to_string()),
         Err(error) => PlainResult::Broken(error.to_string()),
     }
@@ -108,8 +116,14 @@
 
 /// Reads an answer of at most `MAX_BUFFERED_RESPONSE_BYTES`.
 ///
-/// A larger one counts as broken, and so does one that is shorter than stated if it `has_body`.
-fn read_answer(response: Response, has_body: bool, share: &mut MemoryShare) -> PlainResult {
+/// A larger one counts as broken, and so does one that is shorter than stated if it `has_body`. Where only
+/// the closed connection marks its end, it is broken if the application at `address` has ended.
+fn read_answer(
+    address: &str,
+    response: Response,
+    has_body: bool,
+    share: &mut MemoryShare,
+) -> PlainResult {
     let (status, headers, reader) = response.split();
     if status.as_u16() == 503 && headers.contains_key(NOT_RUN_HEADER) {
         return PlainResult::Refused;
@@ -120,6 +134,9 @@
     let content_type = headers
         .get(CONTENT_TYPE)
         .and_then(|value| value.to_str().ok());
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let may_have_body =
+        has_body && ![StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
     // The HTTP library takes the end of the connection for the end of the body.
     let stated_length = headers
         .get(CONTENT_LENGTH)
@@ -130,6 +147,9 @@
         Ok(body) if stated_length.is_some_and(|length| length != body.len()) => {
             PlainResult::Broken(format!("the answer ended after {} bytes", body.len()))
         }
+        Ok(_) if !is_framed && may_have_body && has_ended(address) => {
+            PlainResult::Broken("the application ended within its answer".to_owned())
+        }
         Ok(body) => {
             share.absorb(answer_share);
             PlainResult::Answered(RecordedAnswer {
@@ -142,6 +162,16 @@
     }
 }
 
+/// Whether no process listens at an address any more, whose connection was closed a moment ago.
+fn has_ended(address: &str) -> bool {
+    let Ok(address) = address.parse() else {
+        return false;
+    };
+    thread::sleep(PROBE_DELAY);
+    let connected = TcpStream::connect_timeout(&address, PROBE_TIMEOUT);
+    matches!(connected, Err(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Reads a body to its end while `share` grows with it.
 fn read_body(mut reader: impl Read, share: &mut MemoryShare) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
--- a/node/src/gateway/buffered.rs
+++ b/node/src/gateway/buffered.rs
@@ -14,7 +14,7 @@
 use super::body::ResponseBody;
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::{BodyError, Prefetched, UpstreamResponse, WholeBody, read_whole};
+use super::exchange::{BodyError, Prefetched, UpstreamResponse, WholeBody, read_answer};
 use super::open_requests::Phase;
 use super::refusal;
 use super::request::CallerRequest;
@@ -175,7 +175,7 @@
     let time_left = call.time_left(gateway.now());
     let body = match std::mem::take(&mut upstream_response.prefetched) {
         Prefetched::Whole(body) => body,
-        _ => read_whole(gateway, &mut upstream_response.body, time_left).await?,
+        _ => read_answer(gateway, &mut upstream_response, time_left).await?,
     };
     return_to_pool(
         gateway,
--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -21,6 +21,7 @@
 
 use super::reach;
 use super::request::{CallerRequest, RequestContent};
+use super::selection::SelectedServers;
 use super::state::Gateway;
 use super::upstream::connect_from;
 use crate::crash_exchange::CrashExchange;
@@ -31,6 +32,10 @@
 const PROBE_DELAYS: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(120)];
 /// Timeout for such an attempt; a server that cannot be reached gives no evidence.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which such a connection must stay open.
+///
+/// The listener of a process that ends still accepts connections for a moment.
+const PROBE_HOLD_TIME: Duration = Duration::from_millis(20);
 /// Other servers that are tried before a refused connection counts as a crash.
 const MAX_CONTROL_PROBES: usize = 4;
 /// Margin by which a report waits longer than the settle time, as times are whole milliseconds.
@@ -154,9 +159,49 @@
 
 /// Whether a server has ended that closed its connection at what may be the end of a response.
 ///
-/// Without a length or chunks nothing else tells a complete response from one cut by a crash.
-pub(super) async fn has_crashed(gateway: &Gateway, incarnation: &Incarnation) -> bool {
-    is_refusing(gateway, incarnation).await
+/// Without a length or chunks nothing else tells a complete response from one cut by a crash. A server
+/// that runs costs the response the first delay and `PROBE_HOLD_TIME`.
+pub(super) async fn has_crashed(gateway: &Gateway, selected: &SelectedServers) -> bool {
+    let Some(incarnation) = selected.target.incarnation() else {
+        return false;
+    };
+    for delay in PROBE_DELAYS {
+        sleep(delay).await;
+        let Some(address) = ready_address(gateway, incarnation) else {
+            return false;
+        };
+        match probe_address(gateway, address).await {
+            Probe::Accepted => return false,
+            Probe::Refused => return ready_address(gateway, incarnation).is_some(),
+            Probe::Unknown => {}
+        }
+    }
+    false
+}
+
+/// What an attempt to connect shows of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Probe {
+    /// It accepts connections and keeps them.
+    Accepted,
+    /// No process listens at its address.
+    Refused,
+    /// Its host cannot be reached, or the connection was closed at once.
+    Unknown,
+}
+
+/// Connects to a server, and waits whether the connection stays open.
+async fn probe_address(gateway: &Gateway, address: SocketAddr) -> Probe {
+    let connecting = connect_from(gateway.pool.local_ip, address);
+    match timeout(PROBE_TIMEOUT, connecting).await {
+        // Nothing is read from it before it closes, as no request was sent.
+        Ok(Ok(connection)) => match timeout(PROBE_HOLD_TIME, connection.readable()).await {
+            Err(_elapsed) => Probe::Accepted,
+            Ok(_) => Probe::Unknown,
+        },
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+        _ => Probe::Unknown,
+    }
 }
 
 /// Records that a server answered a request.
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::http::response::Parts;
 use merlinrudder_core::outcome::RunState;
 use merlinrudder_core::time::Moment;
@@ -14,9 +14,9 @@
 use slog::debug;
 use tokio::time::timeout;
 
-use super::answer_head::{blame_helper, check_response_head, record_head};
+use super::answer_head::{blame_helper, check_response_head, is_framed, record_head};
 use super::buffer_budget::{BufferBudget, BufferShare, NoRoom};
-use super::crash_watch::RunGuard;
+use super::crash_watch::{self, RunGuard};
 use super::failure::Failure;
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
@@ -349,8 +349,32 @@
     }
 }
 
+/// Reads the body of a response to its end.
+///
+/// Where only the closed connection marks the end, the body is broken if its server has crashed, or has
+/// not let this VM send the whole request.
+pub(super) async fn read_answer(
+    gateway: &Gateway,
+    response: &mut UpstreamResponse,
+    time_left: Duration,
+) -> Result<WholeBody, BodyError> {
+    let is_certain = is_framed(&response.head) || response.body.is_end_stream();
+    let whole = read_whole(gateway, &mut response.body, time_left).await?;
+    if !is_certain && !ends_whole(gateway, response).await {
+        return Err(BodyError::Broken);
+    }
+    Ok(whole)
+}
+
+/// Whether a response is whole that ended with its connection, as far as this can be told.
+///
+/// The connection may have been reset while the request was still being sent, or closed by a crash.
+pub(super) async fn ends_whole(gateway: &Gateway, response: &UpstreamResponse) -> bool {
+    !crash_watch::has_crashed(gateway, &response.selected).await
+}
+
 /// Reads a body to its end.
-pub(super) async fn read_whole(
+async fn read_whole(
     gateway: &Gateway,
     body: &mut Incoming,
     time_left: Duration,
--- a/node/src/gateway/hedge.rs
+++ b/node/src/gateway/hedge.rs
@@ -18,7 +18,7 @@
 
 use super::crash_verdict;
 use super::exchange::{
-    BodyError, Prefetched, Progress, UpstreamResponse, attempt, hang_timeout, read_whole,
+    BodyError, Prefetched, Progress, UpstreamResponse, attempt, hang_timeout, read_answer,
 };
 use super::failure::{Failure, record_failure};
 use super::request::CallerRequest;
@@ -190,14 +190,13 @@
     ) -> Result<UpstreamResponse, Failure> {
         let time_left = self.call.time_left(self.gateway.now());
         let is_success = response.head.status.is_success();
-        let body = &mut response.body;
         let prefetched = match self.call.route.kind {
             _ if !is_success => None,
             CallKind::Stream { .. } => {
-                let bytes = timeout(time_left, first_event(body)).await;
+                let bytes = timeout(time_left, first_event(&mut response.body)).await;
                 bytes.unwrap_or_default().map(Prefetched::Beginning)
             }
-            _ => match read_whole(self.gateway, body, time_left).await {
+            _ => match read_answer(self.gateway, &mut response, time_left).await {
                 Ok(body) => Some(Prefetched::Whole(body)),
                 Err(BodyError::NoRoom) => return Err(Failure::NoRoom),
                 Err(BodyError::Broken) => None,
--- a/node/src/gateway/stream.rs
+++ b/node/src/gateway/stream.rs
@@ -22,7 +22,7 @@
 use super::buffered::{self, Finished};
 use super::crash_verdict;
 use super::crash_watch;
-use super::exchange::UpstreamResponse;
+use super::exchange::{UpstreamResponse, ends_whole};
 use super::hedge::AttemptContext;
 use super::open_requests::Phase;
 use super::placement_sync;
@@ -180,17 +180,14 @@
         }
     }
 
-    /// Checks an end that only the closed connection marks: the engine may have crashed instead.
+    /// Checks an end that only the closed connection marks: the engine may have crashed or reset it instead.
     async fn check_end(&self, source: &StreamSource, end: StreamEnd) -> StreamEnd {
         let upstream = &source.upstream;
         let is_certain = end != StreamEnd::Complete || is_framed(&upstream.head);
-        if !is_certain
-            && let Some(incarnation) = upstream.selected.target.incarnation()
-            && crash_watch::has_crashed(&self.gateway, incarnation).await
-        {
-            return StreamEnd::Broken("server crashed");
+        if is_certain || ends_whole(&self.gateway, upstream).await {
+            return end;
         }
-        end
+        StreamEnd::Broken("reset, or server crashed")
     }
 
     /// Goes on with the hedge that overtook a silent engine, whose request is cancelled.
--- a/node/tests/integration/crashing_requests.rs
+++ b/node/tests/integration/crashing_requests.rs
@@ -58,3 +58,39 @@
 fn an_at_most_once_call_that_crashed_three_servers_reaches_no_further_ones() {
     assert_stopped_after_three_crashes("POST /file/crash");
 }
+
+/// Guards against requests that crash servers in the middle of answers without a length, each of which
+/// counted as a success.
+#[test]
+fn an_idempotent_call_that_crashed_three_servers_within_unframed_answers_is_stopped() {
+    with_restarting_servers(|nodes, servers| {
+        for server in servers {
+            server.set_unframed(true);
+        }
+        let path = "GET /read/crash-within";
+        send_until_crashes(nodes, servers, path, MAX_CRASHES);
+        thread::sleep(STABILITY_WINDOW);
+        let before = runs(servers, "/crash");
+        let statuses = send_again(nodes, path);
+        let late = runs(servers, "/crash") - before;
+        assert!(late <= MAX_LATE_RUNS, "{late} late runs; {statuses:?}");
+        assert!(!statuses.contains(&200), "{statuses:?}");
+    });
+}
+
+/// Guards against half of an answer without a length that reaches its caller as a whole one.
+#[test]
+fn an_unframed_answer_that_a_crash_cuts_is_no_success() {
+    for path in ["POST /file/crash-within", "GET /read/crash-within"] {
+        with_restarting_servers(|nodes, servers| {
+            for server in servers {
+                server.set_unframed(true);
+            }
+            let callers = nodes.callers_address(CONTROL_VMS);
+            let sound = send_customer_request(callers, "POST /file/x", "sound");
+            assert_eq!((sound.status, sound.body.as_str()), (200, "whole"));
+            let cut = send_customer_request(callers, path, "cut");
+            assert!([502, 503].contains(&cut.status), "{cut:?}");
+        });
+    }
+}
--- a/node/tests/integration/plain_answers.rs
+++ b/node/tests/integration/plain_answers.rs
@@ -1,7 +1,9 @@
 //! Answers of plain applications to the whole VM's client for them.
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use merlinrudder_fakes::raw_server::RawServer;
@@ -64,3 +66,34 @@
         assert!(matches!(result, PlainResult::Broken(_)), "{result:?}");
     }
 }
+
+/// Listens for one call, sends a part of an answer without a length, and closes the connection.
+///
+/// If it `crashes`, nothing listens any more when the connection closes.
+fn answer_once(crashes: bool) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("a call");
+        let mut head = [0; 4096];
+        let _length = connection.read(&mut head).expect("a request");
+        let _kept = (!crashes).then_some(listener);
+        connection
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
+            .expect("the caller reads");
+        connection
+            .shutdown(Shutdown::Both)
+            .expect("an open connection");
+        thread::sleep(TIME_LIMIT);
+    });
+    address
+}
+
+/// Guards against half of an answer without a length that reaches its caller as a whole one.
+#[test]
+fn a_plain_answer_without_a_length_that_a_crash_cuts_is_none() {
+    let cut = send(&answer_once(true).to_string(), "/", Vec::new());
+    assert!(matches!(cut, PlainResult::Broken(_)), "{cut:?}");
+    let whole = send(&answer_once(false).to_string(), "/", Vec::new());
+    assert!(matches!(whole, PlainResult::Answered(_)), "{whole:?}");
+}
