bug: a stream without a length ended as complete when its leaving server exited

Cause: the check whether a server has ended was that for blame, and gave up for a server that had announced its stop. Change: whether an answer is whole is asked at the address of the attempt, whatever the server has announced. Blame is decided as before. Why it works: nothing listens any more at the address of a process that has exited; the stream is broken then, resumed where that is allowed, and counts as no completion. Test before: `an_unframed_stream_of_a_leaving_server_that_exits_is_resumed` failed (complete after a part). After: passes.

--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -159,20 +159,18 @@
 
 /// Whether a server has ended that closed its connection at what may be the end of a response.
 ///
-/// Without a length or chunks nothing else tells a complete response from one cut by a crash. A server
-/// that runs costs the response the first delay and `PROBE_HOLD_TIME`.
-pub(super) async fn has_crashed(gateway: &Gateway, selected: &SelectedServers) -> bool {
-    let Some(incarnation) = selected.target.incarnation() else {
+/// Without a length or chunks nothing else tells a complete response from one cut by a crash, or by the
+/// exit of a server that leaves. One that runs costs the response the first delay and `PROBE_HOLD_TIME`.
+pub(super) async fn has_ended(gateway: &Gateway, selected: &SelectedServers) -> bool {
+    if selected.target.incarnation().is_none() {
+        // The other VM, which made the attempt, has looked.
         return false;
-    };
+    }
     for delay in PROBE_DELAYS {
         sleep(delay).await;
-        let Some(address) = ready_address(gateway, incarnation) else {
-            return false;
-        };
-        match probe_address(gateway, address).await {
+        match probe_address(gateway, selected.address).await {
             Probe::Accepted => return false,
-            Probe::Refused => return ready_address(gateway, incarnation).is_some(),
+            Probe::Refused => return true,
             Probe::Unknown => {}
         }
     }
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -370,7 +370,7 @@
 ///
 /// The connection may have been reset while the request was still being sent, or closed by a crash.
 pub(super) async fn ends_whole(gateway: &Gateway, response: &UpstreamResponse) -> bool {
-    !crash_watch::has_crashed(gateway, &response.selected).await
+    !crash_watch::has_ended(gateway, &response.selected).await
 }
 
 /// Reads a body to its end.
--- a/node/tests/integration/platform.rs
+++ b/node/tests/integration/platform.rs
@@ -5,7 +5,7 @@
 
 use merlinrudder_fakes::backend::{BackendFault, FakeBackend};
 use merlinrudder_fakes::http_client::{HttpResponse, send_customer_request, send_request};
-use merlinrudder_fakes::nodes::{Nodes, sample_configuration, wait_for};
+use merlinrudder_fakes::nodes::{Heartbeat, Nodes, sample_configuration, wait_for};
 use nix::sys::signal::Signal;
 use serde_json::json;
 
@@ -260,3 +260,41 @@
         404
     );
 }
+
+/// Guards against a stream that ends as complete where a server that leaves exits in its middle.
+#[test]
+fn an_unframed_stream_of_a_leaving_server_that_exits_is_resumed() {
+    let servers = ["i-1", "i-2"]
+        .map(|id| FakeBackend::bind(id, EVENT_INTERVAL * 5).expect("fake backend server listens"));
+    for server in &servers {
+        server.set_unframed(true);
+        server.set_downtime(Duration::from_mins(1));
+    }
+    let nodes = start_deployment(1, &[&servers[0], &servers[1]]);
+    let callers = nodes.callers_address(3);
+    let stream = thread::spawn(move || send_customer_request(callers, "POST /stream/x", "leaving"));
+    let mut leaving = None;
+    wait_for("a running stream", || {
+        leaving = servers
+            .iter()
+            .find(|server| !server.executions().is_empty());
+        leaving.is_some()
+    });
+    let leaving = leaving.expect("found above");
+    let goodbye = Heartbeat {
+        id: &leaving.id,
+        address: leaving.address,
+        sequence: 2,
+        born: 5,
+        draining: true,
+    };
+    assert!(nodes.send_heartbeat(0, &goodbye));
+    let entry_log = || nodes.log(3);
+    wait_for("a draining server", || {
+        entry_log().contains("\"stage\":\"Draining\"")
+    });
+    leaving.crash();
+    assert_whole_stream(&stream.join().expect("no panic"));
+    let resumed = servers.iter().map(|server| server.executions().len());
+    assert_eq!(resumed.sum::<usize>(), 2);
+}
