bug: copies of a crashing request that are sent together counted as one crash

Cause: runs at the same time count as one crash, since a rack that fails under a popular request ends many of them at once. Change: what tells the two apart is the time from the begin of a run to its crash. Widespread failures stay left out. VMs start a trial in the order of a hash, 30 ms apart, as copies come to several VMs at the same moment.

--- a/core/src/crash_history.rs
+++ b/core/src/crash_history.rs
@@ -5,7 +5,8 @@
 //!
 //! A crash ends every request that runs on the server, and most of them are innocent. A content is
 //! quarantined after several crashes, each of a run that began after the last one. Crashes of many
-//! servers at the same moment, as of a rack or a zone, do not count at first. If another content that
+//! servers at the same moment, as of a rack or a zone, do not count at first; if most of them came as long
+//! after the begin of their runs, the content is tried a single run at a time. If another content that
 //! crashes repeatedly ran beside it, it is tried again at once, a single run at a time. A run that
 //! completes at about the time of a crash, or later, clears its content.
 //!
@@ -14,6 +15,7 @@
 //! Parts that came together in all crashes are quarantined together, but a request with some of them
 //! only is tried: its run shows whether these are to blame.
 
+mod alike;
 mod blame;
 mod contents;
 mod parts;
@@ -318,7 +320,7 @@
             let blame = is_candidate(runs).then(|| self.blame.get(&self.contents))?;
             return blame.parts.get(suspect).map(|quarantine| quarantine.until);
         }
-        if sequential_crashes(runs.values()) < QUARANTINE_CRASHES {
+        if runs.values().filter(|run| !run.cleared).count() < QUARANTINE_CRASHES {
             return None;
         }
         self.evidence().quarantined_until(suspect, runs)
--- /dev/null
+++ b/core/src/crash_history/alike.rs
@@ -0,0 +1,52 @@
+//! Servers that crashed at about the same time, each as long after a run of one suspect began.
+//!
+//! Copies of a crashing request that are sent together crash their servers together. Runs that a failing
+//! rack or zone ends have begun at different times.
+
+use super::{CLOCK_TOLERANCE, CrashedRun};
+use crate::time::Moment;
+
+/// Servers that crash in this way from which on their suspect is tried a single run at a time.
+const TRIAL_CRASHES: usize = 3;
+/// Such servers from which on it is quarantined, if they crashed at `QUARANTINE_MOMENTS`.
+const QUARANTINE_CRASHES: usize = 5;
+/// Crashes one after the other among them, without a completion between.
+const QUARANTINE_MOMENTS: usize = 2;
+
+/// What crashes that look alike say of their suspect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AlikeCrashes {
+    /// They are few, or most of them differ.
+    Inconclusive,
+    /// The suspect is to be tried again.
+    Trial,
+    /// The suspect crashes servers.
+    Quarantine,
+}
+
+/// Judges runs that ended with their servers, of which `moments` came one after the other.
+///
+/// Times from the begin of a run to its end that differ by `CLOCK_TOLERANCE` at most count as equal.
+pub(super) fn judge<'a>(
+    runs: impl Iterator<Item = &'a CrashedRun>,
+    moments: usize,
+) -> AlikeCrashes {
+    let mut times: Vec<_> = runs.map(|run| run.ended.since(run.started)).collect();
+    times.sort_unstable();
+    let alike = times.iter().enumerate().map(|(first, shortest)| {
+        times[first..].partition_point(|time| *time <= *shortest + CLOCK_TOLERANCE)
+    });
+    let alike = alike.max().unwrap_or_default();
+    if alike < TRIAL_CRASHES || alike * 2 < times.len() {
+        AlikeCrashes::Inconclusive
+    } else if alike >= QUARANTINE_CRASHES && moments >= QUARANTINE_MOMENTS {
+        AlikeCrashes::Quarantine
+    } else {
+        AlikeCrashes::Trial
+    }
+}
+
+/// Returns the end of the last of some runs.
+pub(super) fn last_end<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> Option<Moment> {
+    runs.map(|run| run.ended).max()
+}
--- a/core/src/crash_history/contents.rs
+++ b/core/src/crash_history/contents.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::alike::{self, AlikeCrashes};
 use super::{CLOCK_TOLERANCE, CrashedRun, Runs, extended_quarantine, sequential_crashes};
 use crate::directory::Incarnation;
 use crate::time::Moment;
@@ -37,7 +38,9 @@
 impl Evidence<'_> {
     /// Returns the end of a content's quarantine, also if it has passed.
     pub(super) fn quarantined_until(&self, content: &ContentDigest, runs: &Runs) -> Option<Moment> {
-        let further = self.counted_crashes(runs).checked_sub(QUARANTINE_CRASHES)?;
+        let Some(further) = self.counted_crashes(runs).checked_sub(QUARANTINE_CRASHES) else {
+            return self.held_until(runs);
+        };
         let contested = CONTESTED_QUARANTINES
             .get(further)
             .filter(|_| self.is_contested(content, runs));
@@ -48,6 +51,33 @@
         Some(last_crash + duration)
     }
 
+    /// Returns the end of the quarantine of a content with few crashes one after the other.
+    ///
+    /// Copies that ran at the same time may have crashed many servers; then it is on trial, or
+    /// quarantined if that came again.
+    fn held_until(&self, runs: &Runs) -> Option<Moment> {
+        let isolated = self.in_time(runs);
+        let isolated: Vec<_> = isolated
+            .filter(|run| !run.cleared && !self.is_widespread(runs, run))
+            .collect();
+        let moments = sequential_crashes(isolated.iter().copied());
+        let last = alike::last_end(isolated.iter().copied())?;
+        match alike::judge(isolated.into_iter(), moments) {
+            AlikeCrashes::Inconclusive => None,
+            AlikeCrashes::Trial => Some(last),
+            AlikeCrashes::Quarantine => Some(last + extended_quarantine(0)),
+        }
+    }
+
+    /// Returns the unexplained runs that began before their server had crashed.
+    fn in_time<'r>(&'r self, runs: &'r Runs) -> impl Iterator<Item = &'r CrashedRun> {
+        let in_time = self.unexplained(runs).filter(|(incarnation, run)| {
+            let crashed_at = self.crashed_at(incarnation).unwrap_or(run.ended);
+            run.started <= crashed_at + CLOCK_TOLERANCE
+        });
+        in_time.map(|(_, run)| run)
+    }
+
     /// Returns the runs whose crashes no quarantined part explains.
     fn unexplained<'r>(
         &'r self,
@@ -65,11 +95,7 @@
         if crashes < QUARANTINE_CRASHES {
             return crashes;
         }
-        let in_time = self.unexplained(runs).filter(|(incarnation, run)| {
-            let crashed_at = self.crashed_at(incarnation).unwrap_or(run.ended);
-            run.started <= crashed_at + CLOCK_TOLERANCE
-        });
-        let in_time: Vec<_> = in_time.map(|(_, run)| run).collect();
+        let in_time: Vec<_> = self.in_time(runs).collect();
         let crashes = sequential_crashes(in_time.iter().copied());
         if crashes >= CERTAIN_CRASHES {
             return crashes;
--- a/core/tests/integration/crash_history.rs
+++ b/core/tests/integration/crash_history.rs
@@ -292,3 +292,59 @@
     completions.record(after(40), content(2));
     assert!(!completions.speaks_for(&content(1), NOW), "it was dropped");
 }
+
+/// Reports of copies that are sent at the same time and crash a server each, 150 ms later.
+fn copies(round: u16, count: u16) -> Vec<CrashReport> {
+    let at = 8000 * u64::from(round);
+    let reports = (0..count).map(|copy| {
+        let late = u64::from(copy) * 4;
+        crash(1, count * round + copy, at + late, at + 150 + late * 2)
+    });
+    reports.collect()
+}
+
+/// Guards against copies of a crashing request that crash all servers together and count as one crash.
+#[test]
+fn copies_that_crash_three_servers_together_are_tried_and_quarantined_when_that_comes_again() {
+    let now = NOW + Duration::from_mins(1);
+    let mut history = history(&copies(0, 2));
+    assert_eq!(history.verdict(now, &content(1)), CrashVerdict::Allowed);
+    for report in copies(0, 3) {
+        history.merge(&report);
+    }
+    assert_eq!(history.verdict(now, &content(1)), CrashVerdict::OnTrial);
+    for report in copies(1, 3) {
+        history.merge(&report);
+    }
+    let verdict = history.verdict(now, &content(1));
+    assert!(matches!(verdict, CrashVerdict::QuarantinedUntil(_)));
+}
+
+/// Guards against trials that are held back for good after an innocent request has completed.
+#[test]
+fn a_completed_trial_clears_copies_that_crashed_servers_together() {
+    let mut history = history(&copies(0, 5));
+    history.clear(&content(1));
+    let now = NOW + Duration::from_mins(1);
+    assert_eq!(history.verdict(now, &content(1)), CrashVerdict::Allowed);
+}
+
+/// Guards against a trial of a popular request for the crash of a rack, also where a few runs began together.
+#[test]
+fn runs_that_began_at_different_times_and_end_together_are_no_copies() {
+    let reports: Vec<_> = (0..8)
+        .map(|server| {
+            crash(
+                1,
+                server,
+                if server < 3 {
+                    0
+                } else {
+                    100 * u64::from(server)
+                },
+                1000,
+            )
+        })
+        .collect();
+    assert!(!is_quarantined(&history(&reports), 1));
+}
--- a/node/src/gateway/crash_verdict.rs
+++ b/node/src/gateway/crash_verdict.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use merlinrudder_core::crash_history::CrashVerdict;
+use merlinrudder_core::names::VmId;
 use merlinrudder_core::outcome::RunState;
+use merlinrudder_core::rendezvous::stable_hash;
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_wire::peers::WirePeer;
@@ -17,6 +19,10 @@
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time for which a request waits for a trial.
 const TRIAL_WAIT: Duration = Duration::from_millis(1500);
+/// Time in which a trial becomes known to the VM that would start the next one.
+const TRIAL_STAGGER: Duration = Duration::from_millis(30);
+/// Rank beyond which entry VMs wait no longer.
+const MAX_TRIAL_RANK: u32 = 10;
 /// Time after which a caller may return if the trial takes longer.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Time from the end of a run until a crash that it caused is in the history.
@@ -75,12 +81,31 @@
     if is_awaited {
         return Permission::Refuse(TRIAL_RETRY_AFTER);
     }
+    if now.since(call.received_at) < trial_delay(gateway, &on_trial) {
+        return Permission::Wait;
+    }
     for suspect in on_trial {
         start_trial(gateway, call, now, suspect);
     }
     Permission::SendOnTrial
 }
 
+/// Returns how long this VM waits before it starts a trial, by its rank among the linked entry VMs.
+///
+/// Copies of a request may come to several VMs at the same time, and only one of them is to be sent.
+fn trial_delay(gateway: &Gateway, on_trial: &[ContentDigest]) -> Duration {
+    let Some(suspect) = on_trial.first() else {
+        return Duration::ZERO;
+    };
+    let score = |vm: &VmId| stable_hash(&[&suspect.0, vm.as_str().as_bytes()]);
+    let own = score(&gateway.vm);
+    let peers = gateway.links.peers();
+    let entry_vms = peers.iter().filter(|peer| !peer.control);
+    let before = entry_vms.filter(|peer| score(&peer.vm_id()) < own).count();
+    let rank = u32::try_from(before).unwrap_or(MAX_TRIAL_RANK);
+    TRIAL_STAGGER * rank.min(MAX_TRIAL_RANK)
+}
+
 /// Tells all VMs that this request is the trial of its content or of a part.
 fn start_trial(gateway: &Gateway, call: &CallerRequest, now: Moment, suspect: ContentDigest) {
     let mut watch = gateway.crashes.borrow_mut();
--- a/node/tests/integration/crashing_requests.rs
+++ b/node/tests/integration/crashing_requests.rs
@@ -6,7 +6,9 @@
 use merlinrudder_fakes::http_client::send_customer_request;
 use merlinrudder_fakes::nodes::{CONTROL_VMS, Nodes};
 
-use crate::deployment::{ENTRY_VMS, runs, send_until_crashes, with_restarting_servers};
+use crate::deployment::{
+    ENTRY_VMS, runs, send_until_crashes, total_crashes, with_restarting_servers,
+};
 
 /// Time between two requests of a caller that comes back.
 const RETURN_INTERVAL: Duration = Duration::from_millis(250);
@@ -94,3 +96,45 @@
         });
     }
 }
+
+/// Rounds of copies that are sent at the same time.
+const COPY_ROUNDS: usize = 5;
+/// Time between two rounds; longer than `STABILITY_WINDOW`.
+const COPY_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Guards against copies of a crashing request that crash all servers together and count as one crash.
+#[test]
+fn copies_that_crash_servers_together_reach_no_further_ones() {
+    with_restarting_servers(|nodes, servers| {
+        let mut before = None;
+        let mut statuses = Vec::new();
+        for round in 0..COPY_ROUNDS {
+            thread::scope(|scope| {
+                let copies = (0..2 * usize::from(ENTRY_VMS)).map(|copy| {
+                    let entry = CONTROL_VMS + copy % usize::from(ENTRY_VMS);
+                    let attempt = format!("copy-{round}-{copy}");
+                    let callers = nodes.callers_address(entry);
+                    scope.spawn(move || {
+                        send_customer_request(callers, "POST /file/crash-within", &attempt).status
+                    })
+                });
+                let copies: Vec<_> = copies.collect();
+                let answers = copies
+                    .into_iter()
+                    .map(|copy| copy.join().expect("no panic"));
+                statuses.extend(answers);
+            });
+            thread::sleep(COPY_INTERVAL);
+            // Copies that are sent to the same server crash it once.
+            if before.is_none() && total_crashes(servers) >= MAX_CRASHES {
+                before = Some(runs(servers, "/crash"));
+            }
+        }
+        let before = before.expect("three servers have crashed");
+        let late = runs(servers, "/crash") - before;
+        assert!(
+            late <= MAX_LATE_RUNS,
+            "{late} runs after {before} until the third crash; statuses {statuses:?}"
+        );
+    });
+}
