bug: prompts with a crashing part that are sent together counted as one moment

Crashes within 50 ms make one moment, and a part is judged from three moments on. Change: a part whose prompts crashed three servers or more, most of them as long after they began, is on trial; from five such crashes at two moments on it is quarantined for an hour. Crashes that a quarantined part explains count for nothing, and a request without a suspect that came with the part in these crashes is tried. Tests: `prompts_with_a_part_that_crash_servers_together_are_tried` and one for the part that came with it; before, the first was allowed. Two tests of zone crashes are changed: their eight runs had all begun within 28 ms, which is what prompts sent together look like. The runs now begin 150 ms apart, as those of a part that callers send all the time; what is expected is the same, no verdict at all. Ruled out: a rule for the number of servers in a moment, as five of eight may be a zone or five prompts.

--- a/core/src/crash_history.rs
+++ b/core/src/crash_history.rs
@@ -251,7 +251,7 @@
         let known = self.contents.len();
         self.contents.retain(|suspect, runs| {
             let is_proven = if suspect.is_prompt_part() {
-                blamed.contains_key(suspect)
+                blamed.get(suspect).is_some_and(|part| part.is_lasting)
             } else {
                 sequential_crashes(runs.values()) >= QUARANTINE_CRASHES
             };
--- a/core/src/crash_history/parts.rs
+++ b/core/src/crash_history/parts.rs
@@ -1,11 +1,12 @@
 //! Which prompt parts are to blame for crashes of servers that answered requests with them.
 //!
 //! No two requests with such a part need be alike, and many of them run at the same time, so crashes
-//! count by their moments. Other parts ran beside it and share its crashes. The part that explains
+//! count by their moments; if most came as long after the begin of their runs, fewer moments suffice. Other parts ran beside it and share its crashes. The part that explains
 //! most crashes is to blame for them, and the others only for those that are left.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use super::alike::{self, AlikeCrashes};
 use super::{CLOCK_TOLERANCE, CrashedRun, FIRST_QUARANTINE, Runs, extended_quarantine};
 use crate::directory::Incarnation;
 use crate::time::Moment;
@@ -61,33 +62,34 @@
     distinct_moments(counted.map(|run| run.ended))
 }
 
-/// Whether a part crashed servers at `PART_CRASHES` moments, whatever explains them.
+/// Whether a part crashed enough servers to be judged, whatever explains them.
 pub(super) fn is_candidate(runs: &Runs) -> bool {
-    runs.len() >= PART_CRASHES && crash_moments(runs).len() >= PART_CRASHES
+    runs.len() >= PART_CRASHES && runs.values().filter(|run| !run.cleared).count() >= PART_CRASHES
 }
 
-/// Returns the parts that are to blame for crashes, those for most of them first.
-pub(super) fn blamed_parts(all: &BTreeMap<ContentDigest, Runs>) -> Vec<BlamedPart<'_>> {
-    let mut left = candidates(all);
-    let mut blamed = Vec::new();
-    while let Some(top) = left.iter().map(BlamedPart::rank).max() {
-        let (mut winners, others): (Vec<_>, _) =
-            left.into_iter().partition(|part| part.rank() == top);
-        let explained = mark_ties(&mut winners);
-        left = others;
-        for part in &mut left {
-            part.crashes
-                .retain(|(incarnation, _)| !explained.contains_key(incarnation));
-            part.moments = distinct_moments(part.crashes.iter().map(|(_, ended)| *ended));
+/// A part and the runs with it that ended with their servers.
+#[derive(Debug)]
+pub(super) struct PartCrashes<'a> {
+    part: ContentDigest,
+    /// Runs that are not cleared and began before the crash; at least `PART_CRASHES`.
+    runs: Vec<(&'a Incarnation, &'a CrashedRun)>,
+}
+
+impl<'a> PartCrashes<'a> {
+    /// Returns the part as if no other one explained its crashes.
+    fn unexplained(&self) -> BlamedPart<'a> {
+        let crashes = self.runs.iter().map(|(server, run)| (*server, run.ended));
+        BlamedPart {
+            part: self.part,
+            moments: distinct_moments(self.runs.iter().map(|(_, run)| run.ended)),
+            crashes: crashes.collect(),
+            is_tied: false,
         }
-        left.retain(|part| part.moments.len() >= PART_CRASHES);
-        blamed.append(&mut winners);
     }
-    blamed
 }
 
-/// Returns the parts with enough crashes if none is explained by another part.
-fn candidates(all: &BTreeMap<ContentDigest, Runs>) -> Vec<BlamedPart<'_>> {
+/// Returns the crashes of all parts that may be to blame.
+pub(super) fn crashes_of_parts(all: &BTreeMap<ContentDigest, Runs>) -> Vec<PartCrashes<'_>> {
     let parts = all.iter().filter(|(suspect, _)| suspect.is_prompt_part());
     let parts: Vec<_> = parts.filter(|(_, runs)| is_candidate(runs)).collect();
     if parts.is_empty() {
@@ -98,21 +100,65 @@
         let at = crashed_at.get(incarnation).copied();
         !run.cleared && run.started <= at.unwrap_or(run.ended) + CLOCK_TOLERANCE
     };
-    let candidates = parts.into_iter().map(|(part, runs)| {
-        let crashes = runs.iter().filter(in_time);
-        let crashes: Vec<_> = crashes.map(|(server, run)| (server, run.ended)).collect();
-        BlamedPart {
-            part: *part,
-            moments: distinct_moments(crashes.iter().map(|(_, ended)| *ended)),
-            crashes,
-            is_tied: false,
-        }
+    let parts = parts.into_iter().map(|(part, runs)| PartCrashes {
+        part: *part,
+        runs: runs.iter().filter(in_time).collect(),
     });
-    candidates
-        .filter(|part| part.moments.len() >= PART_CRASHES)
+    parts
+        .filter(|part| part.runs.len() >= PART_CRASHES)
         .collect()
 }
 
+/// Returns the parts whose prompts crashed servers together, with the end of each one's quarantine.
+///
+/// `explained` are servers whose crashes quarantined parts explain.
+pub(super) fn alike_parts<'a>(
+    parts: &[PartCrashes<'a>],
+    explained: &BTreeSet<Incarnation>,
+) -> Vec<(BlamedPart<'a>, Moment)> {
+    let left = parts.iter().map(|part| {
+        let runs = part.runs.iter().copied();
+        PartCrashes {
+            part: part.part,
+            runs: runs
+                .filter(|(server, _)| !explained.contains(*server))
+                .collect(),
+        }
+    });
+    let alike = left.filter_map(|part| {
+        let blamed = part.unexplained();
+        let last = blamed.moments.last().copied()?;
+        let runs = part.runs.iter().map(|(_, run)| *run);
+        match alike::judge(runs, blamed.moments.len()) {
+            AlikeCrashes::Inconclusive => None,
+            AlikeCrashes::Trial => Some((blamed, last)),
+            AlikeCrashes::Quarantine => Some((blamed, last + FIRST_QUARANTINE)),
+        }
+    });
+    alike.collect()
+}
+
+/// Returns the parts that are to blame for crashes, those for most of them first.
+pub(super) fn blamed_parts<'a>(parts: &[PartCrashes<'a>]) -> Vec<BlamedPart<'a>> {
+    let mut left: Vec<_> = parts.iter().map(PartCrashes::unexplained).collect();
+    left.retain(|part| part.moments.len() >= PART_CRASHES);
+    let mut blamed = Vec::new();
+    while let Some(top) = left.iter().map(BlamedPart::rank).max() {
+        let (mut winners, others): (Vec<_>, _) =
+            left.into_iter().partition(|part| part.rank() == top);
+        let explained = mark_ties(&mut winners);
+        left = others;
+        for part in &mut left {
+            part.crashes
+                .retain(|(incarnation, _)| !explained.contains_key(incarnation));
+            part.moments = distinct_moments(part.crashes.iter().map(|(_, ended)| *ended));
+        }
+        left.retain(|part| part.moments.len() >= PART_CRASHES);
+        blamed.append(&mut winners);
+    }
+    blamed
+}
+
 /// Returns when the first run on the server of each of `runs` ended with it.
 ///
 /// Later ones were sent to a server that no longer ran, such as through a proxy.
