bug: a status report of another writer took a sound server out of use

Cause: each report that could be decoded was merged, whatever service it names; missing fields had defaults; a deregistration that could not be read counted as one without a lifetime. Test before: `odd_reports_leave_sound_servers_in_use` failed (503, 200 expected). After: passes.

--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -141,6 +141,16 @@
         self.servers.get(id).map(|known| &known.record)
     }
 
+    /// Whether a record would change the service of a server that has not left, or of its address.
+    #[must_use]
+    pub fn would_change_service(&self, record: &ServerRecord) -> bool {
+        let mut known = self.records().map(|(known, _)| known);
+        known.any(|known| {
+            let concerns = known.id == record.id || known.address == record.address;
+            concerns && known.stage != ServerStage::Gone && known.service != record.service
+        })
+    }
+
     /// Returns the lifetimes whose end without a goodbye a record would show.
     ///
     /// These are ready servers with the id or the address of the record that started earlier.
--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -123,10 +123,13 @@
                 text_response(StatusCode::BAD_REQUEST, &error.to_string())
             }
         },
-        ControlCall::Deregister(id) => {
-            let born = instances::read_deregistration(&body);
-            submit(inputs, |reply| Input::Deregister(id, born, reply)).await
-        }
+        ControlCall::Deregister(id) => match instances::read_deregistration(&body) {
+            Ok(born) => submit(inputs, |reply| Input::Deregister(id, born, reply)).await,
+            Err(error) => {
+                info!(log, "Rejected a deregistration"; "server" => %id, "error" => %error);
+                text_response(StatusCode::BAD_REQUEST, &error.to_string())
+            }
+        },
         ControlCall::StartEvacuation(zone) => set_evacuation(zone, true, inputs, zones).await,
         ControlCall::EndEvacuation(zone) => set_evacuation(zone, false, inputs, zones).await,
     }
--- a/node/src/controller/servers.rs
+++ b/node/src/controller/servers.rs
@@ -7,6 +7,7 @@
 use merlinrudder_core::directory::{Directory, Merged, ServerRecord, ServerStage};
 use merlinrudder_core::names::ServerId;
 use merlinrudder_core::time::Moment;
+use merlinrudder_platform::config;
 use merlinrudder_wire::mesh::MeshMessage;
 use merlinrudder_wire::peers::{WirePeer, WireServer};
 use slog::info;
@@ -56,6 +57,12 @@
         report: &ColdReport,
         reply: Reply<()>,
     ) {
+        if self.is_foreign(&record) {
+            info!(self.log, "Ignored a heartbeat of an unknown service"; "server" => %record.id,
+                "service" => %record.service, "address" => %record.address);
+            self.reply_to_server(now, false, reply);
+            return;
+        }
         let cold_change = self.record_cold(now, report, true);
         let leaving = record.stage != ServerStage::Ready;
         let id = record.id.clone();
@@ -68,6 +75,18 @@
         self.reply_to_server(now, leaving, reply);
     }
 
+    /// Whether a record names a service that the manifest doesn't define, and would displace a server.
+    ///
+    /// Another writer may have sent it. One that displaces none is kept, as a later manifest may define
+    /// its service.
+    fn is_foreign(&self, record: &ServerRecord) -> bool {
+        let Some(manifest) = &self.replica.state.manifest else {
+            return false;
+        };
+        self.servers.directory.would_change_service(record)
+            && !config::defines_service(&manifest.bytes, &record.service)
+    }
+
     /// Handles the deregistration of a backend server.
     pub(super) fn handle_deregister(
         &mut self,
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -22,6 +22,7 @@
 mod load;
 mod mesh;
 mod odd_numbers;
+mod odd_reports;
 mod plain_answers;
 mod planned_stop;
 mod platform;
