bug: a first configuration of version 0 was confirmed and lost

Cause: without a manifest the number in force counted as 0, so the leader answered the publish from its own state, without an entry. Change: the first manifest is appended whatever its number. Test before: `a_first_configuration_of_version_0_survives_the_loss_of_all_processes` failed after 60 s. After: passes in a second.

--- a/core/src/publishing.rs
+++ b/core/src/publishing.rs
@@ -32,18 +32,18 @@
 }
 
 impl Publishing {
-    /// Decides about manifest `number`, while manifest `applied` is in force.
+    /// Decides about manifest `number`, while manifest `applied` is in force, or none is.
     ///
     /// `term` is the current one, `applied_index` the position up to which the log is applied.
     #[must_use]
     pub fn decide(
         &self,
         number: ManifestNumber,
-        applied: ManifestNumber,
+        applied: Option<ManifestNumber>,
         term: Term,
         applied_index: Index,
     ) -> PublishDecision {
-        if number <= applied {
+        if applied.is_some_and(|applied| number <= applied) {
             return PublishDecision::Answer;
         }
         let newest = self.newest.filter(|newest| {
--- a/core/tests/integration/publishing.rs
+++ b/core/tests/integration/publishing.rs
@@ -7,7 +7,7 @@
 const TERM: Term = Term(3);
 
 fn decide(publishing: &Publishing, number: u64, applied: u64) -> PublishDecision {
-    let (number, applied) = (ManifestNumber(number), ManifestNumber(applied));
+    let (number, applied) = (ManifestNumber(number), Some(ManifestNumber(applied)));
     publishing.decide(number, applied, TERM, Index(10))
 }
 
@@ -44,3 +44,12 @@
     publishing.appended(ManifestNumber(7), TERM, Index(10));
     assert_eq!(decide(&publishing, 7, 6), PublishDecision::Append);
 }
+
+/// Guards against a first manifest of number 0 that is confirmed without an entry in the log.
+#[test]
+fn a_first_manifest_is_appended_whatever_its_number() {
+    let publishing = Publishing::default();
+    let first = publishing.decide(ManifestNumber(0), None, TERM, Index(10));
+    assert_eq!(first, PublishDecision::Append);
+    assert_eq!(decide(&publishing, 0, 0), PublishDecision::Answer);
+}
--- a/node/src/replica.rs
+++ b/node/src/replica.rs
@@ -164,7 +164,8 @@
         published: PublishedManifest,
     ) -> Result<(), NotLeader> {
         let number = published.number;
-        let applied = self.state.manifest_number();
+        let applied = self.state.manifest.as_ref();
+        let applied = applied.map(|applied| applied.number);
         let term = self.consensus.term();
         let decision = self
             .publishing
--- a/node/tests/integration/platform.rs
+++ b/node/tests/integration/platform.rs
@@ -1,11 +1,12 @@
 //! End-to-end tests of control and entry processes with fake backend servers.
 
+use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
 use merlinrudder_fakes::backend::{BackendFault, FakeBackend};
 use merlinrudder_fakes::http_client::{HttpResponse, send_customer_request, send_request};
-use merlinrudder_fakes::nodes::{Heartbeat, Nodes, sample_configuration, wait_for};
+use merlinrudder_fakes::nodes::{CONTROL_VMS, Heartbeat, Nodes, sample_configuration, wait_for};
 use nix::sys::signal::Signal;
 use serde_json::json;
 
@@ -298,3 +299,15 @@
     let resumed = servers.iter().map(|server| server.executions().len());
     assert_eq!(resumed.sum::<usize>(), 2);
 }
+
+/// Guards against a first configuration that one process alone has, as its version is 0.
+#[test]
+fn a_first_configuration_of_version_0_survives_the_loss_of_all_processes() {
+    let program = Path::new(env!("CARGO_BIN_EXE_merlinrudder"));
+    let nodes = Nodes::spawn(program, 0).expect("control VMs start");
+    publish(&nodes, &sample_configuration(0));
+    kill_and_restart(&nodes, 0..CONTROL_VMS);
+    for index in 0..CONTROL_VMS {
+        wait_for("the configuration", || nodes.read_version(index) == Some(0));
+    }
+}
