bug: a list of known VMs that could not be written was not tried again

Seen while reading the diff: after a write that failed, as on a full disk, the file `peers` stayed outdated until the list changed again. Change: the thread that writes it tries again each 5 s, or with a newer list. No test: the thread is private and the disk of its file has no stand-in for faults. With it three constants of alike.rs have names that differ from those of its sibling, and a comment is wrapped. Nothing else is changed.

--- a/core/src/crash_history/alike.rs
+++ b/core/src/crash_history/alike.rs
@@ -7,11 +7,11 @@
 use crate::time::Moment;
 
 /// Servers that crash in this way from which on their suspect is tried a single run at a time.
-const TRIAL_CRASHES: usize = 3;
-/// Such servers from which on it is quarantined, if they crashed at `QUARANTINE_MOMENTS`.
-const QUARANTINE_CRASHES: usize = 5;
+const MIN_ALIKE_FOR_TRIAL: usize = 3;
+/// Such servers from which on it is quarantined, if they crashed at `MIN_MOMENTS_FOR_QUARANTINE`.
+const MIN_ALIKE_FOR_QUARANTINE: usize = 5;
 /// Crashes one after the other among them, without a completion between.
-const QUARANTINE_MOMENTS: usize = 2;
+const MIN_MOMENTS_FOR_QUARANTINE: usize = 2;
 
 /// What crashes that look alike say of their suspect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,9 +37,9 @@
         times[first..].partition_point(|time| *time <= *shortest + CLOCK_TOLERANCE)
     });
     let alike = alike.max().unwrap_or_default();
-    if alike < TRIAL_CRASHES || alike * 2 < times.len() {
+    if alike < MIN_ALIKE_FOR_TRIAL || alike * 2 < times.len() {
         AlikeCrashes::Inconclusive
-    } else if alike >= QUARANTINE_CRASHES && moments >= QUARANTINE_MOMENTS {
+    } else if alike >= MIN_ALIKE_FOR_QUARANTINE && moments >= MIN_MOMENTS_FOR_QUARANTINE {
         AlikeCrashes::Quarantine
     } else {
         AlikeCrashes::Trial
--- a/node/src/controller/known_peers.rs
+++ b/node/src/controller/known_peers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use crossbeam::channel::{Receiver, Sender, unbounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use merlinrudder_core::names::VmId;
 use merlinrudder_core::time::Moment;
 use merlinrudder_store::{Disk, SideFile};
@@ -21,6 +21,8 @@
 const FILE_NAME: &str = "peers";
 /// Shortest time between two writes.
 const SAVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which a list is written again that could not be written.
+const RETRY_INTERVAL: Duration = Duration::from_secs(5);
 /// Time without a link after which a VM that is no voter is forgotten.
 const MAX_UNLINKED_TIME: Duration = Duration::from_mins(10);
 
@@ -111,12 +113,18 @@
 }
 
 /// Writes the newest list, on a thread of its own as the disk may be slow.
+///
+/// A list that cannot be written is tried again until a newer one comes.
 fn write_lists(file: &SideFile, lists: &Receiver<Vec<WirePeer>>, log: &Logger) {
     while let Ok(list) = lists.recv() {
-        let newest = lists.try_iter().last().unwrap_or(list);
-        if let Err(error) = file.replace(&encode(&newest)) {
-            // A later change is written again; until then the kept list is outdated.
+        let mut newest = lists.try_iter().last().unwrap_or(list);
+        while let Err(error) = file.replace(&encode(&newest)) {
             warn!(log, "Cannot write the list of known VMs"; "error" => %error, "vms" => newest.len());
+            match lists.recv_timeout(RETRY_INTERVAL) {
+                Ok(list) => newest = list,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
         }
     }
 }
