--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod crash_detector;
 mod crash_history;
 mod crash_parts;
+mod crash_parts_in_requests;
 mod directory;
 mod dispatch;
 mod dispatch_fuzz;
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -6,6 +6,7 @@
 //! that dialled connects again. Of two entry VMs, the one with the lower address dials, and the
 //! other one helps if no link opens.
 
+mod address_source;
 mod table;
 
 use std::net::SocketAddr;
@@ -31,6 +32,7 @@
 use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
+pub use self::address_source::AddressSource;
 use self::table::{LinkSignals, LinkTable, OpenLink};
 use crate::metrics;
 use crate::sockets;
@@ -56,34 +58,6 @@
 /// Size of the read buffer of a link.
 const READ_BUFFER_BYTES: usize = 4096;
 
-/// How this VM learnt the address of another one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AddressSource {
-    /// The settings name it as a seed; it is never given up.
-    Settings,
-    /// A control VM listed it.
-    PeerList,
-    /// An entry VM listed it.
-    EntryVm,
-    /// The VM introduced itself on a link.
-    Handshake,
-    /// It was kept in the data folder from before the start.
-    Kept,
-}
-
-impl AddressSource {
-    /// Name in log lines.
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Settings => "settings",
-            Self::PeerList => "peer_list",
-            Self::EntryVm => "entry_vm",
-            Self::Handshake => "handshake",
-            Self::Kept => "kept",
-        }
-    }
-}
-
 /// Event on the links of this VM.
 #[derive(Debug)]
 pub enum LinkEvent {
