bug: callers were refused for the rest of a trial whose result was known

Cause: a request on trial is sent by one VM at a time; the others await the result for 10 s. A trial that ended with its server, which another request may have crashed, was awaited for the rest of that time. Change: a report of a crash, or that a suspect is cleared, ends its trial. Test before: `a_trial_ends_with_the_crash_that_it_causes` failed (429). After: passes, as do the other tests of crashes and links between VMs.

--- a/node/src/gateway/crash_watch.rs
+++ b/node/src/gateway/crash_watch.rs
@@ -118,6 +118,13 @@
     pub(super) fn is_on_trial(&self, now: Moment, suspect: &ContentDigest) -> bool {
         self.trials.get(suspect).is_some_and(|end| now < *end)
     }
+
+    /// Ends the trials of contents and parts of which a crash, or that they are cleared, is known now.
+    fn end_trials(&mut self, reports: &[CrashReport]) {
+        for report in reports {
+            self.trials.remove(&report.content);
+        }
+    }
 }
 
 impl RunInProgress {
@@ -210,6 +217,7 @@
     let added = exchange.receive(gateway.now(), from, reports, &gateway.log);
     let cleared = exchange.refute(&added);
     share(gateway, exchange, &cleared);
+    watch.end_trials(&added);
 }
 
 /// Removes old entries of the crash history until the process exits.
@@ -286,6 +294,7 @@
     let mut added = exchange.merge(now, reports, &gateway.log);
     added.extend(exchange.refute(&added));
     share(&gateway, exchange, &added);
+    watch.end_trials(&added);
 }
 
 /// Sends reports to all other VMs.
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -23,7 +23,7 @@
 use merlinrudder_core::retry::RetryLimits;
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::ContentDigest;
-use merlinrudder_fakes::http_client::send_customer_request;
+use merlinrudder_fakes::http_client::{send_customer_request, send_request_with_headers};
 use merlinrudder_fakes::nodes::sample_configuration;
 use merlinrudder_node::controller::{ControllerConfig, RunningController};
 use merlinrudder_node::gateway::{GatewayConfig, RunningGateway};
@@ -564,3 +564,45 @@
     assert_eq!(vm.lines.count("Evacuation ordered"), 0);
     assert_eq!(vm.lines.count("Manifest submitted"), 0);
 }
+
+/// Returns reports of runs with one part of a prompt that crashed these servers at the same moment.
+fn part_crashes(servers: Range<u8>, part: ContentDigest) -> MeshMessage {
+    let now = Moment::from_millis(10_000_000);
+    let report = |number| {
+        let run = CrashedRun {
+            started: now - Duration::from_millis(5050),
+            ended: now - Duration::from_secs(5),
+            servers: 10,
+            cleared: false,
+        };
+        let server = ServerId::from(format!("i-{number}"));
+        let report = CrashReport {
+            content: part,
+            incarnation: Incarnation { server, born: 5 },
+            run,
+        };
+        WireCrashReport::new(now, &report)
+    };
+    MeshMessage::CrashReports(servers.map(report).collect())
+}
+
+/// Guards against callers that are refused for the rest of a trial whose result, a crash, is known.
+#[test]
+fn a_trial_ends_with_the_crash_that_it_causes() {
+    const QUARANTINED: u16 = 429;
+    let (vm, mut control) = start_with_manifest();
+    let part = ContentDigest::of_prompt_part("app", "p1");
+    let status = |attempt: &str| {
+        let headers = "X-Merlinrudder-Prompt-Prefix: p1:10,last:5\r\n";
+        let path = "POST /stream/x";
+        send_request_with_headers(vm.callers, path, attempt, "k1", headers).status
+    };
+    control.send(&part_crashes(0..3, part));
+    control.send(&MeshMessage::TrialStarted(part.0));
+    control.read_for(Duration::from_millis(100));
+    assert_eq!(status("awaits-the-trial"), QUARANTINED);
+    control.send(&part_crashes(3..4, part));
+    control.read_for(Duration::from_millis(100));
+    // It is the next trial, for which there is no server here.
+    assert_ne!(status("is-the-next-trial"), QUARANTINED);
+}
