--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -69,6 +69,8 @@
 pub struct Weighed {
     /// Value that other requests would lose.
     pub external_cost: ExternalCost,
+    /// Value of the engine time that the prompt takes.
+    pub engine_cost: f64,
     /// Value that the caller gains.
     pub gain: f64,
     /// Fraction of the engines that were prefilling.
@@ -137,6 +139,7 @@
     let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
     let weighed = Weighed {
         external_cost: placement.external_cost,
+        engine_cost,
         gain,
         busy_fraction: pressure.busy_fraction,
         taken_fraction: pressure.taken_fraction,
--- a/node/src/gateway/attempts.rs
+++ b/node/src/gateway/attempts.rs
@@ -288,15 +288,19 @@
     /// Logs what was weighed when a prompt was refused.
     fn log_refused_prompt(&self, gateway: &Gateway, call: &CallerRequest, weighed: &Weighed) {
         let cheapest = self.cheapest.as_ref();
+        let share = length_shares::share(gateway, call);
         info!(gateway.log, "Prompt refused"; "request" => call.attempt_id_text(),
             "prompt_tokens" => call.prompt_tokens(), "selections" => self.selections,
             "waited_ms" => gateway.now().since(call.received_at).as_millis(),
             "external_cost" => weighed.external_cost.total(), "gain" => weighed.gain,
-            "delay_cost" => weighed.external_cost.delays,
+            "delay_cost" => weighed.external_cost.delays, "engine_cost" => weighed.engine_cost,
             "least_cost" => cheapest.map(WeighedAt::external_cost),
             "least_cost_gain" => cheapest.map(|least| least.weighed.gain),
+            "least_cost_engine" => cheapest.map(|least| least.weighed.engine_cost),
             "least_cost_ms" => cheapest.map(|least| least.waited.as_millis()),
             "underserved" => self.tally.is_underserved.get(),
+            "placed_rate" => share.as_ref().map(|share| share.group_rate),
+            "class_rate" => share.as_ref().map(|share| share.class_rate),
             "spent_ms" => call.spent_before().as_millis(),
             "busy_fraction" => weighed.busy_fraction, "taken_fraction" => weighed.taken_fraction, "engines" => weighed.engines,
             "predicted_ms" => weighed.predicted_ttft.as_millis());
--- a/node/src/gateway/length_shares.rs
+++ b/node/src/gateway/length_shares.rs
@@ -42,6 +42,13 @@
     short.is_some()
 }
 
+/// Returns how often prompts of about the length of a request were placed lately.
+pub(super) fn share(gateway: &Gateway, call: &CallerRequest) -> Option<LengthShare> {
+    let class = PromptClass::new(&call.service, call.route.objective);
+    let shares = &gateway.fleet.borrow().shares;
+    shares.share(gateway.now(), &class, call.prompt_tokens())
+}
+
 fn log_underserved(gateway: &Gateway, call: &CallerRequest, share: &LengthShare) {
     info!(gateway.log, "Prompt of an underserved length"; "request" => call.attempt_id_text(),
         "prompt_tokens" => call.prompt_tokens(), "placed_rate" => share.group_rate,
