--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -35,6 +35,7 @@
 mod pair_start;
 mod peer_list;
 mod placement_batches;
+mod placement_decision;
 mod planned_stop;
 mod publishing;
 mod ranks;
