--- a/core/src/engine_placement/split.rs
+++ b/core/src/engine_placement/split.rs
@@ -2,27 +2,20 @@
 
 use super::delays::{DelayedPrompts, PromptsInPrefill};
 use super::{
-    BLOCK_SLACK_TOKENS, Candidate, Evaluation, ExternalCost, HELPER_COST, MIN_SPLIT_TOKENS,
-    Placement, PlacementRequest, Placer, from_millis, own_cost,
+    BLOCK_SLACK_TOKENS, Candidate, Evaluation, ExternalCost, HELPER_COST, Placement,
+    PlacementRequest, Placer, from_millis, own_cost,
 };
-use crate::directory::ServerRecord;
 use crate::engine_model::as_float;
 
-/// Cost of a lead on an engine that decodes no answer to a long prompt.
-///
-/// Each prefill pauses the answers on its engine. Leads that share engines leave others to prefill.
-const OPENING_COST: f64 = 2.0;
-
 /// Engines for the parts of a prompt, chosen one after the other.
 struct ChosenEngines<'a> {
-    /// The engines, the lead first.
     engines: Vec<Evaluation<'a>>,
     delayed: DelayedPrompts,
     /// Predicted time until the slowest engine has prefilled its part, in milliseconds.
     ready: f64,
 }
 
-impl<'a> ChosenEngines<'a> {
+impl ChosenEngines<'_> {
     /// Returns what other requests lose.
     fn external_cost(&self) -> ExternalCost {
         ExternalCost {
@@ -30,28 +23,6 @@
             delays: self.delayed.total(),
         }
     }
-
-    /// Moves the engine that adds least to the cost of the placement from `rated` to the chosen ones.
-    ///
-    /// Returns `None` if none is left.
-    fn take_cheapest(
-        &mut self,
-        request: &PlacementRequest,
-        rated: &mut Vec<Evaluation<'a>>,
-        fixed_cost: impl Fn(&Evaluation<'a>) -> f64,
-    ) -> Option<()> {
-        let added_cost = |e: &Evaluation<'a>| {
-            let late = own_cost(request, self.ready.max(e.ready) + e.pass);
-            e.pauses + self.delayed.added_cost(&e.delays) + late + fixed_cost(e)
-        };
-        let costs = rated.iter().map(added_cost).enumerate();
-        let (index, _) = costs.min_by(|a, b| a.1.total_cmp(&b.1))?;
-        let next = rated.swap_remove(index);
-        self.delayed.add(&next.delays);
-        self.ready = self.ready.max(next.ready);
-        self.engines.push(next);
-        Some(())
-    }
 }
 
 impl Placer<'_> {
@@ -82,6 +53,10 @@
         let placing_cost = |e: &Evaluation<'_>| {
             candidates[e.candidate].penalty + self.zone_crossing_cost(e.server)
         };
+        let delayed = DelayedPrompts::none_of(prefilling);
+        let mut chosen = choose_engines(request, rated, count + 1, delayed, placing_cost)?;
+        let external_cost = chosen.external_cost();
+        let penalty: f64 = chosen.engines.iter().map(placing_cost).sum();
         let lead_cost = |e: &Evaluation<'_>| {
             if helper_tokens > 0 {
                 self.zone_crossing_cost(e.server)
@@ -89,25 +64,16 @@
                 self.lead_cost(request, e.server)
             }
         };
-        let mut chosen = ChosenEngines {
-            engines: Vec::with_capacity(count + 1),
-            delayed: DelayedPrompts::none_of(prefilling),
-            ready: 0.0,
-        };
-        chosen.take_cheapest(request, &mut rated, |e| {
-            placing_cost(e) + lead_cost(e) + self.opening_cost(e.server)
-        })?;
-        for _ in 0..count {
-            chosen.take_cheapest(request, &mut rated, placing_cost)?;
-        }
-        let external_cost = chosen.external_cost();
-        let penalty: f64 = chosen.engines.iter().map(placing_cost).sum();
-        let (lead, helpers) = chosen.engines.split_first()?;
+        let engines = &mut chosen.engines;
+        let lead = (0..engines.len())
+            .min_by(|a, b| lead_cost(&engines[*a]).total_cmp(&lead_cost(&engines[*b])))?;
+        let lead = engines.swap_remove(lead);
+        let helpers = &*engines;
         let ttft = chosen.ready + lead.pass;
         let nominal = helpers.iter().fold(lead.nominal, |n, e| n.max(e.nominal));
         let nominal = nominal + lead.nominal_pass;
         let helper_cost = as_float(count as u64) * HELPER_COST;
-        let own = own_cost(request, ttft) + lead_cost(lead);
+        let own = own_cost(request, ttft) + lead_cost(&lead);
         let placement = Placement {
             lead: lead.server.id.clone(),
             helpers: helpers.iter().map(|e| e.server.id.clone()).collect(),
@@ -119,14 +85,34 @@
         let cost = external_cost.total() + penalty + helper_cost + own;
         Some((cost, placement))
     }
+}
 
-    /// Returns the additional cost of a lead on an engine without another long answer.
-    fn opening_cost(&self, server: &ServerRecord) -> f64 {
-        let mut parts = self.loads.load_or_idle(&server.id).parts();
-        if parts.any(|part| part.leads && part.prompt_tokens >= MIN_SPLIT_TOKENS) {
-            0.0
-        } else {
-            OPENING_COST
-        }
+/// Chooses engines one after the other, by what each adds to the cost of the placement.
+///
+/// Returns `None` if there are fewer than `count`.
+fn choose_engines<'a>(
+    request: &PlacementRequest,
+    mut rated: Vec<Evaluation<'a>>,
+    count: usize,
+    delayed: DelayedPrompts,
+    placing_cost: impl Fn(&Evaluation<'a>) -> f64,
+) -> Option<ChosenEngines<'a>> {
+    let mut chosen = ChosenEngines {
+        engines: Vec::with_capacity(count),
+        delayed,
+        ready: 0.0,
+    };
+    while chosen.engines.len() < count {
+        let added_cost = |e: &Evaluation<'_>| {
+            let late = own_cost(request, chosen.ready.max(e.ready) + e.pass);
+            e.pauses + chosen.delayed.added_cost(&e.delays) + late
+        };
+        let costs = rated.iter().map(|e| added_cost(e) + placing_cost(e));
+        let (index, _) = costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let next = rated.swap_remove(index);
+        chosen.delayed.add(&next.delays);
+        chosen.ready = chosen.ready.max(next.ready);
+        chosen.engines.push(next);
     }
+    Some(chosen)
 }
