--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -416,17 +416,7 @@
     let value = request.value();
     let late = miss_probability(time, millis(request.ttft_objective)) * (1.0 - LATE_VALUE_FRACTION);
     let lost = miss_probability(ttft, millis(request.time_left)) * LATE_VALUE_FRACTION;
-    value * (late + lost + waiting_loss(request, ttft)) + ttft * COST_PER_MS
-}
-
-/// Returns the fraction of its value that a long prompt loses steadily until its caller gives up.
-///
-/// Without it a prompt that is late anyway takes the fewest engines, and holds them longest.
-fn waiting_loss(request: &PlacementRequest, ttft: f64) -> f64 {
-    if request.prompt_tokens < MIN_SPLIT_TOKENS {
-        return 0.0;
-    }
-    (ttft / millis(request.time_left).max(1.0)).min(1.0) * LATE_VALUE_FRACTION
+    value * (late + lost) + ttft * COST_PER_MS
 }
 
 /// Returns the fraction of its value that an answer loses if its next pause grows.
