--- a/core/src/engine_placement.rs
+++ b/core/src/engine_placement.rs
@@ -9,17 +9,15 @@
 //! [`prompt_value`]. Times in `f64` are in milliseconds.
 
 pub mod decision;
-mod delays;
 pub mod length_shares;
 pub mod loads;
 mod packing;
-mod split;
 
+use std::iter::Sum;
 use std::time::Duration;
 
 use fastrand::Rng;
 
-use self::delays::{Delay, PromptsInPrefill};
 use self::loads::{EngineLoad, LoadTable, PromptPart};
 use crate::directory::ServerRecord;
 use crate::engine_model::{EngineProfile, as_float};
@@ -132,6 +130,15 @@
     }
 }
 
+impl Sum for ExternalCost {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        iter.fold(Self::default(), |sum, cost| Self {
+            pauses: sum.pauses + cost.pauses,
+            delays: sum.delays + cost.delays,
+        })
+    }
+}
+
 /// Returns the value of a request to its caller, by prompt length; at least 1.
 #[must_use]
 pub fn prompt_value(prompt: u64) -> f64 {
@@ -154,15 +161,13 @@
 }
 
 /// Predicted cost and times of one candidate.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Evaluation<'a> {
     /// Index into the candidates.
     candidate: usize,
     server: &'a ServerRecord,
-    /// Value that answers on the engine are likely to lose, since their pauses grow.
-    pauses: f64,
-    /// What prompts in prefill on the engine are likely to lose.
-    delays: Vec<Delay>,
+    /// Value that other requests on the engine are likely to lose.
+    external_cost: ExternalCost,
     /// Predicted time until the part is prefilled, in milliseconds.
     ready: f64,
     /// Predicted time of a decode pass afterwards, in milliseconds.
@@ -173,16 +178,6 @@
     nominal_pass: f64,
 }
 
-impl Evaluation<'_> {
-    /// Returns what other requests lose if the prompt is placed on this engine alone.
-    fn external_cost(&self) -> ExternalCost {
-        ExternalCost {
-            pauses: self.pauses,
-            delays: self.delays.iter().map(|delay| delay.cost).sum(),
-        }
-    }
-}
-
 /// Places prompts, given the load of all engines at one moment.
 #[derive(Debug)]
 pub struct Placer<'a> {
@@ -208,11 +203,11 @@
         request: &PlacementRequest,
         candidates: &[Candidate<'_>],
     ) -> Option<Placement> {
-        let prefilling = PromptsInPrefill::new(self.loads, self.now);
-        let mut best = self.best_single(request, candidates, &prefilling);
+        let alone = self.best_single(request, candidates);
+        let mut best = alone;
         if request.prompt_tokens >= MIN_SPLIT_TOKENS {
             for count in HELPER_COUNTS {
-                let split = self.best_split(request, candidates, &prefilling, count);
+                let split = self.best_split(request, candidates, count);
                 best = cheaper(best, split);
             }
         }
@@ -235,16 +230,15 @@
         &self,
         request: &PlacementRequest,
         candidates: &[Candidate<'_>],
-        prefilling: &PromptsInPrefill<'_>,
     ) -> Option<(f64, Placement)> {
         if request.prompt_tokens + request.answer_tokens > self.profile.kv_capacity {
             return None;
         }
-        let rated = self.evaluate_all(request, candidates, prefilling, 1);
+        let rated = self.evaluate_all(request, candidates, 1);
         let base_cost = |e: &Evaluation<'_>| {
             let ttft = e.ready + e.pass;
             let own = own_cost(request, ttft) + candidates[e.candidate].penalty;
-            e.external_cost().total() + own + self.lead_cost(request, e.server)
+            e.external_cost.total() + own + self.lead_cost(request, e.server)
         };
         let open = self
             .is_short(request.prompt_tokens)
@@ -263,8 +257,81 @@
             helper_tokens: 0,
             predicted_ttft: from_millis(chosen.ready + chosen.pass),
             nominal_ttft: from_millis(chosen.nominal + chosen.nominal_pass),
-            external_cost: chosen.external_cost(),
+            external_cost: chosen.external_cost,
+        };
+        Some((cost, placement))
+    }
+
+    /// Returns the split over a lead and `count` helpers, with its cost.
+    ///
+    /// It uses the engines that are cheapest for one part each.
+    fn best_split(
+        &self,
+        request: &PlacementRequest,
+        candidates: &[Candidate<'_>],
+        count: usize,
+    ) -> Option<(f64, Placement)> {
+        if candidates.len() <= count {
+            return None;
+        }
+        let parts = count as u64 + 1;
+        let mut rated = self.evaluate_all(request, candidates, count + 1);
+        rated.retain(|e| candidates[e.candidate].may_help && self.can_help(e.server));
+        let whole = request.prompt_tokens + request.answer_tokens;
+        let max_free = rated.iter().map(|e| self.free_tokens(e.server)).max()?;
+        let helper_tokens = if max_free >= whole {
+            0
+        } else {
+            request.prompt_tokens.div_ceil(parts) + BLOCK_SLACK_TOKENS
+        };
+        if helper_tokens > 0 {
+            rated.retain(|e| self.free_tokens(e.server) >= helper_tokens + request.answer_tokens);
+        }
+        if rated.len() <= count {
+            return None;
+        }
+        let part_cost = |e: &Evaluation<'_>| {
+            let late = own_cost(request, e.ready + e.pass);
+            e.external_cost.total()
+                + late
+                + candidates[e.candidate].penalty
+                + self.zone_crossing_cost(e.server)
         };
+        rated.sort_by(|a, b| part_cost(a).total_cmp(&part_cost(b)));
+        rated.truncate(count + 1);
+        let lead_cost = |e: &Evaluation<'_>| {
+            if helper_tokens > 0 {
+                self.zone_crossing_cost(e.server)
+            } else {
+                self.lead_cost(request, e.server)
+            }
+        };
+        let lead = (0..rated.len())
+            .min_by(|a, b| lead_cost(&rated[*a]).total_cmp(&lead_cost(&rated[*b])))?;
+        let lead = rated.swap_remove(lead);
+        let helpers = &rated;
+        let slowest = helpers.iter().fold(lead.ready, |slow, e| slow.max(e.ready));
+        let ttft = slowest + lead.pass;
+        let nominal = helpers.iter().fold(lead.nominal, |n, e| n.max(e.nominal));
+        let nominal = nominal + lead.nominal_pass;
+        let engines = helpers.iter().chain([&lead]);
+        let external_cost: ExternalCost = engines.map(|e| e.external_cost).sum();
+        let penalty: f64 = helpers
+            .iter()
+            .chain([&lead])
+            .map(|e| candidates[e.candidate].penalty + self.zone_crossing_cost(e.server))
+            .sum();
+        let helper_cost = as_float(count as u64) * HELPER_COST;
+        let own = own_cost(request, ttft) + lead_cost(&lead);
+        let placement = Placement {
+            lead: lead.server.id.clone(),
+            helpers: helpers.iter().map(|e| e.server.id.clone()).collect(),
+            helper_tokens,
+            predicted_ttft: from_millis(ttft),
+            nominal_ttft: from_millis(nominal),
+            external_cost,
+        };
+        let cost = external_cost.total() + penalty + helper_cost + own;
         Some((cost, placement))
     }
 
@@ -272,14 +339,11 @@
         &self,
         request: &PlacementRequest,
         candidates: &[Candidate<'c>],
-        prefilling: &PromptsInPrefill<'_>,
         parts: usize,
     ) -> Vec<Evaluation<'c>> {
         let indexed = candidates.iter().enumerate();
         indexed
-            .map(|(index, candidate)| {
-                self.evaluate(request, index, candidate.server, prefilling, parts)
-            })
+            .map(|(index, candidate)| self.evaluate(request, index, candidate.server, parts))
             .collect()
     }
 
@@ -288,10 +352,10 @@
         request: &PlacementRequest,
         candidate: usize,
         server: &'c ServerRecord,
-        prefilling: &PromptsInPrefill<'_>,
         parts: usize,
     ) -> Evaluation<'c> {
-        let load = self.loads.load_or_idle(&server.id);
+        let empty = EngineLoad::default();
+        let load = self.loads.load(&server.id).unwrap_or(&empty);
         let pace = self.loads.learned().pace(&server.id);
         let prefill = self.profile.part_prefill_time(request.prompt_tokens, parts) * pace;
         let tokens = request.prompt_tokens / parts as u64;
@@ -311,13 +375,12 @@
         let ready = work + slot_wait(usable) * pace;
         let nominal = work / pace + slot_wait(self.profile.slots);
         let nominal_pass = pass / pace;
-        // Helpers prefill before the engine's own prompts.
         let ahead = if parts > 1 { prefill } else { in_pass };
+        let external_cost = self.external_cost(load, in_pass, ahead, pass);
         Evaluation {
             candidate,
             server,
-            pauses: self.pause_cost(load, in_pass, pass),
-            delays: self.delays(load, prefilling, ahead, pass),
+            external_cost,
             ready,
             pass,
             nominal,
@@ -325,44 +388,45 @@
         }
     }
 
-    /// Returns the value that answers lose if a prefill of `in_pass` joins their passes.
-    fn pause_cost(&self, load: &EngineLoad, in_pass: f64, pass: f64) -> f64 {
-        let before = pass + load.prefill_in_pass(self.now);
-        let after = before + in_pass;
-        let decoding = load.parts().filter(|part| !part.prefilling);
-        decoding
-            .map(|part| pause_loss(part, before, after) * part.value())
-            .sum()
-    }
-
-    /// Returns what prompts in prefill lose if `ahead` is prefilled on an engine before their parts.
-    fn delays(
+    /// Returns the value other requests lose if a prefill of `in_pass` joins their passes.
+    ///
+    /// Waiting prompts are delayed by `ahead`: helpers prefill before the engine's own prompts.
+    fn external_cost(
         &self,
         load: &EngineLoad,
-        prefilling: &PromptsInPrefill<'_>,
+        in_pass: f64,
         ahead: f64,
         pass: f64,
-    ) -> Vec<Delay> {
+    ) -> ExternalCost {
         let backlog = load.prefill_backlog(self.now);
-        let delay = |(key, part)| {
-            let prompt = prefilling.get(key)?;
-            let ready = prompt.ready.max(backlog + ahead);
-            let cost = self.ttft_loss(part, prompt.ready + pass, ready + pass);
-            (cost > 0.0).then_some(Delay {
-                prompt: prompt.index,
-                cost,
+        let before = pass + load.prefill_in_pass(self.now);
+        let after = before + in_pass;
+        load.parts()
+            .map(|part| {
+                let value = prompt_value(part.prompt_tokens) * part.weight;
+                if part.prefilling {
+                    ExternalCost {
+                        delays: self.ttft_loss(part, backlog + pass, ahead) * value,
+                        pauses: 0.0,
+                    }
+                } else {
+                    ExternalCost {
+                        delays: 0.0,
+                        pauses: pause_loss(part, before, after) * value,
+                    }
+                }
             })
-        };
-        load.prefilling().filter_map(delay).collect()
+            .sum()
     }
 
-    /// Returns the value that a prompt in prefill loses if it is ready at `after`, not at `before`.
-    fn ttft_loss(&self, part: &PromptPart, before: f64, after: f64) -> f64 {
+    /// Returns the fraction of its value that a waiting prompt loses to another prefill.
+    fn ttft_loss(&self, part: &PromptPart, ready: f64, ahead: f64) -> f64 {
+        let weight = if part.leads { 1.0 } else { part.delay_weight };
         let waited = as_float(duration_millis(self.now.since(part.received_at)));
         let bound = millis(part.ttft_objective);
-        let later =
-            miss_probability(waited + after, bound) - miss_probability(waited + before, bound);
-        later * (1.0 - LATE_VALUE_FRACTION) * part.value()
+        let later = miss_probability(waited + ready + ahead, bound)
+            - miss_probability(waited + ready, bound);
+        later * (1.0 - LATE_VALUE_FRACTION) * weight
     }
 
     /// Returns the additional cost of the engine as the lead.
--- a/core/src/engine_placement/loads.rs
+++ b/core/src/engine_placement/loads.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{from_millis, prompt_value};
+use super::from_millis;
 use crate::capacity::learned::LearnedTable;
 use crate::engine_model::{EngineProfile, as_float};
 use crate::names::{ServerId, VmId};
@@ -69,6 +69,10 @@
     pub pause_objective: Duration,
     /// Factor on the value of the prompt, by its rank.
     pub weight: f64,
+    /// Weight of a delay on a helper: 1 over the number of engines of the prompt.
+    ///
+    /// A delay on one of these engines is likely to delay them all, and counts once for all.
+    pub delay_weight: f64,
     /// Predicted time to prefill the part, in milliseconds.
     prefill_ms: f64,
     /// Share of `prefill_ms` that fits into one pass, in milliseconds.
@@ -77,14 +81,6 @@
     ends_at: Moment,
 }
 
-impl PromptPart {
-    /// Returns the value of the whole request by the length and the rank of its prompt.
-    #[must_use]
-    pub(super) fn value(&self) -> f64 {
-        prompt_value(self.prompt_tokens) * self.weight
-    }
-}
-
 /// Prompts and answers that one engine processes.
 #[derive(Debug, Default)]
 pub struct EngineLoad {
@@ -99,11 +95,6 @@
         self.parts.values()
     }
 
-    /// Returns the parts that may still be in prefill, with their placements.
-    pub fn prefilling(&self) -> impl Iterator<Item = (&PlacementKey, &PromptPart)> {
-        self.parts.iter().filter(|(_, part)| part.prefilling)
-    }
-
     /// Returns the number of answers that the engine decodes now or after prefill.
     #[must_use]
     pub fn lead_count(&self) -> usize {
@@ -187,8 +178,6 @@
     lapsing: BTreeSet<(Moment, PlacementKey)>,
     /// Learned capacities, by which predicted times grow.
     learned: LearnedTable,
-    /// Load of an engine on which nothing is placed.
-    idle: EngineLoad,
 }
 
 impl LoadTable {
@@ -222,16 +211,6 @@
         self.engines.get(server)
     }
 
-    /// Returns the load of an engine, which is empty if nothing is placed on it.
-    pub(super) fn load_or_idle(&self, server: &ServerId) -> &EngineLoad {
-        self.load(server).unwrap_or(&self.idle)
-    }
-
-    /// Returns the loads of the engines on which anything is placed.
-    pub fn busy_engines(&self) -> impl Iterator<Item = &EngineLoad> {
-        self.engines.values()
-    }
-
     /// Returns whether an engine has more to prefill than a short prompt.
     #[must_use]
     pub fn has_prefill_backlog(&self, now: Moment, server: &ServerId) -> bool {
@@ -283,6 +262,7 @@
                 ttft_objective: placed.ttft_objective,
                 pause_objective: placed.pause_objective,
                 weight: placed.weight,
+                delay_weight: 1.0 / as_float(parts as u64),
                 prefill_ms: prefill_ms * pace,
                 in_pass: in_pass * pace,
                 ends_at: now + from_millis(ends_after),
