--- a/core/src/engine_placement/decision.rs
+++ b/core/src/engine_placement/decision.rs
@@ -136,7 +136,7 @@
         value * (1.0 - late_loss)
     };
     let engine_cost = seconds * BUSY_ENGINE_VALUE * pressure.busy_fraction;
-    let engine_cost = engine_cost.min(gain * MAX_ENGINE_COST_FRACTION);
+    let engine_cost = engine_cost.min(value * MAX_ENGINE_COST_FRACTION);
     let weighed = Weighed {
         external_cost: placement.external_cost,
         engine_cost,
