--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -36,6 +36,7 @@
 mod peer_list;
 mod placement_batches;
 mod placement_decision;
+mod placement_delays;
 mod planned_stop;
 mod publishing;
 mod ranks;
--- a/core/tests/integration/placement_decision.rs
+++ b/core/tests/integration/placement_decision.rs
@@ -5,10 +5,13 @@
 use merlinrudder_core::engine_placement::decision::{
     PlacementDecision, Pressure, decide_placement,
 };
-use merlinrudder_core::engine_placement::{ExternalCost, Placement};
-use merlinrudder_core::names::ServerId;
+use merlinrudder_core::engine_placement::loads::{PlacedPrompt, PlacementKey};
+use merlinrudder_core::engine_placement::{ExternalCost, Placement, PlacementRequest};
+use merlinrudder_core::fleet::Fleet;
+use merlinrudder_core::names::{ServerId, VmId};
+use merlinrudder_core::time::Moment;
 
-use crate::fleets::{placement_request, profile};
+use crate::fleets::{fleet, mark_prefilled, place, placement_request, profile, server, short};
 
 /// Returns the decision on a late prompt that is weighed while a fraction of the engines prefill.
 fn decide_late(prompt_tokens: u64, delays: f64, busy_fraction: f64) -> PlacementDecision {
@@ -42,3 +45,50 @@
         }
     }
 }
+
+/// Adds an answer that an engine of zone a decodes.
+fn add_answer(fleet: &mut Fleet, engine: u16, prompt: &PlacementRequest) {
+    let key = PlacementKey {
+        entry: VmId::from("entry"),
+        number: u64::from(engine),
+    };
+    let placed = PlacedPrompt {
+        lead: server("a", engine).id,
+        helpers: Vec::new(),
+        helper_tokens: 0,
+        prompt_tokens: prompt.prompt_tokens,
+        answer_tokens: prompt.answer_tokens,
+        received_at: Moment::default(),
+        ttft_objective: prompt.ttft_objective,
+        pause_objective: prompt.pause_objective,
+        weight: prompt.weight,
+    };
+    fleet.add_placement(Moment::default(), &key, &profile(), &placed);
+    mark_prefilled(fleet, u64::from(engine));
+}
+
+/// Guards against late prompts that hold few engines for seconds, into the load that follows.
+#[test]
+fn a_late_prompt_takes_more_engines_than_it_needs_for_its_memory() {
+    let mut fleet = fleet(6);
+    for engine in 0..4 {
+        add_answer(&mut fleet, engine, &short());
+    }
+    let late = PlacementRequest {
+        waited: Duration::from_secs(4),
+        ..placement_request(350_000, 3000, 1000)
+    };
+    let (placement, _) = place(&mut fleet, Moment::from_millis(100), 10, &late);
+    assert!(placement.helpers.len() > 1, "{placement:?}");
+}
+
+/// Guards against long answers that are spread over all engines, where each prefill pauses one.
+#[test]
+fn a_long_prompt_leads_on_an_engine_that_decodes_another_long_answer() {
+    let mut fleet = fleet(8);
+    add_answer(&mut fleet, 3, &placement_request(45_000, 3000, 3000));
+    let now = Moment::from_millis(100);
+    let request = placement_request(130_000, 3000, 1000);
+    let (placement, _) = place(&mut fleet, now, 10, &request);
+    assert_eq!(placement.lead, server("a", 3).id);
+}
