--- /dev/null
+++ b/review/harness-2/engine.rs
@@ -0,0 +1,146 @@
+//! A stand-in of an application engine: it registers, answers requests and records what it runs.
+
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::harness::http::{self, Message};
+use crate::harness::record::Record;
+
+/// Time between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
+/// Port of all engines.
+const PORT: u16 = 8080;
+
+/// A request that an engine ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Time since the start of the script.
+    pub at: Duration,
+    pub engine: String,
+    pub zone: String,
+    /// Attempt id of the client.
+    pub attempt: String,
+}
+
+/// The requests that all engines ran.
+#[derive(Clone, Default)]
+pub struct Runs(Arc<Mutex<Vec<Run>>>);
+
+impl Runs {
+    /// Returns the runs in a zone at `from` or later.
+    pub fn in_zone_since(&self, zone: &str, from: Duration) -> Vec<Run> {
+        let runs = self.0.lock().unwrap();
+        let later = runs.iter().filter(|run| run.zone == zone && run.at >= from);
+        later.cloned().collect()
+    }
+}
+
+/// Starts an engine of service `app`; it picks a control VM for each heartbeat in turn.
+///
+/// `number` is its place among the engines; `work` is the time that a request takes.
+pub fn start(
+    record: &Record,
+    runs: &Runs,
+    ip: Ipv4Addr,
+    zone: &str,
+    number: usize,
+    work: Duration,
+    control: Vec<SocketAddr>,
+) -> Result<(), String> {
+    let born = SystemTime::now().duration_since(UNIX_EPOCH);
+    let born = born.map_or(0, |time| time.as_millis());
+    let id = format!("i-{born:x}{number:02x}");
+    let listener = TcpListener::bind((ip, PORT)).map_err(|error| error.to_string())?;
+    let (run_record, run_id, run_zone) = (record.clone(), id.clone(), zone.to_owned());
+    let runs = runs.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (record, id, zone) = (run_record.clone(), run_id.clone(), run_zone.clone());
+            let runs = runs.clone();
+            thread::spawn(move || serve(stream, &record, &runs, &id, &zone, work));
+        }
+    });
+    let zone = zone.to_owned();
+    thread::spawn(move || {
+        // The heartbeats of the engines are spread over time and control VMs.
+        thread::sleep(HEARTBEAT_INTERVAL / 40 * (number as u32 % 40));
+        for sequence in 1.. {
+            let first = number + sequence;
+            for next in 0..control.len() {
+                let to = control[(first + next) % control.len()];
+                if beat(to, &id, ip, &zone, born, sequence) {
+                    break;
+                }
+            }
+            thread::sleep(HEARTBEAT_INTERVAL);
+        }
+    });
+    Ok(())
+}
+
+/// Sends a heartbeat; returns whether it was confirmed within a second.
+fn beat(to: SocketAddr, id: &str, ip: Ipv4Addr, zone: &str, born: u128, sequence: usize) -> bool {
+    let body = format!(
+        r#"{{"service":"app","address":"{ip}:{PORT}","zone":"{zone}","version":"v1","slots":6,"state":"ready","cold-left-ms":0,"seq":{sequence},"born":{born}}}"#
+    );
+    let path = format!("/-/Instances.Heartbeat/{id}");
+    let json = [("Content-Type", "application/json".to_owned())];
+    let second = Duration::from_secs(1);
+    let answer = http::call(to, "POST", &path, &json, body.as_bytes(), second);
+    answer.is_ok_and(|answer| answer.status() / 100 == 2)
+}
+
+fn serve(
+    mut stream: TcpStream,
+    record: &Record,
+    runs: &Runs,
+    id: &str,
+    zone: &str,
+    work: Duration,
+) {
+    let mut buffer = Vec::new();
+    while let Ok(Some(request)) = http::read_message(&mut stream, &mut buffer) {
+        let answer = answer(&request, record, runs, id, zone, work);
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(
+    request: &Message,
+    record: &Record,
+    runs: &Runs,
+    id: &str,
+    zone: &str,
+    work: Duration,
+) -> String {
+    let target = request.header("x-merlinrudder-target-instance");
+    if target.is_some_and(|target| target != id) {
+        return "HTTP/1.1 421 Misdirected Request\r\nX-Merlinrudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            .to_owned();
+    }
+    if request.start_line.starts_with("GET /health ") {
+        return format!(
+            "HTTP/1.1 200 OK\r\nX-Merlinrudder-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+        );
+    }
+    let attempt = request
+        .header("x-merlinrudder-attempt-id")
+        .unwrap_or("none");
+    let at = record.now();
+    runs.0.lock().unwrap().push(Run {
+        at,
+        engine: id.to_owned(),
+        zone: zone.to_owned(),
+        attempt: attempt.to_owned(),
+    });
+    record.line(&format!("engine {id} in {zone} runs {attempt}"));
+    thread::sleep(work);
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Response-Seal: seal-{attempt}\r\nX-Merlinrudder-Engine-Load: 1,0,6\r\nKeep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\nok"
+    )
+}
--- /dev/null
+++ b/review/harness-2/operator.rs
@@ -0,0 +1,70 @@
+//! A stand-in of the operator, who sends orders to control VMs.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::harness::http::{self, Message};
+use crate::harness::record::Record;
+
+/// Time without an answer after which the operator moves on to another control VM.
+pub const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Sends a call once; closes the connection if there is no answer in time.
+pub fn send(
+    record: &Record,
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<Message, String> {
+    record.line(&format!("operator sends {method} {path} to {to}"));
+    let json = [("Content-Type", "application/json".to_owned())];
+    let answer = http::call(to, method, path, &json, body.as_bytes(), PATIENCE);
+    match &answer {
+        Ok(answer) => record.line(&format!("operator gets {} for {path}", answer.status())),
+        Err(error) => record.line(&format!("operator gets nothing for {path}: {error}")),
+    }
+    answer
+}
+
+/// Sends the same call to one control VM after the other until one answers 200.
+pub fn send_until_acked(
+    record: &Record,
+    nodes: &[SocketAddr],
+    method: &str,
+    path: &str,
+    body: &str,
+    time_limit: Duration,
+) -> Result<Message, String> {
+    let end = Instant::now() + time_limit;
+    for attempt in 0.. {
+        let to = nodes[attempt % nodes.len()];
+        if let Ok(answer) = send(record, to, method, path, body)
+            && answer.status() == 200
+        {
+            return Ok(answer);
+        }
+        if Instant::now() >= end {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    Err(format!("{path} was not confirmed"))
+}
+
+/// Returns a configuration with one service `app`, and one public route of each kind given.
+pub fn configuration(version: u64, routes: &[(&str, &str)]) -> String {
+    let routes: Vec<_> = routes
+        .iter()
+        .map(|(name, kind)| {
+            let attempts = if *kind == "unsafe" { 1 } else { 2 };
+            format!(
+                r#"{{"name":"{name}","host":"app.example","path-prefix":"/{name}/","kind":"{kind}","timeout-ms":2500,"slo-ms":200,"priority":1,"service":"app","max-attempts":{attempts},"public":true}}"#
+            )
+        })
+        .collect();
+    let routes = routes.join(",");
+    format!(
+        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"app","health-path":"/health","max-conns":440,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#
+    )
+}
