review: case 8, engines that are thrown out by a client's 421

Requests for another version of the weights, which the engines answer with 421, take a whole service away from all callers for good.

--- a/review/6/case-2.rs
+++ b/review/6/case-2.rs
@@ -53,7 +53,7 @@
         node.start()?;
     }
     let addresses: Vec<_> = control.iter().map(Node::control_address).collect();
-    let config = operator::configuration(1, &[("look", "safe")]);
+    let config = operator::configuration(1, &[("look", "safe", "app")]);
     let patience = Duration::from_secs(15);
     operator::send_until_acked(
         &record,
@@ -70,7 +70,16 @@
             let ip = deployment.ip(u8::try_from(host).map_err(|error| error.to_string())?);
             let number = zone_number * ENGINES + number;
             let work = Duration::from_millis(15);
-            engine::start(&record, &runs, ip, zone, number, work, addresses.clone())?;
+            engine::start(
+                &record,
+                &runs,
+                "app",
+                ip,
+                zone,
+                number,
+                work,
+                addresses.clone(),
+            )?;
         }
     }
     thread::sleep(Duration::from_secs(3));
--- a/review/harness-2/engine.rs
+++ b/review/harness-2/engine.rs
@@ -13,6 +13,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Port of all engines.
 const PORT: u16 = 8080;
+/// Version of the weights of all engines.
+pub const WEIGHT_VERSION: &str = "1";
 
 /// A request that an engine ran.
 #[derive(Clone, Debug)]
@@ -38,12 +40,14 @@
     }
 }
 
-/// Starts an engine of service `app`; it picks a control VM for each heartbeat in turn.
+/// Starts an engine of a service; it picks a control VM for each heartbeat in turn.
 ///
 /// `number` is its place among the engines; `work` is the time that a request takes.
+#[allow(clippy::too_many_arguments)]
 pub fn start(
     record: &Record,
     runs: &Runs,
+    service: &str,
     ip: Ipv4Addr,
     zone: &str,
     number: usize,
@@ -63,7 +67,7 @@
             thread::spawn(move || serve(stream, &record, &runs, &id, &zone, work));
         }
     });
-    let zone = zone.to_owned();
+    let (service, zone) = (service.to_owned(), zone.to_owned());
     thread::spawn(move || {
         // The heartbeats of the engines are spread over time and control VMs.
         thread::sleep(HEARTBEAT_INTERVAL / 40 * (number as u32 % 40));
@@ -71,7 +75,7 @@
             let first = number + sequence;
             for next in 0..control.len() {
                 let to = control[(first + next) % control.len()];
-                if beat(to, &id, ip, &zone, born, sequence) {
+                if beat(to, &service, &id, ip, &zone, born, sequence) {
                     break;
                 }
             }
@@ -82,9 +86,17 @@
 }
 
 /// Sends a heartbeat; returns whether it was confirmed within a second.
-fn beat(to: SocketAddr, id: &str, ip: Ipv4Addr, zone: &str, born: u128, sequence: usize) -> bool {
+fn beat(
+    to: SocketAddr,
+    service: &str,
+    id: &str,
+    ip: Ipv4Addr,
+    zone: &str,
+    born: u128,
+    sequence: usize,
+) -> bool {
     let body = format!(
-        r#"{{"service":"app","address":"{ip}:{PORT}","zone":"{zone}","version":"v1","slots":6,"state":"ready","cold-left-ms":0,"seq":{sequence},"born":{born}}}"#
+        r#"{{"service":"{service}","address":"{ip}:{PORT}","zone":"{zone}","version":"v1","slots":6,"state":"ready","cold-left-ms":0,"seq":{sequence},"born":{born}}}"#
     );
     let path = format!("/-/Instances.Heartbeat/{id}");
     let json = [("Content-Type", "application/json".to_owned())];
@@ -119,9 +131,16 @@
     work: Duration,
 ) -> String {
     let target = request.header("x-merlinrudder-target-instance");
-    if target.is_some_and(|target| target != id) {
-        return "HTTP/1.1 421 Misdirected Request\r\nX-Merlinrudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            .to_owned();
+    let version = request.header("x-merlinrudder-expect-version");
+    let is_other_version = version.is_some_and(|version| version != WEIGHT_VERSION);
+    if target.is_some_and(|target| target != id) || is_other_version {
+        let attempt = request
+            .header("x-merlinrudder-attempt-id")
+            .unwrap_or("none");
+        record.line(&format!("engine {id} in {zone} answers 421 to {attempt}"));
+        return format!(
+            "HTTP/1.1 421 Misdirected Request\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Not-Executed: 1\r\nAt-Server: {id}\r\nX-Merlinrudder-Weight-Versions: {WEIGHT_VERSION}\r\nContent-Length: 0\r\n\r\n"
+        );
     }
     if request.start_line.starts_with("GET /health ") {
         return format!(
@@ -141,6 +160,6 @@
     record.line(&format!("engine {id} in {zone} runs {attempt}"));
     thread::sleep(work);
     format!(
-        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Response-Seal: seal-{attempt}\r\nX-Merlinrudder-Engine-Load: 1,0,6\r\nKeep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\nok"
+        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Response-Seal: seal-{attempt}\r\nX-Merlinrudder-Engine-Load: 1,0,6\r\nX-Merlinrudder-Weight-Versions: {WEIGHT_VERSION}\r\nKeep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\nok"
     )
 }
--- a/review/harness-2/operator.rs
+++ b/review/harness-2/operator.rs
@@ -1,5 +1,6 @@
 //! A stand-in of the operator, who sends orders to control VMs.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -52,19 +53,31 @@
     Err(format!("{path} was not confirmed"))
 }
 
-/// Returns a configuration with one service `app`, and one public route of each kind given.
-pub fn configuration(version: u64, routes: &[(&str, &str)]) -> String {
+/// Returns a configuration with public routes, each given by its name, kind and service.
+///
+/// A route's name is the first part of its paths.
+pub fn configuration(version: u64, routes: &[(&str, &str, &str)]) -> String {
+    let services: BTreeSet<_> = routes.iter().map(|(_, _, service)| service).collect();
+    let services: Vec<_> = services
+        .iter()
+        .map(|service| {
+            format!(
+                r#"{{"name":"{service}","health-path":"/health","max-conns":440,"protocol":"h1","tls":false}}"#
+            )
+        })
+        .collect();
+    let services = services.join(",");
     let routes: Vec<_> = routes
         .iter()
-        .map(|(name, kind)| {
+        .map(|(name, kind, service)| {
             let attempts = if *kind == "unsafe" { 1 } else { 2 };
             format!(
-                r#"{{"name":"{name}","host":"app.example","path-prefix":"/{name}/","kind":"{kind}","timeout-ms":2500,"slo-ms":200,"priority":1,"service":"app","max-attempts":{attempts},"public":true}}"#
+                r#"{{"name":"{name}","host":"app.example","path-prefix":"/{name}/","kind":"{kind}","timeout-ms":2500,"slo-ms":200,"priority":1,"service":"{service}","max-attempts":{attempts},"public":true}}"#
             )
         })
         .collect();
     let routes = routes.join(",");
     format!(
-        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"app","health-path":"/health","max-conns":440,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#
+        r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#
     )
 }
