--- a/review/6/case-2.rs
+++ b/review/6/case-2.rs
@@ -27,6 +27,8 @@
 const JUDGED_TIME: Duration = Duration::from_secs(3);
 /// Times that a control VM is frozen at most.
 const MAX_ROUNDS: usize = 18;
+/// Time between two reads of the configuration from one control VM.
+const READ_INTERVAL: Duration = Duration::from_millis(20);
 /// Engines in each zone.
 const ENGINES: usize = 12;
 
@@ -83,6 +85,7 @@
         }
     }
     thread::sleep(Duration::from_secs(3));
+    read_configuration(addresses.clone());
     let served = send_traffic(&record, entries.iter().map(Node::front_address).collect());
     thread::sleep(Duration::from_secs(2));
     if runs.in_zone_since("z1", Duration::ZERO).is_empty() {
@@ -178,6 +181,26 @@
     })
 }
 
+/// Reads the configuration from each control VM again and again until the script ends.
+fn read_configuration(nodes: Vec<SocketAddr>) {
+    for node in nodes {
+        thread::spawn(move || {
+            loop {
+                let time_limit = operator::PATIENCE;
+                drop(http::call(
+                    node,
+                    "GET",
+                    "/-/Config.Get",
+                    &[],
+                    b"",
+                    time_limit,
+                ));
+                thread::sleep(READ_INTERVAL);
+            }
+        });
+    }
+}
+
 /// Sends requests to all entry VMs until the script ends; returns the count of those served.
 fn send_traffic(record: &Record, entries: Vec<SocketAddr>) -> Arc<AtomicU64> {
     let served = Arc::new(AtomicU64::new(0));
