--- a/review/6/case-2.rs
+++ b/review/6/case-2.rs
@@ -13,7 +13,7 @@
 use std::thread;
 use std::time::Duration;
 
-use harness::engine::{self, Runs};
+use harness::engine::{self, Answers, Runs};
 use harness::node::{Deployment, Node};
 use harness::operator;
 use harness::record::Record;
@@ -71,7 +71,7 @@
             let host = 100 + zone_number * ENGINES + number;
             let ip = deployment.ip(u8::try_from(host).map_err(|error| error.to_string())?);
             let number = zone_number * ENGINES + number;
-            let work = Duration::from_millis(15);
+            let work = Answers::Plain(Duration::from_millis(15));
             engine::start(
                 &record,
                 &runs,
--- a/review/harness-2/engine.rs
+++ b/review/harness-2/engine.rs
@@ -16,6 +16,20 @@
 /// Version of the weights of all engines.
 pub const WEIGHT_VERSION: &str = "1";
 
+/// Events of a stream.
+pub const STREAM_EVENTS: u64 = 8;
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+
+/// How an engine answers.
+#[derive(Clone, Copy)]
+pub enum Answers {
+    /// With a short body after this time.
+    Plain(Duration),
+    /// With `STREAM_EVENTS` events, whose ids increase by this step from one to the next.
+    Stream(u64),
+}
+
 /// A request that an engine ran.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -42,7 +56,7 @@
 
 /// Starts an engine of a service; it picks a control VM for each heartbeat in turn.
 ///
-/// `number` is its place among the engines; `work` is the time that a request takes.
+/// `number` is its place among the engines.
 #[allow(clippy::too_many_arguments)]
 pub fn start(
     record: &Record,
@@ -51,7 +65,7 @@
     ip: Ipv4Addr,
     zone: &str,
     number: usize,
-    work: Duration,
+    answers: Answers,
     control: Vec<SocketAddr>,
 ) -> Result<(), String> {
     let born = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -64,7 +78,7 @@
         for stream in listener.incoming().flatten() {
             let (record, id, zone) = (run_record.clone(), run_id.clone(), run_zone.clone());
             let runs = runs.clone();
-            thread::spawn(move || serve(stream, &record, &runs, &id, &zone, work));
+            thread::spawn(move || serve(stream, &record, &runs, &id, &zone, answers));
         }
     });
     let (service, zone) = (service.to_owned(), zone.to_owned());
@@ -111,25 +125,33 @@
     runs: &Runs,
     id: &str,
     zone: &str,
-    work: Duration,
+    answers: Answers,
 ) {
     let mut buffer = Vec::new();
     while let Ok(Some(request)) = http::read_message(&mut stream, &mut buffer) {
-        let answer = answer(&request, record, runs, id, zone, work);
-        if stream.write_all(answer.as_bytes()).is_err() {
+        let (head, events) = answer(&request, record, runs, id, zone, answers);
+        if stream.write_all(head.as_bytes()).is_err() {
             return;
         }
+        for event in events {
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            thread::sleep(EVENT_INTERVAL);
+            if stream.write_all(chunk.as_bytes()).is_err() {
+                return;
+            }
+        }
     }
 }
 
+/// Returns a whole answer, or the head of a stream with the content of its chunks.
 fn answer(
     request: &Message,
     record: &Record,
     runs: &Runs,
     id: &str,
     zone: &str,
-    work: Duration,
-) -> String {
+    answers: Answers,
+) -> (String, Vec<String>) {
     let target = request.header("x-merlinrudder-target-instance");
     let version = request.header("x-merlinrudder-expect-version");
     let is_other_version = version.is_some_and(|version| version != WEIGHT_VERSION);
@@ -138,14 +160,16 @@
             .header("x-merlinrudder-attempt-id")
             .unwrap_or("none");
         record.line(&format!("engine {id} in {zone} answers 421 to {attempt}"));
-        return format!(
+        let answer = format!(
             "HTTP/1.1 421 Misdirected Request\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Not-Executed: 1\r\nAt-Server: {id}\r\nX-Merlinrudder-Weight-Versions: {WEIGHT_VERSION}\r\nContent-Length: 0\r\n\r\n"
         );
+        return (answer, Vec::new());
     }
     if request.start_line.starts_with("GET /health ") {
-        return format!(
+        let answer = format!(
             "HTTP/1.1 200 OK\r\nX-Merlinrudder-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
         );
+        return (answer, Vec::new());
     }
     let attempt = request
         .header("x-merlinrudder-attempt-id")
@@ -158,8 +182,28 @@
         attempt: attempt.to_owned(),
     });
     record.line(&format!("engine {id} in {zone} runs {attempt}"));
-    thread::sleep(work);
-    format!(
-        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Response-Seal: seal-{attempt}\r\nX-Merlinrudder-Engine-Load: 1,0,6\r\nX-Merlinrudder-Weight-Versions: {WEIGHT_VERSION}\r\nKeep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\nok"
-    )
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Merlinrudder-Attempt-Id: {attempt}\r\nX-Merlinrudder-Response-Seal: seal-{attempt}\r\nX-Merlinrudder-Engine-Load: 1,0,6\r\nX-Merlinrudder-Weight-Versions: {WEIGHT_VERSION}\r\nKeep-Alive: timeout=30\r\n"
+    );
+    match answers {
+        Answers::Plain(work) => {
+            thread::sleep(work);
+            (format!("{head}Content-Length: 2\r\n\r\nok"), Vec::new())
+        }
+        Answers::Stream(step) => {
+            let last = request.header("last-event-id");
+            let last: u64 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
+            let ids = (1..=STREAM_EVENTS).map(|number| number * step);
+            let events = ids.filter(|id| *id > last);
+            let mut chunks: Vec<_> = events
+                .map(|id| format!("id: {id}\ndata: text\n\n"))
+                .collect();
+            // The empty chunk that ends the answer.
+            chunks.push(String::new());
+            let head = format!(
+                "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            (head, chunks)
+        }
+    }
 }
--- a/review/harness-2/operator.rs
+++ b/review/harness-2/operator.rs
@@ -55,7 +55,8 @@
 
 /// Returns a configuration with public routes, each given by its name, kind and service.
 ///
-/// A route's name is the first part of its paths.
+/// A route's name is the first part of its paths. The kind `resumable` stands for a stream that may
+/// be resumed.
 pub fn configuration(version: u64, routes: &[(&str, &str, &str)]) -> String {
     let services: BTreeSet<_> = routes.iter().map(|(_, _, service)| service).collect();
     let services: Vec<_> = services
@@ -71,8 +72,11 @@
         .iter()
         .map(|(name, kind, service)| {
             let attempts = if *kind == "unsafe" { 1 } else { 2 };
+            let resumable = *kind == "resumable";
+            let kind = if resumable { "streaming" } else { kind };
+            let timeout = if kind == "streaming" { 10_000 } else { 2500 };
             format!(
-                r#"{{"name":"{name}","host":"app.example","path-prefix":"/{name}/","kind":"{kind}","timeout-ms":2500,"slo-ms":200,"priority":1,"service":"{service}","max-attempts":{attempts},"public":true}}"#
+                r#"{{"name":"{name}","host":"app.example","path-prefix":"/{name}/","kind":"{kind}","timeout-ms":{timeout},"slo-ms":200,"priority":1,"service":"{service}","max-attempts":{attempts},"public":true,"resumable":{resumable},"gap-target-ms":250}}"#
             )
         })
         .collect();
