review: case 8, a crashing request that is never recognised

Copies of a crashing request that overlap, and that crash their engines after different times, fill the table of its crashes at two moments. No later crash is counted, and each later copy crashes an engine.

--- a/review/harness-2/engine.rs
+++ b/review/harness-2/engine.rs
@@ -10,9 +10,9 @@
 use crate::harness::record::Record;
 
 /// Time between two heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Port of all engines.
-const PORT: u16 = 8080;
+pub const PORT: u16 = 8080;
 /// Version of the weights of all engines.
 pub const WEIGHT_VERSION: &str = "1";
 
@@ -46,6 +46,18 @@
 pub struct Runs(Arc<Mutex<Vec<Run>>>);
 
 impl Runs {
+    /// Adds a run.
+    pub fn push(&self, run: Run) {
+        self.0.lock().unwrap().push(run);
+    }
+
+    /// Returns the runs whose attempt ids begin so, in their order.
+    pub fn of_attempts(&self, beginning: &str) -> Vec<Run> {
+        let runs = self.0.lock().unwrap();
+        let found = runs.iter().filter(|run| run.attempt.starts_with(beginning));
+        found.cloned().collect()
+    }
+
     /// Returns the runs in a zone at `from` or later.
     pub fn in_zone_since(&self, zone: &str, from: Duration) -> Vec<Run> {
         let runs = self.0.lock().unwrap();
@@ -100,7 +112,7 @@
 }
 
 /// Sends a heartbeat; returns whether it was confirmed within a second.
-fn beat(
+pub fn beat(
     to: SocketAddr,
     service: &str,
     id: &str,
@@ -175,7 +187,7 @@
         .header("x-merlinrudder-attempt-id")
         .unwrap_or("none");
     let at = record.now();
-    runs.0.lock().unwrap().push(Run {
+    runs.push(Run {
         at,
         engine: id.to_owned(),
         zone: zone.to_owned(),
--- a/review/harness-2/mod.rs
+++ b/review/harness-2/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers and stand-ins of the scripts of the second review; they use the standard library only.
 
+pub mod crashing;
 pub mod engine;
 pub mod http;
 pub mod node;
