bug: an order to evacuate that comes late or twice undoes no newer one

Cause: an order takes effect whenever it is applied. One that lay in the socket of a frozen control VM was proposed when the process woke, if its thread read the order before another thread read the end of the connection; the log could not tell it from a new one. The same holds at the VM that leads, after a newer order that changed no set, for the opposite order, and for a copy of a proposal that reaches the leader later.

Change: `OrderEvacuation` names the number of the zone's newest order after which it was read; the log refuses it once another one was applied. The number is read before the operator is seen to wait, by a look at the socket itself, so that all this operator orders later raises it. The revision that entry VMs compare is as before. Log lines and a counter tell refused and dropped orders, and how long the process had stood still.

Ruled out: a proof of leadership before each order (trial).

--- a/core/src/control.rs
+++ b/core/src/control.rs
@@ -6,7 +6,7 @@
 
 use crate::claims::{ClaimKey, ClaimOutcome, ClaimState, ClaimTable};
 use crate::crash_history::{CrashHistory, CrashReport};
-use crate::evacuation::Evacuations;
+use crate::evacuation::{Evacuations, OrderNumbers};
 use crate::manifest::ManifestNumber;
 use crate::names::{ServerId, ServiceName, VmId, ZoneName};
 use crate::time::Moment;
@@ -102,15 +102,27 @@
     },
     /// Records runs of requests that ended with their backend servers.
     RecordCrashes(Vec<CrashReport>),
-    /// Begins or ends the evacuation of an availability zone.
+    /// Begins or ends the evacuation of an availability zone, in the form of an earlier version.
+    ///
+    /// It has no number, so it is refused once a numbered order was applied: it may be a late one.
+    /// It is proposed only while a voter cannot apply `OrderEvacuation`.
+    SetEvacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether its servers get no new requests from now on.
+        active: bool,
+    },
+    /// Begins or ends the evacuation of a zone, unless another order about the zone was applied meanwhile.
     ///
     /// It is proposed only once all voters are known to be able to apply it, since a VM of an earlier
     /// version stops at it.
-    SetEvacuation {
+    OrderEvacuation {
         /// The zone.
         zone: ZoneName,
         /// Whether its servers get no new requests from now on.
         active: bool,
+        /// Number of the zone's newest order when this one was read.
+        after: u64,
     },
 }
 
@@ -149,6 +161,8 @@
     },
     /// Revision of the evacuated zones once the command was applied.
     Evacuations(u64),
+    /// The order was refused, as the newest order about its zone has this number.
+    EvacuationOvertaken(u64),
 }
 
 /// State that every control replica derives from the log.
@@ -166,6 +180,8 @@
     pub crashes: CrashHistory,
     /// Evacuated zones.
     pub evacuations: Evacuations,
+    /// Numbers of the newest orders about evacuations.
+    pub evacuation_orders: OrderNumbers,
 }
 
 impl ControlState {
@@ -205,6 +221,20 @@
                 Answer::Done
             }
             Command::SetEvacuation { zone, active } => {
+                if !self.evacuation_orders.is_empty() {
+                    return Answer::EvacuationOvertaken(self.evacuation_orders.newest(&zone));
+                }
+                self.evacuations.set(zone, active);
+                Answer::Evacuations(self.evacuations.revision)
+            }
+            Command::OrderEvacuation {
+                zone,
+                active,
+                after,
+            } => {
+                if let Err(newest) = self.evacuation_orders.advance(&zone, after) {
+                    return Answer::EvacuationOvertaken(newest);
+                }
                 self.evacuations.set(zone, active);
                 Answer::Evacuations(self.evacuations.revision)
             }
--- a/core/tests/integration/main.rs
+++ b/core/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod engine_placement;
 mod engine_placement_load;
 mod evacuation;
+mod evacuation_orders;
 mod events;
 mod fleets;
 mod history_pull;
--- a/fakes/src/nodes.rs
+++ b/fakes/src/nodes.rs
@@ -305,6 +305,12 @@
         SocketAddr::new(self.processes[index].ip, self.ports[1])
     }
 
+    /// Returns the address at which a control VM accepts links.
+    #[must_use]
+    pub fn link_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.processes[index].ip, self.ports[3])
+    }
+
     /// Returns the address at which an entry VM accepts requests of other VMs.
     #[must_use]
     pub fn relay_address(&self, index: usize) -> SocketAddr {
--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -4,6 +4,7 @@
 //! addresses in its settings, and sends entry VMs the manifest and the servers over links.
 
 mod api;
+mod caller;
 mod calls;
 mod cold;
 mod crashes;
@@ -11,6 +12,7 @@
 mod input;
 mod known_peers;
 mod manifest_source;
+mod pause;
 mod servers;
 mod state;
 
@@ -85,6 +87,7 @@
         let handler = Arc::new(move |event| link_inputs.send(Input::Link(event)));
         let features = WireFeatures {
             evacuations: true,
+            evacuation_orders: true,
             cold: true,
             compressed_frames: true,
             ..WireFeatures::default()
--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -26,6 +26,7 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_blocking;
 
+use super::caller::CallerConnection;
 use super::crashes::QuarantineEntry;
 use super::input::{Input, InputSender, Reply};
 use crate::constants::{ACCEPT_RETRY_DELAY, MAX_ADMIN_BODY_BYTES};
@@ -71,20 +72,26 @@
     if let Err(error) = sockets::set_tcp_options(&stream) {
         warn!(log, "Setting socket options failed"; "error" => %error);
     }
+    let caller = CallerConnection::new(stream);
     let service = service_fn(|request| {
         let (inputs, zones, log) = (inputs.clone(), Arc::clone(&zones), log.clone());
-        async move { Ok::<_, Infallible>(handle_request(request, &inputs, &zones, &log).await) }
+        let caller = caller.clone();
+        async move {
+            let response = handle_request(request, caller, &inputs, &zones, &log).await;
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(caller.clone()), service);
     // Connection errors are ignored, since a client whose call was cut off repeats it.
     drop(connection.await);
 }
 
 async fn handle_request(
     request: Request<Incoming>,
+    caller: CallerConnection,
     inputs: &InputSender,
     zones: &BTreeSet<ZoneName>,
     log: &Logger,
@@ -130,8 +137,12 @@
                 text_response(StatusCode::BAD_REQUEST, &error.to_string())
             }
         },
-        ControlCall::StartEvacuation(zone) => set_evacuation(zone, true, inputs, zones).await,
-        ControlCall::EndEvacuation(zone) => set_evacuation(zone, false, inputs, zones).await,
+        ControlCall::StartEvacuation(zone) => {
+            set_evacuation(zone, true, caller, inputs, zones).await
+        }
+        ControlCall::EndEvacuation(zone) => {
+            set_evacuation(zone, false, caller, inputs, zones).await
+        }
     }
 }
 
@@ -169,6 +180,7 @@
 async fn set_evacuation(
     zone: ZoneName,
     active: bool,
+    caller: CallerConnection,
     inputs: &InputSender,
     zones: &BTreeSet<ZoneName>,
 ) -> ApiResponse {
@@ -178,6 +190,7 @@
     let order = |reply| Input::SetEvacuation {
         zone,
         active,
+        caller,
         reply,
     };
     submit(inputs, order).await
--- a/node/src/controller/calls.rs
+++ b/node/src/controller/calls.rs
@@ -6,11 +6,11 @@
 
 use merlinrudder_core::control::{Answer, Command, PublishedManifest};
 use merlinrudder_core::manifest::ManifestNumber;
-use merlinrudder_core::names::ZoneName;
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::mesh::{MeshMessage, WireProposeResult};
 use slog::info;
 
+use super::evacuations::EvacuationCall;
 use super::input::Reply;
 use super::state::Controller;
 use crate::replica::Requester;
@@ -20,7 +20,7 @@
 /// Time after which a call is given up.
 ///
 /// It is below one second, after which operators try another VM.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Additional timeout per mebibyte of a published manifest.
 const TIMEOUT_PER_MIB: Duration = Duration::from_secs(2);
 
@@ -32,7 +32,7 @@
     /// It starts at random, so that a late reply to an earlier process answers no call of this one.
     last_id: u64,
     /// Unanswered calls by id, which is also the id of their proposal.
-    pending: BTreeMap<u64, Call>,
+    pub(super) pending: BTreeMap<u64, Call>,
 }
 
 impl Default for PendingCalls {
@@ -45,29 +45,23 @@
 }
 
 #[derive(Debug)]
-struct Call {
-    kind: CallKind,
-    started_at: Moment,
+pub(super) struct Call {
+    pub(super) kind: CallKind,
+    pub(super) started_at: Moment,
     deadline: Moment,
-    /// When the call was last sent to the leader; `None` if never.
+    /// When it was last sent to the leader; `None` if never.
     sent_at: Option<Moment>,
 }
 
 #[derive(Debug)]
-enum CallKind {
+pub(super) enum CallKind {
     Publish(PublishedManifest, Reply<()>),
     Read {
         /// Number of the newest manifest at the leader, once the leader has confirmed it.
         confirmed: Option<ManifestNumber>,
         reply: Reply<Arc<[u8]>>,
     },
-    Evacuate {
-        zone: ZoneName,
-        active: bool,
-        /// Revision of the evacuated zones once the leader had applied the order.
-        confirmed: Option<u64>,
-        reply: Reply<()>,
-    },
+    Evacuate(EvacuationCall),
 }
 
 impl Controller {
@@ -96,27 +90,6 @@
         self.add_call(now, CallKind::Read { confirmed, reply }, CALL_TIMEOUT);
     }
 
-    /// Starts to record the order that begins or ends the evacuation of a zone.
-    pub(super) fn handle_set_evacuation(
-        &mut self,
-        now: Moment,
-        zone: ZoneName,
-        active: bool,
-        reply: Reply<()>,
-    ) {
-        let may_propose = self.may_propose_evacuations();
-        info!(self.log, "Evacuation ordered"; "zone" => %zone, "active" => active,
-            "may_propose" => may_propose);
-        let confirmed = None;
-        let kind = CallKind::Evacuate {
-            zone,
-            active,
-            confirmed,
-            reply,
-        };
-        self.add_call(now, kind, CALL_TIMEOUT);
-    }
-
     /// Handles the result of a proposal or of a leadership confirmation.
     pub(super) fn handle_proposal_result(&mut self, id: u64, result: WireProposeResult) {
         let Some(call) = self.calls.pending.get_mut(&id) else {
@@ -142,23 +115,21 @@
                 *confirmed = Some(number);
                 self.complete_calls();
             }
-            (CallKind::Evacuate { confirmed, .. }, Answer::Evacuations(revision)) => {
-                *confirmed = Some(revision);
+            (CallKind::Evacuate(evacuation), answer) => {
+                if evacuation.record_answer(&answer, &self.log) {
+                    let now = self.clock.now();
+                    self.advance_evacuation(now, id);
+                }
                 self.complete_calls();
             }
-            (CallKind::Read { .. } | CallKind::Evacuate { .. }, _) => {}
+            (CallKind::Read { .. }, _) => {}
         }
     }
 
     /// Gives up expired calls and resends those that the leader has not answered.
     pub(super) fn tick_calls(&mut self, now: Moment) {
-        // An operator who has moved on may have given the opposite order elsewhere meanwhile.
-        let is_abandoned = |call: &Call| match &call.kind {
-            CallKind::Evacuate { reply, .. } => reply.is_closed(),
-            CallKind::Publish(..) | CallKind::Read { .. } => false,
-        };
-        let is_over = |call: &Call| call.deadline <= now || is_abandoned(call);
-        let expired = self.calls.pending.iter().filter(|(_, c)| is_over(c));
+        let pending = self.calls.pending.iter();
+        let expired = pending.filter(|(_, call)| call.deadline <= now);
         let expired: Vec<_> = expired.map(|(id, _)| *id).collect();
         for id in expired {
             let call = self.calls.pending.remove(&id);
@@ -166,6 +137,7 @@
             info!(self.log, "Operator call timed out"; "call" => id, "after_ms" => after,
                 "leader" => self.leader_vm().map(|vm| vm.to_string()));
         }
+        self.advance_evacuations(now);
         let needs_send = |call: &Call| {
             call.sent_at
                 .is_none_or(|sent_at| now.since(sent_at) >= RESEND_INTERVAL)
@@ -185,7 +157,7 @@
     ///
     /// A publish is answered once this manifest or a newer one is applied here. A read also needs
     /// the leader's confirmation, and a manifest at least as new as the confirmed number. An order to
-    /// evacuate is answered once the leader has applied it and this VM has reached that revision.
+    /// evacuate is answered once the log has applied it and this VM has reached that revision.
     pub(super) fn complete_calls(&mut self) {
         let manifest = self.replica.state.manifest.clone();
         let number = manifest.as_ref().map(|manifest| manifest.number);
@@ -193,7 +165,7 @@
         let completed = |call: &Call| match &call.kind {
             CallKind::Publish(published, _) => Some(published.number) <= number,
             CallKind::Read { confirmed, .. } => confirmed.is_some_and(|c| Some(c) <= number),
-            CallKind::Evacuate { confirmed, .. } => confirmed.is_some_and(|c| c <= revision),
+            CallKind::Evacuate(call) => call.is_complete(revision),
         };
         let ids: Vec<_> = self
             .calls
@@ -216,19 +188,9 @@
                     // The operator may have moved on to another VM and closed the channel.
                     let _ignored = reply.send(Arc::clone(&manifest.bytes));
                 }
-                (
-                    CallKind::Evacuate {
-                        zone,
-                        active,
-                        reply,
-                        ..
-                    },
-                    _,
-                ) => {
-                    info!(self.log, "Evacuation order completed"; "zone" => %zone,
-                        "active" => active, "revision" => revision);
-                    // The operator may have moved on to another VM and closed the channel.
-                    let _ignored = reply.send(());
+                (CallKind::Evacuate(evacuation), _) => {
+                    let took = self.clock.now().since(call.started_at);
+                    evacuation.complete(revision, took, &self.log);
                 }
                 // Calls about manifests complete only with a manifest.
                 (CallKind::Publish(..) | CallKind::Read { .. }, None) => {}
@@ -250,7 +212,7 @@
         let _ignored = reply.send(());
     }
 
-    fn add_call(&mut self, now: Moment, kind: CallKind, timeout: Duration) {
+    pub(super) fn add_call(&mut self, now: Moment, kind: CallKind, timeout: Duration) {
         self.calls.last_id += 1;
         let id = self.calls.last_id;
         let deadline = now + timeout;
@@ -267,13 +229,13 @@
 
     /// Sends a call to the leader, if one is known.
     ///
-    /// A confirmed read or order to evacuate is not sent again: it waits for this VM to catch up. An
-    /// order to evacuate is not sent until all voters can apply it.
-    fn send_call(&mut self, now: Moment, id: u64) {
+    /// A confirmed read or an applied order to evacuate is not sent again: it waits for this VM to
+    /// catch up.
+    pub(super) fn send_call(&mut self, now: Moment, id: u64) {
         let Some(leader) = self.leader_vm() else {
             return;
         };
-        let may_evacuate = self.may_send_evacuation(&leader);
+        let order_form = self.order_form(&leader);
         let Some(call) = self.calls.pending.get_mut(&id) else {
             return;
         };
@@ -281,11 +243,10 @@
             CallKind::Publish(published, _) => Some(Command::Publish(published.clone())),
             CallKind::Read { confirmed, .. } if confirmed.is_some() => return,
             CallKind::Read { .. } => None,
-            CallKind::Evacuate { confirmed, .. } if confirmed.is_some() || !may_evacuate => return,
-            CallKind::Evacuate { zone, active, .. } => Some(Command::SetEvacuation {
-                zone: zone.clone(),
-                active: *active,
-            }),
+            CallKind::Evacuate(evacuation) => match evacuation.command(order_form) {
+                Some(command) => Some(command),
+                None => return,
+            },
         };
         call.sent_at = Some(now);
         let vm = self.local_peer.vm_id();
--- a/node/src/controller/input.rs
+++ b/node/src/controller/input.rs
@@ -11,6 +11,7 @@
 use merlinrudder_core::units::ContentDigest;
 use tokio::sync::oneshot;
 
+use super::caller::CallerConnection;
 use super::crashes::QuarantineEntry;
 use crate::links::LinkEvent;
 use crate::replica::disk::SyncReport;
@@ -38,6 +39,8 @@
         zone: ZoneName,
         /// Whether the evacuation begins.
         active: bool,
+        /// Shows whether the operator still waits.
+        caller: CallerConnection,
         /// Answered once the order is in the log and applied here.
         reply: Reply<()>,
     },
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -19,6 +19,7 @@
 use super::input::{Input, InputSender};
 use super::known_peers::KnownPeers;
 use super::manifest_source::ManifestSource;
+use super::pause::Pauses;
 use super::servers::ServerTracker;
 use crate::clock::Clock;
 use crate::crash_exchange::CrashExchange;
@@ -43,7 +44,12 @@
     pub(super) servers: ServerTracker,
     pub(super) calls: PendingCalls,
     pub(super) crashes: CrashExchange,
+    /// VMs that can apply orders to evacuate without a number.
     pub(super) evacuation_support: CommandSupport,
+    /// VMs that can apply numbered orders to evacuate.
+    pub(super) order_support: CommandSupport,
+    /// When this thread last stood still.
+    pub(super) pauses: Pauses,
     /// Revision of the evacuated zones that was last sent to the entry VMs on its change.
     pub(super) advertised_evacuations: u64,
     /// When the crash history is next compared with the control log.
@@ -97,6 +103,8 @@
             calls: PendingCalls::default(),
             crashes: CrashExchange::default(),
             evacuation_support: CommandSupport::default(),
+            order_support: CommandSupport::default(),
+            pauses: Pauses::new(now),
             advertised_evacuations: 0,
             next_record: now,
             formation: ClusterFormation::default(),
@@ -112,11 +120,12 @@
     }
 
     pub(super) fn handle_input(&mut self, input: Input) {
+        let now = self.clock.now();
+        self.pauses.observe(now);
         if input.is_abandoned() {
             info!(self.log, "Ignored a call that was given up");
             return;
         }
-        let now = self.clock.now();
         match input {
             Input::Link(event) => self.handle_link_event(now, event),
             Input::Disk(report) => {
@@ -133,8 +142,9 @@
             Input::SetEvacuation {
                 zone,
                 active,
+                caller,
                 reply,
-            } => self.handle_set_evacuation(now, zone, active, reply),
+            } => self.handle_set_evacuation(now, zone, active, caller, reply),
             Input::ListEvacuations(reply) => {
                 // The operator may have disconnected.
                 let _ignored = reply.send(self.replica.state.evacuations.clone());
@@ -152,6 +162,7 @@
 
     pub(super) fn tick(&mut self) {
         let now = self.clock.now();
+        self.pauses.observe(now);
         let contacts = self.replica.consensus.voter_contacts(now);
         self.replica.consensus.tick(now);
         if !contacts.is_empty() && !self.replica.consensus.is_leader() {
@@ -359,9 +370,7 @@
     /// If this VM does not lead, or the other VMs do not all understand the command, the requester is
     /// told that it does not lead, and sends the command again later.
     pub(super) fn propose(&mut self, now: Moment, requester: Requester, command: Command) {
-        let may_propose =
-            !matches!(command, Command::SetEvacuation { .. }) || self.may_propose_evacuations();
-        if !may_propose
+        if !self.may_append(&command)
             || self
                 .replica
                 .propose(now, requester.clone(), command)
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -144,6 +144,7 @@
             compressed_frames: true,
             received_prompts: true,
             control_lists: true,
+            evacuation_orders: false,
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -18,9 +18,10 @@
     observe_manifest_in_force, set_manifest_confirmation_age, set_manifest_heard,
 };
 pub use self::servers::{
-    count_announcement, count_cold_left_out, count_dropped_event, count_leaving_answer,
-    count_limited_answer, count_retry_after_answer, set_capacity_age, set_capacity_gauges,
-    set_cold_gauge, set_crash_gauges, set_evacuated_requests, set_evacuated_zones,
+    count_announcement, count_cold_left_out, count_dropped_event, count_evacuation_order,
+    count_leaving_answer, count_limited_answer, count_retry_after_answer, set_capacity_age,
+    set_capacity_gauges, set_cold_gauge, set_crash_gauges, set_evacuated_requests,
+    set_evacuated_zones,
 };
 pub use self::vms::{
     count_mesh_dropped, count_mesh_sent, observe_frame_write, set_control_gauges, set_load_gauges,
--- a/node/src/metrics/servers.rs
+++ b/node/src/metrics/servers.rs
@@ -11,6 +11,7 @@
 const LIMITED_ANSWERS: &str = "merlinrudder_limited_answers_total";
 const COLD_LEFT_OUT: &str = "merlinrudder_cold_left_out_total";
 const LEAVING_ANSWERS: &str = "merlinrudder_leaving_answers_total";
+const EVACUATION_ORDERS: &str = "merlinrudder_evacuation_orders_total";
 const RETRY_AFTER_ANSWERS: &str = "merlinrudder_retry_after_answers_total";
 
 /// Counts an announcement of a backend server by what it changed.
@@ -57,6 +58,11 @@
     set_gauge("merlinrudder_quarantined_contents", quarantined);
 }
 
+/// Counts an operator's order to evacuate a zone by how it ended at this VM.
+pub fn count_evacuation_order(outcome: &'static str) {
+    counter!(EVACUATION_ORDERS, "outcome" => outcome).increment(1);
+}
+
 /// Sets the gauge of evacuated zones.
 pub fn set_evacuated_zones(zones: usize) {
     set_gauge("merlinrudder_evacuated_zones", zones);
--- a/node/src/replica.rs
+++ b/node/src/replica.rs
@@ -15,7 +15,7 @@
 };
 use merlinrudder_core::consensus::{Consensus, NotLeader, Output};
 use merlinrudder_core::control::{Answer, Command, ControlState, PublishedManifest};
-use merlinrudder_core::names::VmId;
+use merlinrudder_core::names::{VmId, ZoneName};
 use merlinrudder_core::publishing::{PublishDecision, Publishing};
 use merlinrudder_core::time::Moment;
 use merlinrudder_wire::control::{decode_command, decode_state, encode_command, encode_state};
@@ -348,6 +348,11 @@
 
     fn apply_command(&mut self, bytes: &Arc<[u8]>) -> Answer {
         match decode_command(bytes) {
+            Ok(Command::OrderEvacuation {
+                zone,
+                active,
+                after,
+            }) => self.order_evacuation(&zone, active, after),
             Ok(command) => self.state.apply(command),
             // A replica that skipped a committed command would diverge from the others.
             Err(error) => logging::stop_process(
@@ -357,6 +362,21 @@
         }
     }
 
+    /// Applies an order to evacuate a zone, and logs a refusal.
+    fn order_evacuation(&mut self, zone: &ZoneName, active: bool, after: u64) -> Answer {
+        let order = Command::OrderEvacuation {
+            zone: zone.clone(),
+            active,
+            after,
+        };
+        let answer = self.state.apply(order);
+        if let Answer::EvacuationOvertaken(newest) = answer {
+            info!(self.log, "Refused an overtaken order to evacuate"; "zone" => %zone,
+                "active" => active, "after" => after, "newest" => newest);
+        }
+        answer
+    }
+
     /// Replaces the control state with that of a snapshot at `index`.
     fn restore(&mut self, data: &[u8], index: Index) {
         match decode_state(data) {
--- a/node/tests/integration/evacuation.rs
+++ b/node/tests/integration/evacuation.rs
@@ -112,7 +112,7 @@
 }
 
 /// Gives an order to one control VM after the other until it is acknowledged, as operators do.
-fn order(nodes: &Nodes, zone: &str, active: bool) {
+pub fn order(nodes: &Nodes, zone: &str, active: bool) {
     let started = Instant::now();
     let mut statuses = Vec::new();
     while started.elapsed() < ACK_TIMEOUT {
@@ -134,13 +134,13 @@
     runs.filter(|ran| ran.started >= from).count()
 }
 
-fn list(nodes: &Nodes, control: usize) -> String {
+pub fn list(nodes: &Nodes, control: usize) -> String {
     let address = nodes.control_address(control);
     send_request(address, "GET /admin/evacuations", "", "").body
 }
 
 /// Returns the control VM that leads.
-fn leader(nodes: &Nodes) -> usize {
+pub fn leader(nodes: &Nodes) -> usize {
     let mut leader = None;
     wait_for("leader", || {
         leader = (0..CONTROL_VMS).find(|at| nodes.leads(*at));
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -23,6 +23,7 @@
 mod mesh;
 mod odd_numbers;
 mod odd_reports;
+mod overtaken_orders;
 mod plain_answers;
 mod planned_stop;
 mod platform;
--- a/wire/src/control.rs
+++ b/wire/src/control.rs
@@ -6,7 +6,7 @@
 use merlinrudder_core::claims::{Claim, ClaimKey, ClaimOutcome, ClaimState, RecordedAnswer};
 use merlinrudder_core::control::{Answer, Command, ControlState, OrderLease, PublishedManifest};
 use merlinrudder_core::crash_history::CrashReport;
-use merlinrudder_core::evacuation::Evacuations;
+use merlinrudder_core::evacuation::{Evacuations, OrderNumbers};
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::names::{CustomerName, ServerId, ServiceName, VmId, ZoneName};
 use merlinrudder_core::time::Moment;
@@ -16,7 +16,7 @@
 use crate::common::millis;
 use crate::crashes::WireCrashedRun;
 use crate::error::DecodeError;
-use crate::evacuation::WireEvacuations;
+use crate::evacuation::{WireEvacuations, WireZoneOrders};
 use crate::mesh::encode;
 
 /// Command of the control log.
@@ -57,6 +57,11 @@
         zone: String,
         active: bool,
     },
+    OrderEvacuation {
+        zone: String,
+        active: bool,
+        after: u64,
+    },
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -105,6 +110,7 @@
     Done,
     OrderLease { won: bool, fencing: u64 },
     Evacuations(u64),
+    EvacuationOvertaken(u64),
 }
 
 /// Payload of a snapshot of the control log.
@@ -176,7 +182,8 @@
         order_leases: leases.collect(),
     };
     let mut bytes = encode(&wire);
-    let has_evacuations = state.evacuations != Evacuations::default();
+    let has_orders = !state.evacuation_orders.is_empty();
+    let has_evacuations = has_orders || state.evacuations != Evacuations::default();
     if !state.crashes.is_empty() || has_evacuations {
         let runs: Vec<_> = state.crashes.reports().map(WireCrashedRun::from).collect();
         bytes.extend(encode(&runs));
@@ -185,6 +192,11 @@
         let evacuations = WireEvacuations::from(state.evacuations.clone());
         bytes.extend(encode(&evacuations));
     }
+    if has_orders {
+        let orders = state.evacuation_orders.iter().map(WireZoneOrders::from);
+        let orders: Vec<_> = orders.collect();
+        bytes.extend(encode(&orders));
+    }
     Arc::from(bytes)
 }
 
@@ -196,8 +208,8 @@
     if bytes.is_empty() {
         return Ok(ControlState::default());
     }
-    // The crashed runs and then the evacuations follow the rest; a snapshot that has none of the
-    // latter, or neither, ends before them. Earlier versions ignore what they do not know.
+    // The crashed runs, the evacuations and the numbers of their orders follow the rest; a snapshot ends
+    // before the first of them after which there is nothing. Earlier versions ignore what they do not know.
     let (wire, rest): (WireControlState, _) = postcard::take_from_bytes(bytes)?;
     let mut state = ControlState {
         manifest: wire.manifest.map(PublishedManifest::from),
@@ -231,13 +243,24 @@
             state.crashes.merge(&run.into());
         }
         if !rest.is_empty() {
-            let evacuations: WireEvacuations = postcard::from_bytes(rest)?;
+            let (evacuations, rest): (WireEvacuations, _) = postcard::take_from_bytes(rest)?;
             state.evacuations = evacuations.into();
+            state.evacuation_orders = decode_orders(rest)?;
         }
     }
     Ok(state)
 }
 
+/// Decodes the numbers of the orders to evacuate; there are none in a snapshot of an earlier version.
+fn decode_orders(bytes: &[u8]) -> Result<OrderNumbers, DecodeError> {
+    if bytes.is_empty() {
+        return Ok(OrderNumbers::default());
+    }
+    let orders: Vec<WireZoneOrders> = postcard::from_bytes(bytes)?;
+    let numbers = orders.into_iter().map(<(ZoneName, u64)>::from);
+    Ok(OrderNumbers::restore(numbers))
+}
+
 impl From<Command> for WireCommand {
     fn from(command: Command) -> Self {
         Self(match command {
@@ -284,6 +307,15 @@
                 zone: zone.to_string(),
                 active,
             },
+            Command::OrderEvacuation {
+                zone,
+                active,
+                after,
+            } => CommandBody::OrderEvacuation {
+                zone: zone.to_string(),
+                active,
+                after,
+            },
         })
     }
 }
@@ -333,6 +365,15 @@
                 zone: ZoneName::from(zone),
                 active,
             },
+            CommandBody::OrderEvacuation {
+                zone,
+                active,
+                after,
+            } => Self::OrderEvacuation {
+                zone: ZoneName::from(zone),
+                active,
+                after,
+            },
         }
     }
 }
@@ -431,6 +472,7 @@
             Answer::Done => AnswerBody::Done,
             Answer::OrderLease { won, fencing } => AnswerBody::OrderLease { won, fencing },
             Answer::Evacuations(revision) => AnswerBody::Evacuations(revision),
+            Answer::EvacuationOvertaken(newest) => AnswerBody::EvacuationOvertaken(newest),
         })
     }
 }
@@ -449,6 +491,7 @@
             AnswerBody::Done => Self::Done,
             AnswerBody::OrderLease { won, fencing } => Self::OrderLease { won, fencing },
             AnswerBody::Evacuations(revision) => Self::Evacuations(revision),
+            AnswerBody::EvacuationOvertaken(newest) => Self::EvacuationOvertaken(newest),
         }
     }
 }
--- a/wire/src/evacuation.rs
+++ b/wire/src/evacuation.rs
@@ -11,6 +11,26 @@
     zones: Vec<String>,
 }
 
+/// A zone with the number of the newest order about it, in snapshots.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WireZoneOrders {
+    zone: String,
+    newest: u64,
+}
+
+impl From<(&ZoneName, u64)> for WireZoneOrders {
+    fn from((zone, newest): (&ZoneName, u64)) -> Self {
+        let zone = zone.to_string();
+        Self { zone, newest }
+    }
+}
+
+impl From<WireZoneOrders> for (ZoneName, u64) {
+    fn from(wire: WireZoneOrders) -> Self {
+        (ZoneName::from(wire.zone), wire.newest)
+    }
+}
+
 impl From<Evacuations> for WireEvacuations {
     fn from(evacuations: Evacuations) -> Self {
         let zones = evacuations.zones.iter().map(ToString::to_string);
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -187,6 +187,8 @@
     pub received_prompts: bool,
     /// Whether it is an entry VM that answers `PullControlVms`.
     pub control_lists: bool,
+    /// Whether it can apply the log command for numbered orders to evacuate.
+    pub evacuation_orders: bool,
 }
 
 impl WireFeatures {
@@ -205,6 +207,7 @@
         features.compressed_frames = take_appended(&mut rest)?;
         features.received_prompts = take_appended(&mut rest)?;
         features.control_lists = take_appended(&mut rest)?;
+        features.evacuation_orders = take_appended(&mut rest)?;
         Ok(features)
     }
 }
--- a/wire/tests/integration/evacuations.rs
+++ b/wire/tests/integration/evacuations.rs
@@ -53,6 +53,14 @@
     Command::SetEvacuation { zone, active }
 }
 
+fn numbered(zone: &str, active: bool, after: u64) -> Command {
+    Command::OrderEvacuation {
+        zone: ZoneName::from(zone),
+        active,
+        after,
+    }
+}
+
 /// Returns the state of `commands`, and of `more` after them.
 fn state_of(more: &[Command]) -> ControlState {
     let mut state = ControlState::default();
@@ -64,14 +72,16 @@
 
 #[test]
 fn orders_answers_and_messages_round_trip() {
-    for command in [order("z1", true), order("z1", false)] {
+    for command in [order("z1", true), numbered("z1", false, 9)] {
         assert_eq!(
             decode_command(&encode_command(command.clone())),
             Ok(command)
         );
     }
-    let answer = WireAnswer::from(Answer::Evacuations(7));
-    assert_eq!(Answer::from(answer), Answer::Evacuations(7));
+    for answer in [Answer::Evacuations(7), Answer::EvacuationOvertaken(3)] {
+        let wire = WireAnswer::from(answer.clone());
+        assert_eq!(Answer::from(wire), answer);
+    }
     let evacuations = state_of(&[order("z1", true), order("z2", true)]).evacuations;
     let message = MeshMessage::Evacuations(evacuations.clone().into());
     let decoded = decode_frame(&encode_frame(&message)).expect("a valid frame");
@@ -115,3 +125,42 @@
         }
     }
 }
+
+/// Guards against a log of an earlier version that a control VM cannot read after an upgrade.
+#[test]
+fn a_command_recorded_before_orders_had_numbers_decodes() {
+    // `SetEvacuation` of z1, as version 82545bf encoded it.
+    let recorded = bytes("07027a3101");
+    assert_eq!(decode_command(&recorded), Ok(order("z1", true)));
+    assert_eq!(
+        encode_command(order("z1", true)).as_ref(),
+        recorded.as_slice()
+    );
+}
+
+/// Guards against numbers that a snapshot loses, and with them the protection from late orders.
+#[test]
+fn the_numbers_of_orders_survive_a_snapshot() {
+    // The second state has no evacuated zone and no change, and yet an order.
+    for orders in [
+        vec![numbered("z1", true, 0), numbered("z2", true, 0)],
+        vec![numbered("z1", false, 0)],
+    ] {
+        let mut state = decode_state(&encode_state(&state_of(&orders))).expect("a snapshot");
+        assert_eq!(state, state_of(&orders));
+        let late = state.apply(numbered("z1", false, 0));
+        assert_eq!(late, Answer::EvacuationOvertaken(1));
+    }
+}
+
+/// Guards against snapshots of either version that the other one cannot read.
+#[test]
+fn numbers_of_orders_follow_what_an_earlier_version_reads_of_a_snapshot() {
+    let earlier = state_of(&[order("z1", true)]);
+    let recorded = encode_state(&earlier);
+    assert!(recorded.ends_with(&bytes("0101027a31")), "as before");
+    assert_eq!(decode_state(&recorded), Ok(earlier));
+    let encoded = encode_state(&state_of(&[order("z1", true), numbered("z2", false, 0)]));
+    assert!(encoded.starts_with(&recorded));
+    assert!(encoded.len() > recorded.len(), "the numbers follow");
+}
--- a/wire/tests/integration/round_trips.rs
+++ b/wire/tests/integration/round_trips.rs
@@ -236,6 +236,7 @@
         compressed_frames: true,
         received_prompts: true,
         control_lists: true,
+        evacuation_orders: true,
     };
     let frame = encode_handshake(&peer, &features);
     assert_eq!(decode_handshake(&frame), Ok((peer.clone(), features)));
