bug: a late 421 throws out the lifetime that was asked, not the next one

Cause: `Fleet::mark_replaced` took the id and marked the lifetime that was known when the answer came.

Change: it names the lifetime that was asked, and leaves a later one alone.

Test: `a_late_misdirection_concerns_the_lifetime_that_was_asked`; with the code before the second lifetime is `Gone` there.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::cold::ColdTable;
 use crate::cold::plan::ColdBounds;
 use crate::deployment::Deployment;
-use crate::directory::{Directory, Merged, ServerRecord};
+use crate::directory::{Directory, Incarnation, Merged, ServerRecord};
 use crate::engine_placement::length_shares::LengthShares;
 use crate::engine_placement::loads::LoadTable;
 use crate::evacuation::Evacuations;
@@ -105,10 +105,11 @@
         merged
     }
 
-    /// Marks a server as gone, since another one answered at its address.
-    pub fn mark_replaced(&mut self, now: Moment, id: &ServerId) {
-        let born = self.directory.get(id).map(|record| record.born);
-        self.directory.leave(now, id, born);
+    /// Marks the lifetime of a server that was asked as gone, since another server answered at its address.
+    ///
+    /// The answer may come late: a lifetime that began meanwhile is not concerned.
+    pub fn mark_replaced(&mut self, now: Moment, asked: &Incarnation) {
+        self.directory.leave(now, &asked.server, Some(asked.born));
     }
 
     /// Records the outcome of a request at a server.
--- a/core/tests/integration/directory.rs
+++ b/core/tests/integration/directory.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 
 use merlinrudder_core::directory::{Directory, Merged, ServerRecord, ServerStage};
+use merlinrudder_core::fleet::Fleet;
 use merlinrudder_core::names::{ServerId, ServiceName, ZoneName};
 use merlinrudder_core::time::Moment;
 use proptest::prelude::*;
 
+use crate::fleets::rates;
+
 fn record(id: &str, born: u64, sequence: u64, port: u16, stage: ServerStage) -> ServerRecord {
     ServerRecord {
         id: ServerId::from(id),
@@ -26,6 +29,21 @@
         .map(|record| record.stage)
 }
 
+/// Guards against a late answer to a request of an earlier lifetime, which throws out the next one.
+#[test]
+fn a_late_misdirection_concerns_the_lifetime_that_was_asked() {
+    let now = Moment::default();
+    let mut fleet = Fleet::new(ZoneName::from("a"), rates());
+    let asked = record("s", 5, 1, 1, ServerStage::Ready);
+    fleet.merge(now, asked.clone());
+    fleet.merge(now, record("s", 9, 1, 1, ServerStage::Ready));
+    fleet.mark_replaced(now, &asked.incarnation());
+    assert_eq!(stage(&fleet.directory, "s"), Some(ServerStage::Ready));
+    let next = record("s", 9, 1, 1, ServerStage::Ready).incarnation();
+    fleet.mark_replaced(now, &next);
+    assert_eq!(stage(&fleet.directory, "s"), Some(ServerStage::Gone));
+}
+
 #[test]
 fn a_late_heartbeat_does_not_revive_a_server() {
     let now = Moment::default();
--- a/core/tests/integration/evacuation.rs
+++ b/core/tests/integration/evacuation.rs
@@ -142,7 +142,9 @@
     assert!(!ids.iter().any(is_evacuated), "{ids:?}");
 
     for id in &others {
-        fleet.mark_replaced(now, id);
+        let record = fleet.directory.get(id).expect("a known server");
+        let asked = record.incarnation();
+        fleet.mark_replaced(now, &asked);
     }
     let chosen = fleet.choose_server(now, &service(), &[]);
     assert_eq!(chosen, Err(NoChoice::NoServer), "all others dead");
--- a/node/src/gateway/failure.rs
+++ b/node/src/gateway/failure.rs
@@ -1,7 +1,7 @@
 //! Why attempts fail, and what their failures show of servers.
 
+use merlinrudder_core::directory::Incarnation;
 use merlinrudder_core::health::ServerOutcome;
-use merlinrudder_core::names::ServerId;
 use merlinrudder_core::outcome::RunState;
 use slog::info;
 
@@ -80,7 +80,7 @@
 pub(super) fn record_failure(context: AttemptContext<'_>, target: &Target, failure: Failure) {
     let AttemptContext { gateway, call, .. } = context;
     match target {
-        Target::Server(incarnation) => record_server_failure(gateway, &incarnation.server, failure),
+        Target::Server(incarnation) => record_server_failure(gateway, incarnation, failure),
         Target::Vm { vm, .. } => relay::record_failure(gateway, call, vm, failure),
     }
     info!(gateway.log, "Attempt failed"; "request" => call.attempt_id_text(),
@@ -91,8 +91,9 @@
 }
 
 /// Updates the health of a server after a failed attempt.
-fn record_server_failure(gateway: &Gateway, server: &ServerId, failure: Failure) {
+fn record_server_failure(gateway: &Gateway, asked: &Incarnation, failure: Failure) {
     let now = gateway.now();
+    let server = &asked.server;
     if let Some(outcome) = failure.health_outcome() {
         if failure == Failure::Broken {
             placement_sync::record_request_outcome(gateway, server, outcome);
@@ -102,6 +103,6 @@
         }
     }
     if failure == Failure::Replaced {
-        gateway.fleet.borrow_mut().mark_replaced(now, server);
+        gateway.fleet.borrow_mut().mark_replaced(now, asked);
     }
 }
