bug: a lift of a quarantine whose operator has left is not carried out

Callers saw (by reading and a trial): a control VM that stood still lifts a quarantine for an operator who gave the call up, and with it clears crashes that came since; the content reaches engines again.

The check for calls that were given up left this one out, and knew of a closed connection only what another task had seen.

Change: the check asks the socket itself. Nothing orders a lift against crashes, so a lift whose end of connection comes later than its bytes still takes effect; it clears what is known then. The line on ignored calls names the call and the last pause.

--- a/node/src/controller/api.rs
+++ b/node/src/controller/api.rs
@@ -100,7 +100,7 @@
     if let Some(content) = path.strip_prefix(QUARANTINE_PATH) {
         return match (request.method(), content) {
             (&Method::GET, "") => list_quarantine(inputs).await,
-            (&Method::DELETE, _) => lift_quarantine(content, inputs).await,
+            (&Method::DELETE, _) => lift_quarantine(content, caller, inputs).await,
             _ => text_response(StatusCode::METHOD_NOT_ALLOWED, "use GET or DELETE"),
         };
     }
@@ -227,7 +227,11 @@
 }
 
 /// Lifts the quarantine of the content with this digest, `/` and 64 hexadecimal digits.
-async fn lift_quarantine(content: &str, inputs: &InputSender) -> ApiResponse {
+async fn lift_quarantine(
+    content: &str,
+    caller: CallerConnection,
+    inputs: &InputSender,
+) -> ApiResponse {
     let content = content.strip_prefix('/').and_then(ContentDigest::from_hex);
     let Some(content) = content else {
         return text_response(
@@ -235,7 +239,12 @@
             "no digest of 64 hexadecimal digits",
         );
     };
-    match request_reply(inputs, |reply| Input::LiftQuarantine(content, reply)).await {
+    let order = |reply| Input::LiftQuarantine {
+        content,
+        caller,
+        reply,
+    };
+    match request_reply(inputs, order).await {
         Some(true) => json_response(Bytes::from_static(b"{}")),
         Some(false) => text_response(StatusCode::NOT_FOUND, "no crash of this content is known"),
         None => text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
--- a/node/src/controller/input.rs
+++ b/node/src/controller/input.rs
@@ -6,7 +6,7 @@
 use merlinrudder_core::cold::reports::ColdReport;
 use merlinrudder_core::control::PublishedManifest;
 use merlinrudder_core::directory::ServerRecord;
-use merlinrudder_core::evacuation::Evacuations;
+use merlinrudder_core::evacuation::{CallerPresence, Evacuations};
 use merlinrudder_core::names::{ServerId, ZoneName};
 use merlinrudder_core::units::ContentDigest;
 use tokio::sync::oneshot;
@@ -48,21 +48,47 @@
     ListEvacuations(Reply<Evacuations>),
     /// An operator lists the contents in quarantine.
     ListQuarantine(Reply<Vec<QuarantineEntry>>),
-    /// An operator lifts the quarantine of a content; the reply tells whether there was one.
-    LiftQuarantine(ContentDigest, Reply<bool>),
+    /// An operator lifts the quarantine of a content.
+    LiftQuarantine {
+        /// The content.
+        content: ContentDigest,
+        /// Shows whether the operator still waits.
+        caller: CallerConnection,
+        /// Answered with whether there was a quarantine or a suspicion.
+        reply: Reply<bool>,
+    },
     /// The process is about to stop, so the leadership is transferred.
     Stop,
 }
 
 impl Input {
+    /// Returns the kind of the input for logs.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Link(_) => "link",
+            Self::Disk(_) => "disk",
+            Self::Publish(..) => "publish",
+            Self::Read(_) => "read",
+            Self::Heartbeat(..) => "heartbeat",
+            Self::Deregister(..) => "deregister",
+            Self::SetEvacuation { .. } => "evacuation",
+            Self::ListEvacuations(_) => "list_evacuations",
+            Self::ListQuarantine(_) => "list_quarantine",
+            Self::LiftQuarantine { .. } => "lift_quarantine",
+            Self::Stop => "stop",
+        }
+    }
+
     /// Whether an operator has given up this call, which has waited here.
     ///
-    /// Inputs wait while the data folder cannot be opened. The operator may have given the opposite
-    /// order to another VM by then.
+    /// Inputs wait while the data folder cannot be opened, and in a process that stands still.
     pub(super) fn is_abandoned(&self) -> bool {
         match self {
             Self::Publish(_, reply) | Self::SetEvacuation { reply, .. } => reply.is_closed(),
             Self::Read(reply) => reply.is_closed(),
+            Self::LiftQuarantine { caller, reply, .. } => {
+                reply.is_closed() || caller.presence() == CallerPresence::Gone
+            }
             _ => false,
         }
     }
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -123,7 +123,9 @@
         let now = self.clock.now();
         self.pauses.observe(now);
         if input.is_abandoned() {
-            info!(self.log, "Ignored a call that was given up");
+            info!(self.log, "Ignored a call that was given up"; "call" => input.kind(),
+                "last_pause_ms" => self.pauses.length.as_millis(),
+                "since_pause_ms" => now.since(self.pauses.ended).as_millis());
             return;
         }
         match input {
@@ -153,7 +155,7 @@
                 // The operator may have disconnected.
                 let _ignored = reply.send(self.quarantined(now));
             }
-            Input::LiftQuarantine(content, reply) => {
+            Input::LiftQuarantine { content, reply, .. } => {
                 let _ignored = reply.send(self.lift_quarantine(now, &content));
             }
             Input::Stop => self.replica.transfer_leadership(),
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -23,7 +23,9 @@
 use merlinrudder_core::retry::RetryLimits;
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::ContentDigest;
-use merlinrudder_fakes::http_client::{send_customer_request, send_request_with_headers};
+use merlinrudder_fakes::http_client::{
+    send_customer_request, send_request, send_request_with_headers,
+};
 use merlinrudder_fakes::nodes::sample_configuration;
 use merlinrudder_node::controller::{ControllerConfig, RunningController};
 use merlinrudder_node::gateway::{GatewayConfig, RunningGateway};
@@ -36,6 +38,7 @@
 use merlinrudder_wire::mesh::{HISTORY_NOT_WANTED, MeshMessage, WireFeatures};
 use merlinrudder_wire::peers::WirePeer;
 use slog::{Drain, Logger, OwnedKVList, Record, o};
+use socket2::SockRef;
 use tempfile::TempDir;
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
@@ -45,6 +48,8 @@
 
 /// Time in which everything that follows the opening of a link has arrived.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
+/// Calls that are given up, each for a race between its bytes and its end.
+const ABANDONED_CALLS: usize = 30;
 /// Longest wait for a state that must be reached.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -262,6 +267,39 @@
     assert_eq!(vm.lines.count("Crash of a backend server recorded"), 3);
 }
 
+/// Guards against a quarantine that a VM lifts late, for an operator who has left, though the content crashed
+/// further servers since.
+#[test]
+fn a_lift_whose_operator_has_left_is_not_carried_out() {
+    let vm = Vm::start(true);
+    let mut entry = HandLink::open_kept(vm.address, "entry", false);
+    entry.send(&crash_reports(7..8, Duration::from_secs(5)));
+    entry.read_for(Duration::from_millis(300));
+    let request = format!(
+        "DELETE /admin/quarantine/{} HTTP/1.1\r\nhost: a\r\n\r\n",
+        "07".repeat(32)
+    );
+    for _ in 0..ABANDONED_CALLS {
+        let mut stream = TcpStream::connect(vm.callers).expect("the VM accepts calls");
+        // The request and the end of the connection are sent together.
+        SockRef::from(&stream)
+            .set_tcp_cork(true)
+            .expect("a socket option");
+        stream
+            .write_all(request.as_bytes())
+            .expect("an open connection");
+    }
+    entry.read_for(SETTLE_TIME);
+    assert_eq!(vm.lines.count("Quarantine lifted by an operator"), 0);
+    let lifted = send_request(
+        vm.callers,
+        &format!("DELETE /admin/quarantine/{}", "07".repeat(32)),
+        "",
+        "",
+    );
+    assert_eq!(lifted.status, 200, "an operator who waits lifts it");
+}
+
 /// Guards against links to other entry VMs that open before callers can be served.
 #[test]
 fn a_starting_entry_vm_dials_others_once_its_manifest_is_confirmed() {
