bug: a late answer to an earlier process answers no proposal of the next one

Callers saw (by reading, on the own interface): after a restart of a VM a call could run though its key was claimed by another request.

Ids of proposals began at 1 in each process, so the answer to a claim of the earlier process answered the claim with the same id of the next one. Control VMs on the platform began at random already.

Change: both allocate ids in one place, which starts at random.

Test: `a_process_does_not_use_the_ids_of_an_earlier_one`.

--- a/node/src/control/proposals.rs
+++ b/node/src/control/proposals.rs
@@ -12,6 +12,7 @@
 use super::input::Proposal;
 use crate::constants::PROPOSAL_RESEND_DELAY;
 use crate::metrics;
+use crate::proposal_ids::ProposalIds;
 use crate::replica::Requester;
 
 /// A proposal that waits for its answer.
@@ -25,7 +26,7 @@
 #[derive(Debug)]
 pub(super) struct Proposals {
     pending: BTreeMap<u64, PendingProposal>,
-    next_id: u64,
+    ids: ProposalIds,
     /// All other VMs with a disk.
     replica_vms: Vec<VmId>,
     /// VM that last answered as leader or was named as leader; never this VM.
@@ -39,7 +40,7 @@
         let pending = BTreeMap::new();
         Self {
             pending,
-            next_id: 1,
+            ids: ProposalIds::start(),
             replica_vms,
             leader_hint: None,
             target_index: 0,
@@ -70,8 +71,7 @@
     /// It is kept until it is answered or expires.
     pub(super) fn propose(&mut self, proposal: Proposal) {
         let now = self.now();
-        let id = self.proposals.next_id;
-        self.proposals.next_id += 1;
+        let id = self.proposals.ids.allocate();
         self.proposals.pending.insert(
             id,
             PendingProposal {
--- a/node/src/controller/calls.rs
+++ b/node/src/controller/calls.rs
@@ -13,6 +13,7 @@
 use super::evacuations::EvacuationCall;
 use super::input::Reply;
 use super::state::Controller;
+use crate::proposal_ids::ProposalIds;
 use crate::replica::Requester;
 
 /// Time after which a call that the leader has not answered is sent again.
@@ -27,10 +28,7 @@
 /// Operator calls that are not answered yet.
 #[derive(Debug)]
 pub(super) struct PendingCalls {
-    /// Id of the newest call.
-    ///
-    /// It starts at random, so that a late reply to an earlier process answers no call of this one.
-    last_id: u64,
+    ids: ProposalIds,
     /// Unanswered calls by id, which is also the id of their proposal.
     pub(super) pending: BTreeMap<u64, Call>,
 }
@@ -38,7 +36,7 @@
 impl Default for PendingCalls {
     fn default() -> Self {
         Self {
-            last_id: fastrand::u64(..) / 2,
+            ids: ProposalIds::start(),
             pending: BTreeMap::new(),
         }
     }
@@ -213,8 +211,7 @@
     }
 
     pub(super) fn add_call(&mut self, now: Moment, kind: CallKind, timeout: Duration) {
-        self.calls.last_id += 1;
-        let id = self.calls.last_id;
+        let id = self.calls.ids.allocate();
         let deadline = now + timeout;
         let call = Call {
             kind,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod metrics;
 pub mod metrics_port;
 pub mod options;
+pub mod proposal_ids;
 pub mod published;
 pub mod replica;
 pub mod roles;
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -27,6 +27,7 @@
 mod plain_answers;
 mod planned_stop;
 mod platform;
+mod proposal_ids;
 mod rate_limits;
 mod replaced_control_vms;
 mod retry_budget;
