Known red: a claim that is applied after its release holds its key

Test of `core`, red: a copy of a claim that was held up on its way is applied after the release that gave it up.

--- a/core/tests/integration/claims.rs
+++ b/core/tests/integration/claims.rs
@@ -88,3 +88,14 @@
     );
     assert_eq!(claims.len(), 1);
 }
+
+/// Guards against a key that is held for a day by a request that has ended: its claim was held up on the way, and is
+/// applied after the release that gave it up.
+#[test]
+fn a_claim_that_is_applied_after_its_release_is_not_held() {
+    let mut claims = ClaimTable::default();
+    claims.release(&key("a"), RequestId(1));
+    claims.claim(NOW, key("a"), RequestId(1), CONTENT);
+    let retry = claims.claim(NOW, key("a"), RequestId(2), CONTENT);
+    assert_eq!(retry, ClaimOutcome::Acquired);
+}
