bug: a first start that loses one control VM forms a cluster without it

Cause: the cluster was formed only once all VMs that the settings name had said that they are empty, and only by the one with the lowest id.

Change: two seconds after its first hello, the lowest of those initial VMs that are linked, empty and started to form a cluster forms it with them, if any two majorities of such sets have a VM in common. A VM introduces itself until something was committed, so that a set formed elsewhere takes it in.

A VM that may have forgotten a vote is told `bootstrap=false` and not counted.

--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -88,6 +88,7 @@
         let features = WireFeatures {
             evacuations: true,
             evacuation_orders: true,
+            initial_vm: config.bootstrap,
             cold: true,
             compressed_frames: true,
             ..WireFeatures::default()
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -107,7 +107,7 @@
             pauses: Pauses::new(now),
             advertised_evacuations: 0,
             next_record: now,
-            formation: ClusterFormation::default(),
+            formation: ClusterFormation::awaiting(initial_addrs.len()),
             initial_addrs,
             manifests: ManifestSource::default(),
             advertised: 0,
@@ -273,7 +273,10 @@
     fn handle_link_event(&mut self, now: Moment, event: LinkEvent) {
         match event {
             LinkEvent::Up(peer) => self.handle_link_up(now, &peer),
-            LinkEvent::Down(vm, _) => self.crashes.link_down(&vm),
+            LinkEvent::Down(vm, _) => {
+                self.crashes.link_down(&vm);
+                self.resolve_initial_vms();
+            }
             LinkEvent::Message(from, message) => self.handle_message(now, &from, message),
         }
     }
@@ -299,9 +302,9 @@
         self.peer_list.opened((vm, peer.address));
     }
 
-    /// Resolves the addresses of the initial control VMs to ids, once all have links.
+    /// Resolves the addresses of the initial control VMs to ids, as far as they have links.
     fn resolve_initial_vms(&mut self) {
-        if self.initial_addrs.is_empty() || !self.formation.initial_vms.is_empty() {
+        if self.initial_addrs.is_empty() || self.replica.consensus.is_committed_voter() {
             return;
         }
         let mut known: BTreeMap<_, _> = self
@@ -311,13 +314,11 @@
             .map(|peer| (peer.address, peer.vm_id()))
             .collect();
         known.insert(self.local_peer.address, self.local_peer.vm_id());
-        let vms = self
-            .initial_addrs
-            .iter()
-            .map(|address| known.get(address).cloned());
-        if let Some(vms) = vms.collect::<Option<Vec<_>>>() {
-            self.formation.initial_vms = vms;
-        }
+        let addresses = self.initial_addrs.iter();
+        let vms = addresses.filter_map(|address| known.get(address).cloned());
+        self.formation.initial_vms = vms.collect();
+        let founders = self.links.vms_with(|features| features.initial_vm);
+        self.formation.founders = founders.into_iter().collect();
     }
 
     fn handle_message(&mut self, now: Moment, from: &VmId, message: MeshMessage) {
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -145,6 +145,7 @@
             received_prompts: true,
             control_lists: true,
             evacuation_orders: false,
+            initial_vm: false,
         };
         let links = Links::bind(config.local_peer.clone(), features, handler, log).await?;
         for seed in &config.seeds {
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -13,6 +13,7 @@
 mod endless_requests;
 mod evacuation;
 mod failing_helpers;
+mod first_start;
 mod full_disk;
 mod hand_link;
 mod http_server;
--- a/wire/src/mesh.rs
+++ b/wire/src/mesh.rs
@@ -189,6 +189,8 @@
     pub control_lists: bool,
     /// Whether it can apply the log command for numbered orders to evacuate.
     pub evacuation_orders: bool,
+    /// Whether it was started to form a new cluster of control VMs.
+    pub initial_vm: bool,
 }
 
 impl WireFeatures {
@@ -208,6 +210,7 @@
         features.received_prompts = take_appended(&mut rest)?;
         features.control_lists = take_appended(&mut rest)?;
         features.evacuation_orders = take_appended(&mut rest)?;
+        features.initial_vm = take_appended(&mut rest)?;
         Ok(features)
     }
 }
--- a/wire/tests/integration/round_trips.rs
+++ b/wire/tests/integration/round_trips.rs
@@ -237,6 +237,7 @@
         received_prompts: true,
         control_lists: true,
         evacuation_orders: true,
+        initial_vm: true,
     };
     let frame = encode_handshake(&peer, &features);
     assert_eq!(decode_handshake(&frame), Ok((peer.clone(), features)));
