bug: a 421 to a request for other weights does not throw out its server

Cause: 421 means that another engine answers at the address, or, for a request with `X-Merlinrudder-Expect-Version`, that the weights have another version. Any 421 was taken for the first and moved the engine's lifetime to `Gone`.

Change: a 421 to a request that names a version counts as not run and says nothing of the server. A request without the header still finds a server that was replaced.

--- a/node/src/gateway/answer_head.rs
+++ b/node/src/gateway/answer_head.rs
@@ -43,15 +43,15 @@
         return Err(Failure::Broken);
     }
     if head.headers.contains_key(headers::NOT_RUN) {
-        let replaced = head.status.as_u16() == 421;
-        return Err(if replaced {
-            Failure::Replaced
+        let misdirected = head.status.as_u16() == 421;
+        return Err(if misdirected {
+            misdirection(call)
         } else {
             Failure::Refused
         });
     }
     if head.status.as_u16() == 421 {
-        return Err(Failure::Replaced);
+        return Err(misdirection(call));
     }
     let has_seal = head.headers.contains_key(headers::RESPONSE_SEAL);
     let encoded = head.headers.contains_key(CONTENT_ENCODING);
@@ -61,6 +61,18 @@
     Ok(())
 }
 
+/// Returns what status 421 says of the server that answered.
+///
+/// Of a request that names the version of the weights it needs, the status does not tell whether that or the
+/// server is another one; the server may be sound then.
+fn misdirection(call: &CallerRequest) -> Failure {
+    if call.headers.contains_key(headers::EXPECTED_WEIGHTS) {
+        Failure::OtherWeights
+    } else {
+        Failure::Replaced
+    }
+}
+
 /// Whether a status code ends a request in HTTP; the HTTP library lets others up to 999 pass.
 fn is_final(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
--- a/node/src/gateway/failure.rs
+++ b/node/src/gateway/failure.rs
@@ -24,6 +24,8 @@
     Withdrawn,
     /// Another server answered at this address.
     Replaced,
+    /// The server does not take the request, which its caller wants to run on other weights.
+    OtherWeights,
     /// A helper did not reserve the memory for its part of the prompt.
     NoMemory,
     /// The server refused the request because a helper failed, which it names.
@@ -47,6 +49,7 @@
             | Self::Refused
             | Self::Withdrawn
             | Self::Replaced
+            | Self::OtherWeights
             | Self::NoMemory
             | Self::HelperFailed => RunState::NotRun,
             Self::Broken | Self::Overtaken | Self::NoRoom | Self::Overdue => RunState::MayHaveRun,
@@ -68,6 +71,7 @@
             Self::Replaced | Self::Broken | Self::Overtaken => Some(ServerOutcome::Failed),
             Self::NoPath
             | Self::Withdrawn
+            | Self::OtherWeights
             | Self::NoMemory
             | Self::HelperFailed
             | Self::NoRoom
--- a/node/tests/integration/stray_responses.rs
+++ b/node/tests/integration/stray_responses.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use merlinrudder_fakes::backend::FakeBackend;
-use merlinrudder_fakes::http_client::{HttpResponse, send_customer_request};
+use merlinrudder_fakes::http_client::{
+    HttpResponse, send_customer_request, send_request_with_headers,
+};
 use merlinrudder_fakes::nodes::{Nodes, sample_configuration};
 use merlinrudder_fakes::raw_server::{RawRequest, RawServer};
 use serde_json::json;
@@ -128,6 +130,38 @@
     assert_eq!(later, [200; 3], "after {at_stray}");
 }
 
+/// Guards against one caller's requests for other weights that take a service away from all callers.
+#[test]
+fn a_misdirection_of_a_request_for_other_weights_does_not_exclude_its_server() {
+    let server = RawServer::bind(|connection, request| {
+        if request.path.contains("other-weights") {
+            return write!(
+                connection,
+                "HTTP/1.1 421 Misdirected Request\r\nX-Merlinrudder-Attempt-Id: {}\r\n\
+                 X-Merlinrudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                request.attempt
+            );
+        }
+        respond(connection, request, "200 OK", "whole")
+    });
+    let server = server.expect("raw server listens");
+    let nodes = start_known(&[server.address]);
+    let callers = nodes.callers_address(3);
+    for number in 0..REQUESTS {
+        let attempt = format!("f{number}");
+        let path = "GET /read/other-weights";
+        let headers = "X-Merlinrudder-Expect-Version: 2\r\n";
+        let refused = send_request_with_headers(callers, path, &attempt, "k1", headers);
+        assert!([421, 503].contains(&refused.status), "{refused:?}");
+    }
+    thread::sleep(APPLY_TIME);
+    let later = [(); 3].map(|()| {
+        let attempt = format!("g{:x}", fastrand::u64(..));
+        send_customer_request(callers, "GET /read/x", &attempt).status
+    });
+    assert_eq!(later, [200; 3]);
+}
+
 #[test]
 fn a_failure_that_a_server_answers_to_a_stream_reaches_the_caller_whole() {
     let nodes = start_known(&[start_failing().address]);
