bug: streams whose event ids have gaps are not cut

Cause: an event had to have exactly the number after the last one.

Change: a number must be higher than the last one.

--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -15,12 +15,12 @@
 impl Event {
     /// Whether the event may follow event number `last`; a stream without numbers is not checked.
     ///
-    /// Between numbered events only comments have no number. Anything else was not sent as a part of
+    /// Numbers increase, and may leave some out. Between numbered events only comments have no number. Anything else was not sent as a part of
     /// the stream, such as the head of another response.
     #[must_use]
     pub fn follows(&self, last: Option<u64>) -> bool {
         match (last, self.id) {
-            (Some(last), Some(id)) => last.checked_add(1) == Some(id),
+            (Some(last), Some(id)) => id > last,
             (Some(_), None) => is_comment(&self.bytes),
             (None, _) => true,
         }
--- a/node/tests/integration/stray_responses.rs
+++ b/node/tests/integration/stray_responses.rs
@@ -195,6 +195,26 @@
     assert!(wrong.is_empty(), "of {REQUESTS}: {wrong:?}");
 }
 
+/// Guards against streams that are cut since their event ids have gaps, as an event may hold several tokens.
+#[test]
+fn a_stream_whose_event_ids_have_gaps_reaches_the_caller_whole() {
+    let server = RawServer::bind(|connection, request| {
+        let events: String = [43, 86, 87, 130]
+            .map(|id| format!("id: {id}\ndata: x\n\n"))
+            .concat();
+        respond(connection, request, "200 OK", &events)
+    });
+    let server = server.expect("raw server listens");
+    let nodes = start_known(&[server.address]);
+    for number in 0..REQUESTS {
+        let attempt = format!("h{number}");
+        let callers = nodes.callers_address(3);
+        let response = send_customer_request(callers, "POST /stream/x", &attempt);
+        assert!(response.whole, "{response:?}");
+        assert_eq!(response.body.matches("data: x").count(), 4, "{response:?}");
+    }
+}
+
 /// Guards against callers that are told "not run" by an earlier refusal that is written once more.
 #[test]
 fn a_refusal_without_an_attempt_id_on_a_kept_connection_is_not_believed() {
