bug: copies that crash servers at different times do not hide their request

Cause: overlapping runs count as one crash, unless all crash as long after they began; and a content kept its first sixteen crashes only, so that copies that had filled the table left no room for the ones that count.

Change: servers that crash at several moments during overlapping runs put the request on trial; a content keeps its first and last crashes, as parts of prompts do.

--- a/core/src/crash_history.rs
+++ b/core/src/crash_history.rs
@@ -47,7 +47,7 @@
 const RECENT_CRASH_AGE: Duration = Duration::from_mins(1);
 /// Maximum number of contents and parts kept; beyond it, those with the fewest crashes go first.
 pub const MAX_CONTENTS: usize = 4096;
-/// Maximum number of crashes kept for one content.
+/// Maximum number of crashes kept for one content: the first and the last ones, half of them each.
 const MAX_CRASHES: usize = 16;
 /// Maximum number of crashes kept for one part: the first and the last ones, half of them each.
 pub const MAX_PART_CRASHES: usize = 32;
@@ -337,20 +337,22 @@
 
 /// Adds a run on a server that is not known yet; returns whether it was kept.
 ///
-/// A part keeps its first and its last crashes, whatever the order of reports.
+/// A suspect keeps its first and its last crashes, whatever the order of reports: copies that crash many servers
+/// together leave room for the crashes that follow.
 fn insert_run(runs: &mut Runs, report: &CrashReport) -> bool {
-    let is_part = report.content.is_prompt_part();
-    if !is_part && runs.len() >= MAX_CRASHES {
-        return false;
-    }
+    let most = if report.content.is_prompt_part() {
+        MAX_PART_CRASHES
+    } else {
+        MAX_CRASHES
+    };
     runs.insert(report.incarnation.clone(), report.run);
-    if is_part && runs.len() > MAX_PART_CRASHES {
+    if runs.len() > most {
         let mut by_end: Vec<_> = runs
             .iter()
             .map(|(server, run)| (run.ended, server))
             .collect();
         by_end.sort_unstable();
-        let middle = by_end[MAX_PART_CRASHES / 2].1.clone();
+        let middle = by_end[most / 2].1.clone();
         runs.remove(&middle);
     }
     runs.contains_key(&report.incarnation)
@@ -367,17 +369,26 @@
 ///
 /// Runs at the same time, such as of a popular content when a rack fails, count once.
 fn sequential_crashes<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> usize {
+    overlapping_groups(runs).len()
+}
+
+/// Returns runs that are not cleared by their ends, in groups: each begins with one that began after the end of the
+/// first run of the group before.
+fn overlapping_groups<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> Vec<Vec<&'a CrashedRun>> {
     let mut by_end: Vec<_> = runs.filter(|run| !run.cleared).collect();
     by_end.sort_by_key(|run| (run.ended, run.started));
-    let mut count = 0;
-    let mut last_end = Moment::default();
+    let mut groups: Vec<Vec<&CrashedRun>> = Vec::new();
+    let mut first_end = Moment::default();
     for run in by_end {
-        if run.started + CLOCK_TOLERANCE >= last_end {
-            count += 1;
-            last_end = run.ended;
+        match groups.last_mut() {
+            Some(group) if run.started + CLOCK_TOLERANCE < first_end => group.push(run),
+            _ => {
+                first_end = run.ended;
+                groups.push(vec![run]);
+            }
         }
     }
-    count
+    groups
 }
 
 /// Returns the end of the last run that is not cleared, or of the last run if all are.
--- a/core/src/crash_history/alike.rs
+++ b/core/src/crash_history/alike.rs
@@ -1,9 +1,10 @@
-//! Servers that crashed at about the same time, each as long after a run of one suspect began.
+//! Servers that crashed while runs of one suspect overlapped.
 //!
-//! Copies of a crashing request that are sent together crash their servers together. Runs that a failing
-//! rack or zone ends have begun at different times.
+//! Copies of a crashing request that are sent together crash their servers as long after their runs began, or each
+//! at a time of its own. Runs that a failing rack or zone ends have begun at different times and end together.
 
-use super::{CLOCK_TOLERANCE, CrashedRun};
+use super::contents::WIDESPREAD_SPAN;
+use super::{CLOCK_TOLERANCE, CrashedRun, overlapping_groups};
 use crate::time::Moment;
 
 /// Servers that crash in this way from which on their suspect is tried a single run at a time.
@@ -17,6 +18,10 @@
 ///
 /// Short runs of an innocent request differ by little, so that some of them are alike by chance.
 const OUTLIER_DIVISOR: usize = 8;
+/// Moments of crashes during overlapping runs from which on their suspect is tried.
+const MIN_MOMENTS_FOR_TRIAL: usize = 4;
+/// Servers from which on it is tried if each crashed at a moment of its own.
+const MIN_SINGLE_FOR_TRIAL: usize = 3;
 
 /// What crashes that look alike say of their suspect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,7 +34,35 @@
     Quarantine,
 }
 
-/// Judges runs that ended with their servers, of which `moments` came one after the other.
+/// Judges runs of a whole request that ended with their servers, of which `moments` came one after the other.
+pub(super) fn judge_request(runs: &[&CrashedRun], moments: usize) -> AlikeCrashes {
+    match judge(runs.iter().copied(), moments) {
+        AlikeCrashes::Inconclusive if crashed_one_by_one(runs) => AlikeCrashes::Trial,
+        verdict => verdict,
+    }
+}
+
+/// Whether servers crashed at several moments during runs that overlap, as copies of one request do.
+///
+/// A rack or a zone that fails is one moment.
+fn crashed_one_by_one(runs: &[&CrashedRun]) -> bool {
+    overlapping_groups(runs.iter().copied())
+        .iter()
+        .any(|group| {
+            let mut moments = 0;
+            let mut last = None;
+            for run in group {
+                if last.is_none_or(|last| run.ended > last + WIDESPREAD_SPAN) {
+                    moments += 1;
+                    last = Some(run.ended);
+                }
+            }
+            let all_single = moments == group.len() && moments >= MIN_SINGLE_FOR_TRIAL;
+            all_single || moments >= MIN_MOMENTS_FOR_TRIAL
+        })
+}
+
+/// Judges runs that ended with their servers by their durations, of which `moments` came one after the other.
 ///
 /// Times from the begin of a run to its end that differ by `CLOCK_TOLERANCE` at most count as equal.
 pub(super) fn judge<'a>(
--- a/core/src/crash_history/contents.rs
+++ b/core/src/crash_history/contents.rs
@@ -18,7 +18,7 @@
 /// After as many further crashes the content is quarantined like any other.
 const CONTESTED_QUARANTINES: [Duration; 2] = [Duration::ZERO, Duration::from_mins(1)];
 /// Largest time between two crashes of a widespread failure, as different VMs see them.
-const WIDESPREAD_SPAN: Duration = Duration::from_millis(150);
+pub(super) const WIDESPREAD_SPAN: Duration = Duration::from_millis(150);
 /// Crashes from which on a content is to blame also for those within widespread failures.
 const CERTAIN_CRASHES: usize = 6;
 /// Minimum number of other servers that crash at the same moment in a widespread failure.
@@ -62,7 +62,7 @@
             .collect();
         let moments = sequential_crashes(isolated.iter().copied());
         let last = alike::last_end(isolated.iter().copied())?;
-        match alike::judge(isolated.into_iter(), moments) {
+        match alike::judge_request(&isolated, moments) {
             AlikeCrashes::Inconclusive => None,
             AlikeCrashes::Trial => Some(last),
             AlikeCrashes::Quarantine => Some(last + extended_quarantine(0)),
--- a/core/tests/integration/crash_history.rs
+++ b/core/tests/integration/crash_history.rs
@@ -320,6 +320,50 @@
     assert!(matches!(verdict, CrashVerdict::QuarantinedUntil(_)));
 }
 
+/// Guards against copies of a crashing request that overlap and crash servers at different times, which count as one
+/// crash.
+#[test]
+fn copies_that_crash_servers_at_different_times_are_tried() {
+    let now = NOW + Duration::from_mins(1);
+    let spread = |copies: u16, step: u64| {
+        let copy = |server| crash(1, server, 0, 100 + step * u64::from(server));
+        history(&(0..copies).map(copy).collect::<Vec<_>>())
+    };
+    assert_eq!(
+        spread(2, 200).verdict(now, &content(1)),
+        CrashVerdict::Allowed
+    );
+    assert_eq!(
+        spread(3, 200).verdict(now, &content(1)),
+        CrashVerdict::OnTrial
+    );
+    assert_eq!(
+        spread(8, 120).verdict(now, &content(1)),
+        CrashVerdict::OnTrial
+    );
+    // A rack that fails under a popular request: its runs end together.
+    assert_eq!(
+        spread(8, 15).verdict(now, &content(1)),
+        CrashVerdict::Allowed
+    );
+}
+
+/// Guards against crashes that are not counted, as copies had filled the table of the first ones.
+#[test]
+fn crashes_that_follow_many_copies_are_counted() {
+    let copies = (0..20).map(|server| crash(1, server, 0, 100 + 40 * u64::from(server)));
+    let mut history = history(&copies.collect::<Vec<_>>());
+    for (server, started) in [(30, 8000), (31, 12_000)] {
+        assert!(history.merge(&crash(1, server, started, started + 500)));
+    }
+    let now = NOW + Duration::from_mins(1);
+    let verdict = history.verdict(now, &content(1));
+    assert!(
+        matches!(verdict, CrashVerdict::QuarantinedUntil(_)),
+        "{verdict:?}"
+    );
+}
+
 /// Guards against trials that are held back for good after an innocent request has completed.
 #[test]
 fn a_completed_trial_clears_copies_that_crashed_servers_together() {
