bug: an order to evacuate that is already in force is confirmed whatever its number

Operators would see 503 on a disk whose syncs take about as long as a call: an order that is sent again while its first copy waits was refused once the copy was applied, and started over without time for another sync.

Cause: numbered orders refused each late copy, also one that changes nothing.

Change: an order that the set satisfies already is accepted and counts as the newest one, so that no earlier order can follow it.

--- a/core/src/control.rs
+++ b/core/src/control.rs
@@ -114,6 +114,7 @@
     },
     /// Begins or ends the evacuation of a zone, unless another order about the zone was applied meanwhile.
     ///
+    /// An order that is already satisfied is accepted in any case: it changes nothing, and counts as the newest one.
     /// It is proposed only once all voters are known to be able to apply it, since a VM of an earlier
     /// version stops at it.
     OrderEvacuation {
@@ -231,13 +232,7 @@
                 zone,
                 active,
                 after,
-            } => {
-                if let Err(newest) = self.evacuation_orders.advance(&zone, after) {
-                    return Answer::EvacuationOvertaken(newest);
-                }
-                self.evacuations.set(zone, active);
-                Answer::Evacuations(self.evacuations.revision)
-            }
+            } => self.order_evacuation(zone, active, after),
         }
     }
 
@@ -269,6 +264,16 @@
         Answer::Accepted(number)
     }
 
+    fn order_evacuation(&mut self, zone: ZoneName, active: bool, after: u64) -> Answer {
+        let newest = self.evacuation_orders.newest(&zone);
+        if newest != after && !self.evacuations.satisfies(&zone, active) {
+            return Answer::EvacuationOvertaken(newest);
+        }
+        self.evacuation_orders.count(&zone);
+        self.evacuations.set(zone, active);
+        Answer::Evacuations(self.evacuations.revision)
+    }
+
     fn quarantine(&mut self, content: ContentDigest) {
         if self.quarantined.contains(&content) {
             return;
--- a/core/src/evacuation.rs
+++ b/core/src/evacuation.rs
@@ -1,8 +1,8 @@
 //! Availability zones whose backend servers get no new requests, by an operator's order.
 //!
 //! The orders about a zone are numbered by the control log: an order names the number after which it was
-//! given, and is refused once another one has been applied since ([`OrderNumbers`]). So an order that is late or
-//! sent twice cannot undo a newer one, wherever it was delayed. [`PendingOrder`] is the progress of an order at the
+//! given, and can change nothing once another one has been applied since ([`OrderNumbers`]). So an order that is late
+//! or sent twice cannot undo a newer one, wherever it was delayed. [`PendingOrder`] is the progress of an order at the
 //! control VM that was asked.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +31,12 @@
         self.revision += u64::from(changed);
     }
 
+    /// Whether the zone is evacuated, or not, as an order demands.
+    #[must_use]
+    pub fn satisfies(&self, zone: &ZoneName, active: bool) -> bool {
+        self.zones.contains(zone) == active
+    }
+
     /// Replaces this set by a newer one; returns the zones that are no longer evacuated.
     ///
     /// Returns `None`, and changes nothing, unless the revision of `newer` is higher.
@@ -66,17 +72,10 @@
         self.newest.is_empty()
     }
 
-    /// Gives an order about `zone` the next number, if the newest one is `after`.
-    ///
-    /// # Errors
-    /// Fails with the number of the newest order if that is another one; nothing is changed then.
-    pub fn advance(&mut self, zone: &ZoneName, after: u64) -> Result<(), u64> {
+    /// Counts an order about a zone.
+    pub fn count(&mut self, zone: &ZoneName) {
         let newest = self.newest(zone);
-        if newest != after {
-            return Err(newest);
-        }
         self.newest.insert(zone.clone(), newest + 1);
-        Ok(())
     }
 
     /// Returns the zones with their newest numbers, as a snapshot holds them.
