refactor: the VMs of the test's own process and the initial VMs have modules of their own

The controller's state.rs leaves the choice of the VMs that form a cluster to initial_vms.rs. Moved only; the tests of link_messages pass.

--- a/node/src/controller.rs
+++ b/node/src/controller.rs
@@ -9,6 +9,7 @@
 mod cold;
 mod crashes;
 mod evacuations;
+mod initial_vms;
 mod input;
 mod known_peers;
 mod manifest_source;
--- a/node/src/controller/state.rs
+++ b/node/src/controller/state.rs
@@ -1,6 +1,5 @@
 //! State of the control thread: replica, backend servers and pending operator calls.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anyhow::Result;
@@ -54,9 +53,9 @@
     pub(super) advertised_evacuations: u64,
     /// When the crash history is next compared with the control log.
     pub(super) next_record: Moment,
-    formation: ClusterFormation,
+    pub(super) formation: ClusterFormation,
     /// Link addresses of the VMs that bootstrap a new cluster; may be empty.
-    initial_addrs: Vec<std::net::SocketAddr>,
+    pub(super) initial_addrs: Vec<std::net::SocketAddr>,
     /// The manifest that this VM has applied, as entry VMs get it.
     pub(super) manifests: ManifestSource,
     /// Manifest number last sent to the entry VMs.
@@ -302,25 +301,6 @@
         self.peer_list.opened((vm, peer.address));
     }
 
-    /// Resolves the addresses of the initial control VMs to ids, as far as they have links.
-    fn resolve_initial_vms(&mut self) {
-        if self.initial_addrs.is_empty() || self.replica.consensus.is_committed_voter() {
-            return;
-        }
-        let mut known: BTreeMap<_, _> = self
-            .links
-            .peers()
-            .into_iter()
-            .map(|peer| (peer.address, peer.vm_id()))
-            .collect();
-        known.insert(self.local_peer.address, self.local_peer.vm_id());
-        let addresses = self.initial_addrs.iter();
-        let vms = addresses.filter_map(|address| known.get(address).cloned());
-        self.formation.initial_vms = vms.collect();
-        let founders = self.links.vms_with(|features| features.initial_vm);
-        self.formation.founders = founders.into_iter().collect();
-    }
-
     fn handle_message(&mut self, now: Moment, from: &VmId, message: MeshMessage) {
         match message {
             MeshMessage::Raft { from, to, message } => {
--- a/node/tests/integration/link_messages.rs
+++ b/node/tests/integration/link_messages.rs
@@ -1,15 +1,12 @@
 //! What entry and control VMs send over a link that opens, and over idle ones.
 
-use std::collections::BTreeSet;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::ops::Range;
-use std::path::PathBuf;
-use std::sync::{Arc, Mutex, mpsc};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use merlinrudder_core::cold::plan::ColdBounds;
 use merlinrudder_core::consensus::message::{Index, Record as RaftRecord, Snapshot, Term};
 use merlinrudder_core::control::{ControlState, PublishedManifest};
 use merlinrudder_core::control_contact::RECENT_CONFIRMATION;
@@ -20,15 +17,12 @@
 use merlinrudder_core::manifest::ManifestNumber;
 use merlinrudder_core::manifest_history::ManifestStep;
 use merlinrudder_core::names::ServerId;
-use merlinrudder_core::retry::RetryLimits;
 use merlinrudder_core::time::Moment;
 use merlinrudder_core::units::ContentDigest;
 use merlinrudder_fakes::http_client::{
     send_customer_request, send_request, send_request_with_headers,
 };
 use merlinrudder_fakes::nodes::sample_configuration;
-use merlinrudder_node::controller::{ControllerConfig, RunningController};
-use merlinrudder_node::gateway::{GatewayConfig, RunningGateway};
 use merlinrudder_store::DataFolder;
 use merlinrudder_wire::compression::compress;
 use merlinrudder_wire::consensus::encode_record;
@@ -37,14 +31,11 @@
 use merlinrudder_wire::manifest_update::WireManifestUpdate;
 use merlinrudder_wire::mesh::{HISTORY_NOT_WANTED, MeshMessage, WireFeatures};
 use merlinrudder_wire::peers::WirePeer;
-use slog::{Drain, Logger, OwnedKVList, Record, o};
 use socket2::SockRef;
 use tempfile::TempDir;
-use tokio::runtime::Builder;
-use tokio::sync::oneshot;
-use tokio::task::LocalSet;
 
-use crate::hand_link::{HandLink, addresses};
+use crate::hand_link::HandLink;
+use crate::in_process_vm::Vm;
 
 /// Time in which everything that follows the opening of a link has arrived.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
@@ -53,120 +44,6 @@
 /// Longest wait for a state that must be reached.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Messages of the log records of a VM.
-#[derive(Clone, Default)]
-struct Lines(Arc<Mutex<Vec<String>>>);
-
-impl Drain for Lines {
-    type Ok = ();
-    type Err = slog::Never;
-
-    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), slog::Never> {
-        let mut lines = self.0.lock().expect("no panic");
-        lines.push(record.msg().to_string());
-        Ok(())
-    }
-}
-
-impl Lines {
-    fn count(&self, text: &str) -> usize {
-        let lines = self.0.lock().expect("no panic");
-        lines.iter().filter(|line| line.starts_with(text)).count()
-    }
-}
-
-/// An entry or control VM of this process; its tasks end when this is dropped.
-struct Vm {
-    address: SocketAddr,
-    /// Address for callers, if it is an entry VM.
-    callers: SocketAddr,
-    lines: Lines,
-    _folder: TempDir,
-    _stop: oneshot::Sender<()>,
-}
-
-impl Vm {
-    fn start(control: bool) -> Self {
-        Self::start_in(control, tempfile::tempdir().expect("a temporary folder"))
-    }
-
-    /// Starts a VM with this data folder.
-    fn start_in(control: bool, folder: TempDir) -> Self {
-        let data_dir = folder.path().to_owned();
-        let free = addresses(4);
-        let local_peer = WirePeer {
-            vm: "vm".to_owned(),
-            zone: "z".to_owned(),
-            address: free[0],
-            control,
-        };
-        let (address, callers) = (free[0], free[1]);
-        let lines = Lines::default();
-        let log = Logger::root(lines.clone().fuse(), o!());
-        let (stop, stopped) = oneshot::channel();
-        let (started, has_started) = mpsc::channel();
-        thread::spawn(move || {
-            let runtime = Builder::new_current_thread().enable_all().build();
-            let running = async {
-                if control {
-                    let config = controller_config(local_peer, free[1], data_dir);
-                    let running = RunningController::spawn(config, &log).await;
-                    drop(running.expect("free addresses"));
-                } else {
-                    let config = gateway_config(local_peer, &free);
-                    let running = RunningGateway::spawn(config, &log).await;
-                    drop(running.expect("free addresses"));
-                }
-                started.send(()).expect("the test waits");
-                drop(stopped.await);
-            };
-            LocalSet::new().block_on(&runtime.expect("a runtime"), running);
-        });
-        has_started.recv().expect("a running VM");
-        Self {
-            address,
-            callers,
-            lines,
-            _folder: folder,
-            _stop: stop,
-        }
-    }
-}
-
-fn controller_config(
-    local_peer: WirePeer,
-    api_addr: SocketAddr,
-    data_dir: PathBuf,
-) -> ControllerConfig {
-    ControllerConfig {
-        local_peer,
-        api_addr,
-        seeds: Vec::new(),
-        bootstrap: false,
-        data_dir,
-        tolerated_losses: 1,
-        zones: BTreeSet::new(),
-    }
-}
-
-fn gateway_config(local_peer: WirePeer, free: &[SocketAddr]) -> GatewayConfig {
-    GatewayConfig {
-        local_peer,
-        caller_addr: free[1],
-        ready_addr: free[2],
-        relay_addr: free[3],
-        seeds: Vec::new(),
-        retry_limits: RetryLimits {
-            window: Duration::from_secs(10),
-            ratio: 0.1,
-            slack: 1.0,
-        },
-        cold_bounds: ColdBounds::default(),
-        learn_capacity: false,
-        stop_timeout: Duration::from_secs(10),
-    }
-}
-
 /// Returns what the messages say that the sender knows when it asks for the crash history.
 fn pulls(messages: &[MeshMessage]) -> Vec<u64> {
     let pulls = messages.iter().filter_map(|message| match message {
--- a/node/tests/integration/main.rs
+++ b/node/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod full_disk;
 mod hand_link;
 mod http_server;
+mod in_process_vm;
 mod learned_capacity;
 mod link_messages;
 mod links;
