bug: one trial is enough after copies that crashed servers at four moments

Change: overlapping runs that crashed servers at four moments and one further crash quarantine their request, as crashes that are alike do.

--- a/core/src/crash_history/alike.rs
+++ b/core/src/crash_history/alike.rs
@@ -11,7 +11,7 @@
 const MIN_ALIKE_FOR_TRIAL: usize = 3;
 /// Such servers from which on it is quarantined, if they crashed at `MIN_MOMENTS_FOR_QUARANTINE`.
 const MIN_ALIKE_FOR_QUARANTINE: usize = 5;
-/// Crashes one after the other among them, without a completion between.
+/// Crashes one after the other, without a completion between, from which on either kind is quarantined.
 const MIN_MOMENTS_FOR_QUARANTINE: usize = 2;
 
 /// Divisor for the share of crashes that may differ: 1 in 8.
@@ -37,29 +37,38 @@
 /// Judges runs of a whole request that ended with their servers, of which `moments` came one after the other.
 pub(super) fn judge_request(runs: &[&CrashedRun], moments: usize) -> AlikeCrashes {
     match judge(runs.iter().copied(), moments) {
-        AlikeCrashes::Inconclusive if crashed_one_by_one(runs) => AlikeCrashes::Trial,
+        AlikeCrashes::Inconclusive => judge_overlapping(runs, moments),
         verdict => verdict,
     }
 }
 
-/// Whether servers crashed at several moments during runs that overlap, as copies of one request do.
-///
-/// A rack or a zone that fails is one moment.
-fn crashed_one_by_one(runs: &[&CrashedRun]) -> bool {
-    overlapping_groups(runs.iter().copied())
-        .iter()
-        .any(|group| {
-            let mut moments = 0;
-            let mut last = None;
-            for run in group {
-                if last.is_none_or(|last| run.ended > last + WIDESPREAD_SPAN) {
-                    moments += 1;
-                    last = Some(run.ended);
-                }
-            }
-            let all_single = moments == group.len() && moments >= MIN_SINGLE_FOR_TRIAL;
-            all_single || moments >= MIN_MOMENTS_FOR_TRIAL
-        })
+/// Judges servers that crashed at several moments during runs that overlap, as copies of one request make them.
+fn judge_overlapping(runs: &[&CrashedRun], moments: usize) -> AlikeCrashes {
+    let mut verdict = AlikeCrashes::Inconclusive;
+    for group in overlapping_groups(runs.iter().copied()) {
+        let within = moments_within(&group);
+        if within >= MIN_MOMENTS_FOR_TRIAL && moments >= MIN_MOMENTS_FOR_QUARANTINE {
+            return AlikeCrashes::Quarantine;
+        }
+        let all_single = within == group.len() && within >= MIN_SINGLE_FOR_TRIAL;
+        if all_single || within >= MIN_MOMENTS_FOR_TRIAL {
+            verdict = AlikeCrashes::Trial;
+        }
+    }
+    verdict
+}
+
+/// Counts the moments at which servers crashed during overlapping runs; a rack or a zone that fails is one moment.
+fn moments_within(group: &[&CrashedRun]) -> usize {
+    let mut moments = 0;
+    let mut last = None;
+    for run in group {
+        if last.is_none_or(|last| run.ended > last + WIDESPREAD_SPAN) {
+            moments += 1;
+            last = Some(run.ended);
+        }
+    }
+    moments
 }
 
 /// Judges runs that ended with their servers by their durations, of which `moments` came one after the other.
--- a/core/tests/integration/crash_history.rs
+++ b/core/tests/integration/crash_history.rs
@@ -348,6 +348,19 @@
     );
 }
 
+/// Guards against a fourth retry: VMs may start a trial at the same moment, so that one trial must be enough.
+#[test]
+fn a_crash_after_copies_that_crash_servers_at_four_times_is_enough() {
+    let copies = (0..8).map(|server| crash(1, server, 0, 100 + 120 * u64::from(server)));
+    let mut history = history(&copies.collect::<Vec<_>>());
+    history.merge(&crash(1, 30, 8000, 8500));
+    let verdict = history.verdict(NOW + Duration::from_mins(1), &content(1));
+    assert!(
+        matches!(verdict, CrashVerdict::QuarantinedUntil(_)),
+        "{verdict:?}"
+    );
+}
+
 /// Guards against crashes that are not counted, as copies had filled the table of the first ones.
 #[test]
 fn crashes_that_follow_many_copies_are_counted() {
